The whole path, thin, as separate processes

An entry and a control process a VM, stand-ins for platform, engine, service and a fault-injecting proxy, the operators' command with check, show, hash-key, status, explain, drain and demo. Decisions are a library without I/O.

Cause found on the way: with a receive timeout on its listening socket, tiny_http's accept loop ended at the first quiet spell and callers were refused from then on (a test that sends nothing for 6 s showed it). Ruled out: a crash of the process. tiny_http has no other way to bound silent callers, so the callers' port is parsed by httparse over plain sockets. After: the same test passes, and half-sent heads and bodies are answered within the caller timeout.

--- /dev/null
+++ b/crates/config/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of merging, checking and settings: every refusal with its place.
+
+mod errors;
--- /dev/null
+++ b/crates/decide/src/permits/endpoint.rs
@@ -0,0 +1,233 @@
+//! What the owner of an endpoint knows of it, and how much more it may send there.
+
+use crate::event::LoadReport;
+use crate::lengths::Lengths;
+use crate::limits::{PERMIT_USE_MS, REPORT_LOST_MS, WARM_EVIDENCE_MS};
+use gypsumchute_config::Endpoint;
+use gypsumchute_units::{BootMs, CustomerId, RouteId, VmId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Points ahead, in tokens of each running output, at which memory need is forecast.
+const HORIZON_TOKENS: [f64; 8] = [0.0, 64.0, 128.0, 256.0, 512.0, 1_024.0, 2_048.0, 4_096.0];
+/// Part of an engine's memory that forecasts may fill.
+const MEMORY_FILL: f64 = 0.92;
+/// Time for a token before any output was seen.
+const DEFAULT_MS_PER_TOKEN: f64 = 30.0;
+/// Weight of a new observation in the moving average of time per token.
+const MS_PER_TOKEN_GAIN: f64 = 0.2;
+/// Time for notices of ended requests to arrive before a load report is held against permits.
+const NOTICE_WAIT_MS: u64 = 500;
+/// How long an endpoint must report fewer requests than were permitted before permits are dropped.
+const SURPLUS_WAIT_MS: u64 = 3_000;
+
+/// A permit in force.
+#[derive(Debug, Clone)]
+pub(super) struct Permit {
+    pub(super) holder: VmId,
+    pub(super) holder_incarnation: u64,
+    pub(super) ask_id: u64,
+    pub(super) customer: CustomerId,
+    pub(super) route: RouteId,
+    pub(super) granted_ms: BootMs,
+    pub(super) prompt_tokens: u32,
+    pub(super) max_tokens: u32,
+    pub(super) suspect: bool,
+    pub(super) charged: f64,
+}
+
+/// An endpoint that this VM owns.
+#[derive(Debug)]
+pub(super) struct OwnedEndpoint {
+    usable_from_ms: BootMs,
+    counted: bool,
+    unseen: u32,
+    report: Option<LoadReport>,
+    reports: VecDeque<LoadReport>,
+    surplus_since_ms: Option<BootMs>,
+    ms_per_token: f64,
+    pub(super) permits: BTreeMap<u64, Permit>,
+}
+
+impl OwnedEndpoint {
+    /// Owned since `since_ms`. Permits of a former owner may be used for a time after that, and
+    /// what they started is counted from the first load report taken later.
+    pub(super) fn new(since_ms: BootMs, had_owner: bool) -> Self {
+        let wait_ms = if had_owner { PERMIT_USE_MS } else { 0 };
+        OwnedEndpoint {
+            usable_from_ms: since_ms + wait_ms,
+            counted: false,
+            unseen: 0,
+            report: None,
+            reports: VecDeque::new(),
+            surplus_since_ms: None,
+            ms_per_token: DEFAULT_MS_PER_TOKEN,
+            permits: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a load report, or word that the endpoint can't be reached.
+    pub(super) fn on_report(&mut self, now: BootMs, report: Option<LoadReport>) {
+        let Some(report) = report else {
+            self.report = None;
+            return;
+        };
+        if !self.counted && report.taken_ms >= self.usable_from_ms {
+            self.counted = true;
+            self.unseen = report.running;
+        }
+        self.report = Some(report);
+        self.reports.push_back(report);
+        while let Some(old) = self.reports.front().copied() {
+            if now.since(old.taken_ms) < NOTICE_WAIT_MS {
+                break;
+            }
+            self.reports.pop_front();
+            self.reconcile(now, old);
+        }
+    }
+
+    /// Holds a report against the permits that it must show.
+    fn reconcile(&mut self, now: BootMs, report: LoadReport) {
+        let arrived: Vec<u64> = self
+            .permits
+            .iter()
+            .filter(|(_, permit)| permit.granted_ms + PERMIT_USE_MS <= report.taken_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        let shown = report.running as usize;
+        if self.counted {
+            self.unseen = self.unseen.min(shown.saturating_sub(arrived.len()) as u32);
+        }
+        if shown >= arrived.len() {
+            self.surplus_since_ms = None;
+            return;
+        }
+        let since_ms = *self.surplus_since_ms.get_or_insert(now);
+        if now.since(since_ms) >= SURPLUS_WAIT_MS {
+            let surplus = arrived.len() - shown;
+            arrived.iter().take(surplus).for_each(|id| {
+                self.permits.remove(id);
+            });
+            self.surplus_since_ms = None;
+        }
+    }
+
+    /// A request ended, or nobody knows whether it did.
+    pub(super) fn end(
+        &mut self,
+        now: BootMs,
+        id: u64,
+        stopped: bool,
+        tokens: u32,
+    ) -> Option<Permit> {
+        let permit = self.permits.remove(&id)?;
+        if !stopped {
+            self.unseen += 1;
+        }
+        if tokens > 0 && stopped {
+            let seen = now.since(permit.granted_ms) as f64 / f64::from(tokens);
+            self.ms_per_token += (seen - self.ms_per_token) * MS_PER_TOKEN_GAIN;
+        }
+        Some(permit)
+    }
+
+    /// Takes out the permits of a process that is gone; what they started counts as unseen.
+    pub(super) fn orphan(&mut self, holder: &VmId, incarnation: Option<u64>) {
+        let gone = |permit: &Permit| {
+            permit.holder == *holder && Some(permit.holder_incarnation) != incarnation
+        };
+        let before = self.permits.len();
+        self.permits.retain(|_, permit| !gone(permit));
+        self.unseen += (before - self.permits.len()) as u32;
+    }
+
+    /// Requests there, seen and unseen.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.permits.len() as u32 + self.unseen
+    }
+
+    /// Whether recent evidence says that the endpoint is warm.
+    pub(super) fn is_warm(&self, now: BootMs) -> bool {
+        self.report
+            .is_some_and(|report| !report.cold && now.since(report.taken_ms) < WARM_EVIDENCE_MS)
+    }
+
+    /// What the endpoint reports to have loaded, by hash.
+    pub(super) fn loaded_hash(&self) -> Option<u64> {
+        self.report.map(|report| report.loaded_hash)
+    }
+
+    /// The most requests that it may have now.
+    pub(super) fn limit(&self, now: BootMs, spec: &Endpoint) -> u32 {
+        let Some(report) = self.report else { return 0 };
+        match self.counted && now.since(report.taken_ms) < REPORT_LOST_MS {
+            true if self.is_warm(now) => spec.warm_limit,
+            true => spec.cold_limit.min(report.cold_limit.unwrap_or(u32::MAX)),
+            false => 0,
+        }
+    }
+
+    /// Free places by number.
+    pub(super) fn free(&self, now: BootMs, spec: &Endpoint) -> u32 {
+        self.limit(now, spec).saturating_sub(self.in_flight())
+    }
+
+    /// Whether a request that was near a crash runs there already.
+    pub(super) fn has_suspect(&self) -> bool {
+        self.permits.values().any(|permit| permit.suspect)
+    }
+
+    fn produced(&self, now: BootMs, permit: &Permit) -> f64 {
+        let produced = now.since(permit.granted_ms) as f64 / self.ms_per_token;
+        produced.min(f64::from(permit.max_tokens))
+    }
+
+    /// Whether the memory that all its generations are going to need, with one more, fits.
+    pub(super) fn memory_fits(
+        &self,
+        now: BootMs,
+        spec: &Endpoint,
+        lengths: &BTreeMap<RouteId, Lengths>,
+        candidate: (&RouteId, u32, u32),
+    ) -> bool {
+        if spec.memory_tokens == 0 {
+            return true;
+        }
+        let room = spec.memory_tokens as f64 * MEMORY_FILL;
+        let unseen = self.unseen_tokens();
+        HORIZON_TOKENS.iter().all(|ahead| {
+            let need = |route: &RouteId, prompt: u32, max: u32, produced: f64| {
+                let length = (produced + ahead).min(f64::from(max));
+                let alive = lengths.get(route).map_or(1.0, |l| l.reaches(length, produced));
+                alive * (f64::from(prompt) + length)
+            };
+            let running: f64 = self
+                .permits
+                .values()
+                .map(|p| need(&p.route, p.prompt_tokens, p.max_tokens, self.produced(now, p)))
+                .sum();
+            let (route, prompt, max) = candidate;
+            running + need(route, prompt, max, 0.0) + unseen <= room
+        }) || self.in_flight() == 0
+    }
+
+    fn unseen_tokens(&self) -> f64 {
+        let Some(report) = self.report.filter(|report| report.running > 0) else { return 0.0 };
+        let each = report.used_tokens as f64 / f64::from(report.running);
+        each * f64::from(self.unseen)
+    }
+
+    /// How long until one of its requests is likely to end.
+    pub(super) fn next_end_ms(&self, now: BootMs, lengths: &BTreeMap<RouteId, Lengths>) -> u64 {
+        let remaining = |permit: &Permit| {
+            let produced = self.produced(now, permit);
+            let max = f64::from(permit.max_tokens);
+            lengths.get(&permit.route).map_or(max, |l| l.expected_remaining(produced, max))
+        };
+        let shortest = self.permits.values().map(remaining).fold(f64::INFINITY, f64::min);
+        match shortest.is_finite() {
+            true => (shortest * self.ms_per_token) as u64,
+            false => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the entry process against raw connections.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,6 @@
+//! Structured logs and metrics, the same for every process.
+
+pub mod logs;
+pub mod metrics;
+
+pub use metrics::Metrics;
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,214 @@
+//! Counters and histograms by `opentelemetry`, readable as text on the operators' port.
+//!
+//! The text is the Prometheus exposition format, written here from the SDK's own data, because no
+//! exporter for it keeps pace with the SDK's versions.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
+use opentelemetry_sdk::metrics::reader::MetricReader;
+use opentelemetry_sdk::metrics::{
+    InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
+};
+use std::fmt::{Display, Write};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+const METER: &str = "gypsumchute";
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 16] = [
+    0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 50.0, 100.0, 200.0, 580.0, 1_000.0, 2_000.0, 5_000.0,
+    10_000.0, 30_000.0,
+];
+
+/// A reader that the provider and the operators' port share.
+#[derive(Debug, Clone)]
+struct SharedReader(Arc<ManualReader>);
+
+impl MetricReader for SharedReader {
+    fn register_pipeline(&self, pipeline: Weak<Pipeline>) {
+        self.0.register_pipeline(pipeline);
+    }
+
+    fn collect(&self, metrics: &mut ResourceMetrics) -> OTelSdkResult {
+        self.0.collect(metrics)
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        self.0.force_flush()
+    }
+
+    fn shutdown_with_timeout(&self, timeout: Duration) -> OTelSdkResult {
+        self.0.shutdown_with_timeout(timeout)
+    }
+
+    fn temporality(&self, kind: InstrumentKind) -> Temporality {
+        self.0.temporality(kind)
+    }
+}
+
+/// The metrics of one process.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    reader: SharedReader,
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    admitted: Counter<u64>,
+    charges: Counter<u64>,
+    tokens: Counter<u64>,
+    messages: Counter<u64>,
+    message_bytes: Counter<u64>,
+    first_token_ms: Histogram<f64>,
+    between_tokens_ms: Histogram<f64>,
+    request_ms: Histogram<f64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that start at zero.
+    pub fn new() -> Self {
+        let reader = SharedReader(Arc::new(ManualReader::builder().build()));
+        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let meter = provider.meter(METER);
+        Metrics {
+            reader,
+            refusals: meter.u64_counter("gypsumchute_refusals").build(),
+            retries: meter.u64_counter("gypsumchute_retries").build(),
+            admitted: meter.u64_counter("gypsumchute_admitted").build(),
+            charges: meter.u64_counter("gypsumchute_rate_charges").build(),
+            tokens: meter.u64_counter("gypsumchute_tokens").build(),
+            messages: meter.u64_counter("gypsumchute_peer_messages").build(),
+            message_bytes: meter.u64_counter("gypsumchute_peer_bytes").build(),
+            first_token_ms: latency(&meter, "gypsumchute_first_token_ms"),
+            between_tokens_ms: latency(&meter, "gypsumchute_between_tokens_ms"),
+            request_ms: latency(&meter, "gypsumchute_request_ms"),
+            _provider: provider,
+        }
+    }
+
+    /// Counts a refusal under its reason.
+    pub fn count_refusal(&self, reason: &'static str, verdict: &'static str) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("verdict", verdict)];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts a retry under its reason.
+    pub fn count_retry(&self, reason: &'static str) {
+        self.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request that may go to an endpoint.
+    pub fn count_admitted(&self, route: &str) {
+        self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Counts a charge of a customer's rate, or one that was taken back.
+    pub fn count_charge(&self, customer: &str, what: &'static str) {
+        let labels = [KeyValue::new("customer", customer.to_owned()), KeyValue::new("what", what)];
+        self.charges.add(1, &labels);
+    }
+
+    /// Counts tokens that reached a caller.
+    pub fn count_tokens(&self, tokens: u64) {
+        self.tokens.add(tokens, &[]);
+    }
+
+    /// Counts a datagram of `bytes` to another VM.
+    pub fn count_message(&self, bytes: u64) {
+        self.messages.add(1, &[]);
+        self.message_bytes.add(bytes, &[]);
+    }
+
+    /// Notes the time from a request's arrival to its first token.
+    pub fn record_first_token(&self, elapsed_ms: f64) {
+        self.first_token_ms.record(elapsed_ms, &[]);
+    }
+
+    /// Notes the time between two tokens.
+    pub fn record_between_tokens(&self, elapsed_ms: f64) {
+        self.between_tokens_ms.record(elapsed_ms, &[]);
+    }
+
+    /// Notes the time from a request's arrival to the end of its answer.
+    pub fn record_request(&self, elapsed_ms: f64, outcome: &'static str) {
+        self.request_ms.record(elapsed_ms, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// All metrics as text.
+    pub fn to_text(&self) -> String {
+        let mut collected = ResourceMetrics::default();
+        let mut text = String::new();
+        if self.reader.collect(&mut collected).is_err() {
+            return text;
+        }
+        for metric in collected.scope_metrics().flat_map(|scope| scope.metrics()) {
+            match metric.data() {
+                AggregatedMetrics::U64(data) => write_data(&mut text, metric.name(), data),
+                AggregatedMetrics::I64(data) => write_data(&mut text, metric.name(), data),
+                AggregatedMetrics::F64(data) => write_data(&mut text, metric.name(), data),
+            }
+        }
+        text
+    }
+}
+
+fn latency(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter.f64_histogram(name).with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build()
+}
+
+fn write_data<T: Display + Copy>(text: &mut String, name: &str, data: &MetricData<T>) {
+    match data {
+        MetricData::Sum(sum) => {
+            line(text, &format!("# TYPE {name}_total counter"));
+            for point in sum.data_points() {
+                let labels = labels(point.attributes(), None);
+                line(text, &format!("{name}_total{labels} {}", point.value()));
+            }
+        }
+        MetricData::Gauge(gauge) => {
+            line(text, &format!("# TYPE {name} gauge"));
+            for point in gauge.data_points() {
+                let labels = labels(point.attributes(), None);
+                line(text, &format!("{name}{labels} {}", point.value()));
+            }
+        }
+        MetricData::Histogram(histogram) => {
+            line(text, &format!("# TYPE {name} histogram"));
+            for point in histogram.data_points() {
+                let mut below = 0;
+                let bounds = point.bounds().map(|bound| bound.to_string());
+                let bounds = bounds.chain(["+Inf".to_owned()]);
+                for (bound, count) in bounds.zip(point.bucket_counts()) {
+                    below += count;
+                    let labels = labels(point.attributes(), Some(&bound));
+                    line(text, &format!("{name}_bucket{labels} {below}"));
+                }
+                let labels = labels(point.attributes(), None);
+                line(text, &format!("{name}_sum{labels} {}", point.sum()));
+                line(text, &format!("{name}_count{labels} {}", point.count()));
+            }
+        }
+        MetricData::ExponentialHistogram(_) => {}
+    }
+}
+
+fn line(text: &mut String, line: &str) {
+    let _ = writeln!(text, "{line}");
+}
+
+fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
+    let mut labels: Vec<String> =
+        attributes.map(|kv| format!("{}=\"{}\"", kv.key, kv.value)).collect();
+    labels.extend(bound.map(|bound| format!("le=\"{bound}\"")));
+    match labels.is_empty() {
+        true => String::new(),
+        false => format!("{{{}}}", labels.join(",")),
+    }
+}
--- /dev/null
+++ b/src/bin/gypsumchute-entry/main.rs
@@ -0,0 +1,25 @@
+//! The entry process of one VM.
+
+use bpaf::{Parser, construct, positional};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Debug, Clone)]
+struct Args {
+    settings: PathBuf,
+}
+
+fn cli() -> bpaf::OptionParser<Args> {
+    let settings = positional::<PathBuf>("SETTINGS").help("settings file, JSON with comments");
+    construct!(Args { settings }).to_options().version(env!("CARGO_PKG_VERSION"))
+}
+
+fn main() -> ExitCode {
+    match gypsumchute::ops::run::entry(&cli().run().settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/gypsumchute/commands/demo.rs
@@ -0,0 +1,32 @@
+//! `gypsumchute demo`
+
+use bpaf::{Parser, construct, long};
+use gypsumchute::core::OpResult;
+use gypsumchute::ops::demo;
+use std::io;
+
+#[derive(Debug, Clone)]
+pub struct Args {
+    serve: bool,
+}
+
+pub fn cli() -> impl Parser<Args> {
+    let serve = long("serve").help("stay up and print how to call it").switch();
+    construct!(Args { serve })
+        .to_options()
+        .descr("Starts a small fleet on loopback and sends a generation and a booking through it.")
+        .command("demo")
+}
+
+impl Args {
+    pub fn exec(self) -> OpResult<()> {
+        let fleet = demo::start()?;
+        let mut out = io::stdout().lock();
+        demo::run(&fleet, &mut out)?;
+        if self.serve {
+            demo::serve(&fleet, &mut out)?;
+        }
+        fleet.stop();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/gypsumchute/commands/status.rs
@@ -0,0 +1,33 @@
+//! `gypsumchute status ADDRESS…`
+
+use super::addresses;
+use bpaf::{Parser, construct, long};
+use gypsumchute::core::OpResult;
+use gypsumchute::ops::status;
+use std::net::SocketAddr;
+
+#[derive(Debug, Clone)]
+pub struct Args {
+    json: bool,
+    addresses: Vec<SocketAddr>,
+}
+
+pub fn cli() -> impl Parser<Args> {
+    let json = long("json").help("print JSON").switch();
+    let addresses = addresses();
+    construct!(Args { json, addresses })
+        .to_options()
+        .descr("Prints the status of each control process that answers.")
+        .command("status")
+}
+
+impl Args {
+    pub fn exec(self) -> OpResult<()> {
+        let statuses = status::collect(&self.addresses);
+        match self.json {
+            true => println!("{}", status::to_json(&statuses)),
+            false => println!("{}", status::to_table(&statuses)),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/gypsumchute/main.rs
@@ -0,0 +1,16 @@
+//! The operators' command.
+
+mod cli;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::parse().exec() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/gypsumchute/core/mod.rs
@@ -0,0 +1,7 @@
+//! Types that operations share.
+
+pub mod error;
+pub mod plan;
+
+pub use error::{OpError, OpResult};
+pub use plan::{FleetPlan, VmPlan};
--- /dev/null
+++ b/src/gypsumchute/ops/mod.rs
@@ -0,0 +1,11 @@
+//! One module an operation.
+
+pub mod check;
+pub mod demo;
+pub mod drain;
+pub mod embedded;
+pub mod explain;
+pub mod hash_key;
+pub mod run;
+pub mod show;
+pub mod status;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the whole system: real processes, small stand-ins, injected faults.
+
+mod path;
+mod support;
