--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -95,6 +95,7 @@
         }
         p if p.starts_with("missing field") => "add it to this item".to_owned(),
         p if p.starts_with("unknown variant") => "write one of the values named here".to_owned(),
+        p if p.contains("socket address") => format!("write `{path}` as \"10.0.0.7:8080\""),
         p if p.starts_with("invalid type") => format!("write `{path}` in the type expected here"),
         _ => format!("correct `{path}`"),
     }
--- a/crates/config/tests/testsuite/errors.rs
+++ b/crates/config/tests/testsuite/errors.rs
@@ -23,7 +23,7 @@
         ("20-more.json", r#"{ "customers": [{ "id": "b", "rate_per_s": 2, "burst": 2, }] }"#),
         ("30-change.json", r#"{ "customers": [{ "id": "a", "override": true, "burst": 9 }] }"#),
     ]);
-    insta::assert_snapshot!(merged, @"");
+    insta::assert_snapshot!(merged, @"good: 2 customers");
 }
 
 #[test]
@@ -38,7 +38,16 @@
         in_one_file("{ \"zones\": [], \"zones\": [] }"),
         in_one_file("{\n  \"zones\": [\n    { \"id\": \"n\", \"id\": \"m\" }\n  ]\n}"),
     ];
-    insta::assert_snapshot!(all.join("\n"), @"");
+    insta::assert_snapshot!(all.join("\n"), @r#"
+    a.json:1:14: Unexpected close brace; write JSON with comments
+    a.json:1:1: the file is not an object; write { … }
+    a.json:1:3: unknown section `zoness`; write one of fleet, zones, customers, model_routes, app_routes, endpoints
+    a.json:1:12: section `zones` has the wrong type; write `fleet` as an object, every other section as a list of objects
+    a.json:1:13: this item is not an object; write { "id": … }
+    a.json:1:13: this item has no `id`; add "id": "a-name"
+    a.json:1:16: section `zones` stands twice in this file; write its items into one list
+    a.json:3:18: field `id` stands twice in this item; keep one of the two
+    "#);
 }
 
 #[test]
@@ -60,7 +69,20 @@
         in_one_file(r#"{ "zones": [{ "id": "n", "state": "away" }] }"#),
         in_one_file(r#"{ "fleet": { "cut_off": "maybe" } }"#),
     ];
-    insta::assert_snapshot!(all.join("\n"), @"");
+    insta::assert_snapshot!(all.join("\n"), @r#"
+    a.json:2:45: unknown field `ratte`, expected one of `id`, `keys`, `rate_per_s`, `burst`, `weight`; remove it or write one of the fields named here
+    a.json:2:16: 0.0 is not above 0 and at most 1000000; write a number such as 20; correct `rate_per_s`
+    a.json:2:16: 1e300 is not above 0 and at most 1000000; write a number such as 20; correct `rate_per_s`
+    a.json:2:33: a burst of 0.5 admits no request; write 1 or more
+    a.json:2:16: invalid type: string "fast", expected f64; write `rate_per_s` in the type expected here
+    a.json:2:3: missing field `rate_per_s`; add it to this item
+    a.json:2:45: a weight of 0 gives this customer no share; write 1 or more
+    a.json:2:67: a key hash is 64 hexadecimal digits; `gypsumchute hash-key` prints one; correct `keys[0].sha256`
+    a.json:2:67: unknown field `sha`, expected `id` or `sha256`; remove it or write one of the fields named here
+    a.json:1:15: an id has only a-z, 0-9, '-', '_' and '.', not 'N'; correct `id`
+    a.json:1:26: unknown variant `away`, expected `in` or `out`; write one of the values named here
+    a.json:1:14: unknown variant `maybe`, expected `serve` or `stop`; write one of the values named here
+    "#);
 }
 
 #[test]
@@ -91,5 +113,19 @@
         in_one_file(routes),
         in_one_file(r#"{ "zones": [{ "id": "n", "share_weight": 0 }] }"#),
     ];
-    insta::assert_snapshot!(all.join("\n"), @"");
+    insta::assert_snapshot!(all.join("\n"), @r#"
+    b.json:2:3: `n` stands in `zones` at a.json:1:13 already; rename one, or add "override": true to change the earlier one
+    b.json:1:13: `n` overrides nothing in `zones`; remove "override", or name an id of an earlier file
+    b.json:1:12: `fleet` stands at a.json:1:12 already; keep one of the two
+    a.json:3:67: key `l` of customer `b` is also key `k` of customer `a`; give each customer a key of its own
+    a.json:2:16: no zone is called `m`; name one of `zones`
+    a.json:2:66: no route is called `r`; name one of `model_routes` or `app_routes`
+    a.json:2:72: a cold_limit of 0 lets this endpoint serve nothing; write 1 or more
+    a.json:3:29: endpoint `e` has this address already; give each endpoint its own address
+    a.json:4:29: invalid socket address syntax; write `address` as "10.0.0.7:8080"
+    a.json:1:33: no customer is called `c`; name one of `customers`
+    a.json:1:53: 0 attempts never send a request; write 1 or more
+    a.json:2:18: `r` is a model route and an application route; rename one of the two
+    a.json:1:13: no zone has a share of the customers' rates; give at least one zone a `share_weight` above 0
+    "#);
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -26,8 +26,8 @@
 //!     incarnation: 1,
 //! };
 //! let mut node = Node::new(identity, BootMs(0), 42, true);
-//! let actions = node.handle(BootMs(10), Event::Tick);
-//! assert!(actions.is_empty());
+//! node.handle(BootMs(10), Event::Tick);
+//! assert!(!node.is_ready(), "a VM without a configuration serves nothing");
 //! ```
 
 pub mod admission;
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -26,6 +26,8 @@
 pub const RECALL_WAIT_MS: u64 = 40;
 /// Shortest time between two recalls of one customer's parts.
 pub const RECALL_PAUSE_MS: u64 = 100;
+/// Shortest time between two searches for one customer's tokens.
+pub const GATHER_PAUSE_MS: u64 = 10;
 /// Wait for the owner of a customer's share in another zone.
 pub const ZONE_ASK_WAIT_MS: u64 = 100;
 /// Wait for the owner of a customer's share in the own zone, which may have to ask other zones.
--- a/crates/decide/src/shares/account.rs
+++ b/crates/decide/src/shares/account.rs
@@ -2,10 +2,19 @@
 
 use crate::bucket::{Bucket, Piece};
 use crate::event::RequestKey;
-use crate::limits::{SHARE_DEMAND_MS, SHARE_LEASE_MIN_MS, SHARE_LEASE_MS};
+use crate::limits::{
+    GATHER_PAUSE_MS, RECALL_PAUSE_MS, SHARE_DEMAND_MS, SHARE_LEASE_MIN_MS, SHARE_LEASE_MS,
+};
+
 use gypsumchute_units::{BootMs, NanoTokens, RequestRate, VmId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Tokens that make a part worth keeping where it is.
+const FEW_TOKENS: u64 = 2;
+
+/// Longest time for which a bucket counts as filling.
+const SHORT_MAX_MS: u64 = 3_000;
+
 /// Names a lease at its lender.
 pub(super) type LeaseId = u64;
 
@@ -103,8 +112,11 @@
     pub(super) gather: Option<Gather>,
     pub(super) recalled: BTreeSet<LeaseId>,
     pub(super) next_recall_ms: BootMs,
+    pub(super) next_gather_ms: BootMs,
     pub(super) dry_until_ms: BootMs,
     pub(super) refused_while_dry: u64,
+    /// Until when the bucket is emptier than its customer's past would have left it.
+    pub(super) short_until_ms: BootMs,
     pub(super) used_ms: BootMs,
     pub(super) demand: BTreeMap<VmId, BootMs>,
 }
@@ -122,8 +134,10 @@
             gather: None,
             recalled: BTreeSet::new(),
             next_recall_ms: now,
+            next_gather_ms: now,
             dry_until_ms: now,
             refused_while_dry: 0,
+            short_until_ms: BootMs(0),
             used_ms: BootMs(0),
             demand: BTreeMap::new(),
         }
@@ -207,11 +221,24 @@
                     self.resize(from_ms);
                 }
                 self.resize(now);
+                let fill_ms = piece.rate.ms_to_mint(piece.capacity).unwrap_or(SHORT_MAX_MS);
+                let began_ms = if from_ms == BootMs(0) { from_ms } else { now };
+                self.short_until_ms = began_ms + fill_ms.min(SHORT_MAX_MS);
             }
             _ => {}
         }
     }
 
+    /// How long to wait between two recalls. Where each user's part holds a few tokens, they
+    /// gather there by themselves; where it holds hardly one, tokens have to follow each request.
+    pub(super) fn recall_pause_ms(&self, now: BootMs) -> u64 {
+        let fair = NanoTokens(self.pool().capacity.0 / self.users(now));
+        match fair < NanoTokens::requests(FEW_TOKENS) {
+            true => GATHER_PAUSE_MS,
+            false => RECALL_PAUSE_MS,
+        }
+    }
+
     /// Leases of VMs that do not themselves wait for an answer of this one.
     pub(super) fn recallable(&self) -> Vec<(LeaseId, VmId)> {
         let asks = self.deep_asks.iter().chain(&self.shallow_asks);
--- a/crates/decide/src/shares/fraction.rs
+++ b/crates/decide/src/shares/fraction.rs
@@ -14,9 +14,11 @@
 /// How long a process that never knew another fraction waits to hear of the other zones.
 const UNHEARD_WAIT_MS: u64 = 7_000;
 
-/// A part of a whole, as weights.
+/// A part of a whole, as weights: where it begins, how large it is, and all together. Parts are
+/// cut at rounded positions, so that those of all zones add up to the whole exactly.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Fraction {
+    before: u64,
     weight: u64,
     total: u64,
 }
@@ -24,7 +26,8 @@
 impl Fraction {
     fn of_zone(config: &FleetConfig, zone: &ZoneId) -> Self {
         let weight = config.zones.get(zone).map_or(0, |zone| u64::from(zone.share_weight));
-        Fraction { weight, total: config.total_share_weight() }
+        let before = config.zones.range(..zone.clone()).map(|(_, z)| u64::from(z.share_weight));
+        Fraction { before: before.sum(), weight, total: config.total_share_weight() }
     }
 
     fn is_above(self, other: Fraction) -> bool {
@@ -34,10 +37,11 @@
     }
 
     fn apply(self, value: u64) -> u64 {
-        match self.total {
+        let cut = |at: u64| match self.total {
             0 => 0,
-            total => (u128::from(value) * u128::from(self.weight) / u128::from(total)) as u64,
-        }
+            total => (u128::from(value) * u128::from(at) / u128::from(total)) as u64,
+        };
+        cut(self.before + self.weight) - cut(self.before)
     }
 }
 
--- a/crates/decide/src/shares/mod.rs
+++ b/crates/decide/src/shares/mod.rs
@@ -21,7 +21,7 @@
 use crate::context::Context;
 use crate::event::RequestKey;
 use crate::limits::{
-    DRY_MAX_MS, OWNER_ASK_WAIT_MS, RATE_WAIT_MS, RECALL_PAUSE_MS, RECALL_WAIT_MS,
+    DRY_MAX_MS, GATHER_PAUSE_MS, OWNER_ASK_WAIT_MS, RATE_WAIT_MS, RECALL_WAIT_MS,
     RETRY_AFTER_MAX_MS, SHARE_IDLE_MS, SHARE_LEASE_MS, SILENT_PAUSE_MS, SUSPENDED_MAX_MS,
     ZONE_ASK_WAIT_MS, held_ms,
 };
@@ -385,6 +385,7 @@
             account.resize(ctx.now);
         }
         let missing = ask.need.saturating_sub(NanoTokens(answer.level_nano));
+        answer.short_ms = ctx.now.until(account.short_until_ms);
         answer.retry_after_ms = total_rate.ms_to_mint(missing).unwrap_or(RETRY_AFTER_MAX_MS);
         ctx.send(&ask.from, Body::ShareAnswer(answer));
     }
@@ -394,9 +395,10 @@
         let zones_left = zones_to_ask(ctx);
         let Some(account) = self.accounts.get_mut(customer) else { return };
         let recallable = !account.recallable().is_empty();
-        if recallable && now < account.next_recall_ms {
+        if recallable && now < account.next_recall_ms || now < account.next_gather_ms {
             return;
         }
+        account.next_gather_ms = now + GATHER_PAUSE_MS;
         let until_ms = if recallable { now + RECALL_WAIT_MS } else { now };
         account.gather = Some(Gather { stage: Stage::Recall { until_ms }, zones_left });
         match recallable {
@@ -407,7 +409,7 @@
 
     fn recall(&mut self, ctx: &mut Context<'_>, customer: &CustomerId) {
         let Some(account) = self.accounts.get_mut(customer) else { return };
-        account.next_recall_ms = ctx.now + RECALL_PAUSE_MS;
+        account.next_recall_ms = ctx.now + account.recall_pause_ms(ctx.now);
         for (lease_id, holder) in account.recallable() {
             account.recalled.insert(lease_id);
             let recall = ShareRecall { customer: customer.to_string(), lease_id };
@@ -486,7 +488,8 @@
         let Some(account) = self.accounts.get_mut(customer) else { return };
         let now = ctx.now;
         let suspended = !account.may_spend();
-        let keep = |waiter: &Waiter| suspended && now < waiter.give_up_ms;
+        let filling = now < account.short_until_ms;
+        let keep = |waiter: &Waiter| (suspended || filling) && now < waiter.give_up_ms;
         let asks: Vec<PeerAsk> = account.deep_asks.drain(..).collect();
         if now >= account.dry_until_ms {
             account.refused_while_dry = 0;
@@ -529,6 +532,7 @@
             };
             return ctx.send(from, Body::ShareAnswer(answer));
         }
+        self.return_to(ctx, &customer, from);
         let need = NanoTokens(ask.need_nano);
         let wait_ms = if ask.from_owner { RECALL_WAIT_MS } else { OWNER_ASK_WAIT_MS * 3 / 4 };
         let answer_by_ms = ctx.now + wait_ms;
@@ -552,6 +556,14 @@
         }
     }
 
+    /// Gives back what was borrowed of a VM that now asks itself, rather than lend to it in turn.
+    fn return_to(&mut self, ctx: &mut Context<'_>, customer: &CustomerId, lender: &VmId) {
+        let Some(account) = self.accounts.get_mut(customer) else { return };
+        let of_lender = account.borrowed.iter_mut().filter(|((vm, _), _)| vm == lender);
+        of_lender.for_each(|(_, part)| part.recalled = true);
+        self.renew(ctx, customer);
+    }
+
     /// Another VM answers.
     pub(crate) fn on_answer(&mut self, ctx: &mut Context<'_>, from: &VmId, answer: &ShareAnswer) {
         let Ok(customer) = answer.customer.parse::<CustomerId>() else { return };
@@ -561,6 +573,7 @@
         };
         let until_ms = out.sent_ms + held_ms(answer.lease_ms);
         let account = self.account(ctx, &customer);
+        account.short_until_ms = account.short_until_ms.max(ctx.now + answer.short_ms);
         if answer.lease_id != 0 && until_ms > ctx.now {
             let piece = Piece {
                 capacity: NanoTokens(answer.capacity_nano),
@@ -664,7 +677,7 @@
         account.settle(ctx.now);
         let Some(part) = account.borrowed.get_mut(&id) else { return };
         part.recalled = true;
-        let lent_on = !account.lent.is_empty();
+        let lent_on = !account.lent.is_empty() && ctx.now >= account.next_recall_ms;
         self.renew(ctx, &customer);
         if lent_on {
             self.recall(ctx, &customer);
--- a/crates/decide/tests/testsuite/world.rs
+++ b/crates/decide/tests/testsuite/world.rs
@@ -19,6 +19,8 @@
 pub const TICK_MS: u64 = 20;
 pub const KEY: &str = "key";
 const LOAD_EVERY_MS: u64 = 200;
+/// More messages than this within a millisecond are a storm that feeds itself.
+const STORM: u64 = 20_000;
 
 /// Something that reaches a node at a time.
 enum Delivery {
@@ -404,10 +406,12 @@
     pub fn run(&mut self, for_ms: u64) {
         let until_ms = self.now_ms + for_ms;
         while self.now_ms < until_ms {
+            let sent = self.messages;
             while let Some((Reverse(at_ms), Reverse(number), vm)) = self.queue.peek().copied() {
                 if at_ms > self.now_ms {
                     break;
                 }
+                assert!(self.messages - sent < STORM, "messages storm at {} ms", self.now_ms);
                 self.queue.pop();
                 let delivery = self.deliveries.remove(&number).unwrap();
                 if let Delivery::Done(key) = &delivery {
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -134,8 +134,9 @@
     pub retry_after_ms: u64,
     #[prost(string, tag = "9")]
     pub owner_vm: ::prost::alloc::string::String,
+    /// How long the lender's bucket is still filling after it took over an empty one.
     #[prost(uint64, tag = "10")]
-    pub pooled_nano: u64,
+    pub short_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ShareRenew {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -103,6 +103,12 @@
                 let peak = self.lock().cold_peak;
                 answer(request, 200, peak.to_string());
             }
+            "/-/cold_peak_reset" => {
+                let mut state = self.lock();
+                state.cold_peak = state.running;
+                drop(state);
+                answer(request, 200, "{}".to_owned());
+            }
             "/-/cold" => {
                 let cold_ms = query_number(&query, "ms").unwrap_or(0);
                 self.lock().cold_until = Instant::now() + Duration::from_millis(cold_ms);
--- a/crates/units/src/rate.rs
+++ b/crates/units/src/rate.rs
@@ -26,7 +26,7 @@
 fn checked(value: f64) -> Result<f64, RateError> {
     match value {
         v if v > 0.0 && v <= MAX_REQUESTS && v * MICRO >= 1.0 => Ok(v),
-        v => Err(RateError::OutOfRange(v.to_string())),
+        v => Err(RateError::OutOfRange(format!("{v:?}"))),
     }
 }
 
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -95,7 +95,17 @@
     note("no such path", call_app(Method::GET, at, KEY, "/else", "", ""));
     let resumed = Stream::resume(at, KEY, "engine-1~00", "");
     note("no such generation", resumed.err().flatten());
-    insta::assert_snapshot!(lines.join("\n"), @"");
+    insta::assert_snapshot!(lines.join("\n"), @"
+    no key: 401 unknown_key not_run
+    unknown key: 401 unknown_key not_run
+    no such route: 404 no_such_route not_run
+    app route as model: 404 no_such_route not_run
+    too large: 413 body_too_large not_run
+    no app route: 404 no_such_route not_run
+    open route: 200  
+    no such path: 404 no_such_route not_run
+    no such generation: 404 no_such_generation not_run
+    ");
 }
 
 #[test]
@@ -118,7 +128,13 @@
         tell(&format!("POST /v1/completions HTTP/1.1\r\n{close}Content-Length: 90\r\n\r\n{{")),
         tell(&format!("POST /v1/completions HTTP/1.1\r\n{close}Content-Length: 99999999\r\n\r\n")),
     ];
-    insta::assert_snapshot!(lines.join("\n"), @"");
+    insta::assert_snapshot!(lines.join("\n"), @"
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 408 Request Timeout
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 400 Bad Request
+    HTTP/1.1 413 Content Too Large
+    ");
     let served = complete(at, KEY, "survey", "still serving").unwrap();
     assert_eq!(served.status, 200);
 }
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -13,27 +13,31 @@
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
-use tempfile::TempDir;
+use tempfile::{NamedTempFile, TempDir};
 
 pub const SALT: &str = "test-salt";
 const START_WAIT: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 
-/// A process that ends when this is dropped.
+/// A process that ends when this is dropped. What it writes to standard error is kept, and a
+/// panic in it fails the test.
 pub struct Process {
     child: Child,
+    log: NamedTempFile,
 }
 
 impl Process {
     pub fn start(binary: &str, args: &[&str]) -> Self {
+        let log = NamedTempFile::new().expect("a file for the log");
+        let errors = log.reopen().expect("the log can be written");
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .expect("the binary starts");
-        Process { child }
+        Process { child, log }
     }
 
     fn signal(&self, name: &str) {
@@ -72,6 +76,12 @@
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
+        let log = fs::read_to_string(self.log.path()).unwrap_or_default();
+        if !thread::panicking() {
+            assert!(!log.contains("panicked"), "{log}");
+        } else if std::env::var_os("GYPSUMCHUTE_TEST_LOGS").is_some() {
+            eprintln!("{log}");
+        }
     }
 }
 
