--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -3,6 +3,9 @@
 /// How often a VM sends a heartbeat to each member of its zone, for a zone of up to
 /// [`MEMBERS_PER_INTERVAL`] members; larger zones beat more slowly, so that the cost stays level.
 pub const HEARTBEAT_MS: u64 = 400;
+/// Shortest time between two heartbeats, also while views change: news of n members reaches each of
+/// them in a few messages, not in n.
+pub const BEAT_PAUSE_MS: u64 = 25;
 /// Members for which [`HEARTBEAT_MS`] holds.
 pub const MEMBERS_PER_INTERVAL: u64 = 10;
 /// Heartbeat intervals that a member's support of a view lasts.
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -12,7 +12,9 @@
 //! ([`crate::rendezvous`]).
 
 use crate::Identity;
-use crate::limits::{LIST_GRACE_MS, SUSPECT_INTERVALS, heartbeat_ms, held_ms, view_lease_ms};
+use crate::limits::{
+    BEAT_PAUSE_MS, LIST_GRACE_MS, SUSPECT_INTERVALS, heartbeat_ms, held_ms, view_lease_ms,
+};
 use crate::rendezvous;
 use crate::vm_list::VmList;
 use gypsumchute_proto::peer::{Heartbeat, RouteRoom};
@@ -94,6 +96,7 @@
     last_sent_ms: BootMs,
     last_support_ms: BootMs,
     next_beat_ms: BootMs,
+    last_beat_ms: BootMs,
     was_active: bool,
     previous_active: ViewId,
     activation: Activation,
@@ -143,6 +146,7 @@
             last_sent_ms: now,
             last_support_ms: now,
             next_beat_ms: now,
+            last_beat_ms: BootMs(0),
             was_active: false,
             previous_active: NO_VIEW,
             activation: Activation::default(),
@@ -337,7 +341,7 @@
 
     /// Whether heartbeats are due.
     pub fn beat_due(&self, now: BootMs) -> bool {
-        now >= self.next_beat_ms
+        now >= self.next_beat_ms && now >= self.last_beat_ms + BEAT_PAUSE_MS
     }
 
     /// The heartbeats to send at `now`, one to each listed VM of the zone.
@@ -349,6 +353,7 @@
     ) -> Vec<(VmId, Heartbeat)> {
         let sent_ms = BootMs(now.0.max(self.last_sent_ms.0 + 1));
         self.last_sent_ms = sent_ms;
+        self.last_beat_ms = now;
         self.next_beat_ms = now + self.interval_ms();
         let supports = match (&self.support, self.retired) {
             (Support::Supporting { view, .. }, false) => view.id,
