A load and experiment tool, and admission by mean and spread of the memory to be needed

bench sends the same seeded open-loop arrivals through the system, by round robin and by least outstanding requests, at the same time, and prints a table or JSON.

Now 1.5 standard deviations are added.

--- a/crates/decide/src/permits/endpoint.rs
+++ b/crates/decide/src/permits/endpoint.rs
@@ -9,6 +9,8 @@
 
 /// Points ahead, in tokens of each running output, at which memory need is forecast.
 const HORIZON_TOKENS: [f64; 8] = [0.0, 64.0, 128.0, 256.0, 512.0, 1_024.0, 2_048.0, 4_096.0];
+/// Standard deviations above the mean need that forecasts allow for.
+const CAUTION: f64 = 1.5;
 /// Part of an engine's memory that forecasts may fill.
 const MEMORY_FILL: f64 = 0.92;
 /// Time for a token before any output was seen.
@@ -18,6 +20,24 @@
 /// How long an endpoint must report fewer requests than were permitted before permits are dropped.
 const SURPLUS_WAIT_MS: u64 = 3_000;
 
+/// What one generation may need of an engine's memory.
+struct Need<'a> {
+    lengths: Option<&'a Lengths>,
+    prompt: f64,
+    max: f64,
+    produced: f64,
+}
+
+impl Need<'_> {
+    /// Mean and variance of the memory that it holds once running outputs have `ahead` more tokens.
+    fn at(&self, ahead: f64) -> (f64, f64) {
+        let length = (self.produced + ahead).min(self.max);
+        let alive = self.lengths.map_or(1.0, |l| l.reaches(length, self.produced));
+        let held = self.prompt + length;
+        (alive * held, alive * (1.0 - alive) * held * held)
+    }
+}
+
 /// Whether a request that may arrive for [`PERMIT_USE_MS`] from `since_ms` is in a report, unless
 /// it has ended.
 fn surely_shown(since_ms: BootMs, report: &LoadReport) -> bool {
@@ -203,22 +223,30 @@
         if spec.memory_tokens == 0 {
             return true;
         }
-        let room = spec.memory_tokens as f64 * MEMORY_FILL;
-        let unseen = self.unseen_tokens();
-        HORIZON_TOKENS.iter().all(|ahead| {
-            let need = |route: &RouteId, prompt: u32, max: u32, produced: f64| {
-                let length = (produced + ahead).min(f64::from(max));
-                let alive = lengths.get(route).map_or(1.0, |l| l.reaches(length, produced));
-                alive * (f64::from(prompt) + length)
-            };
-            let running: f64 = self
-                .permits
-                .values()
-                .map(|p| need(&p.route, p.prompt_tokens, p.max_tokens, self.produced(now, p)))
-                .sum();
-            let (route, prompt, max) = candidate;
-            running + need(route, prompt, max, 0.0) + unseen <= room
-        }) || self.in_flight() == 0
+        let room = spec.memory_tokens as f64 * MEMORY_FILL - self.unseen_tokens();
+        let (route, prompt, max) = candidate;
+        let running = self.permits.values();
+        let running = running.map(|p| Need {
+            lengths: lengths.get(&p.route),
+            prompt: f64::from(p.prompt_tokens),
+            max: f64::from(p.max_tokens),
+            produced: self.produced(now, p),
+        });
+        let candidate = Need {
+            lengths: lengths.get(route),
+            prompt: f64::from(prompt),
+            max: f64::from(max),
+            produced: 0.0,
+        };
+        let all: Vec<Need> = running.chain([candidate]).collect();
+        let fits = |ahead: &f64| {
+            let (mean, variance) = all
+                .iter()
+                .map(|need| need.at(*ahead))
+                .fold((0.0, 0.0), |(mean, variance), (m, v)| (mean + m, variance + v));
+            mean + variance.sqrt() * CAUTION <= room
+        };
+        self.in_flight() == 0 || HORIZON_TOKENS.iter().all(fits)
     }
 
     fn unseen_tokens(&self) -> f64 {
--- a/src/bin/gypsumchute/commands/mod.rs
+++ b/src/bin/gypsumchute/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One module a subcommand: its arguments, and an `exec` that calls the operation.
 
+mod bench;
 mod check;
 mod demo;
 mod drain;
@@ -22,6 +23,7 @@
     Explain(explain::Args),
     Drain(drain::Args),
     Demo(demo::Args),
+    Bench(bench::Args),
 }
 
 /// The parser of all subcommands.
@@ -33,7 +35,8 @@
     let explain = explain::cli().map(Command::Explain);
     let drain = drain::cli().map(Command::Drain);
     let demo = demo::cli().map(Command::Demo);
-    construct!([check, show, hash_key, status, explain, drain, demo])
+    let bench = bench::cli().map(Command::Bench);
+    construct!([check, show, hash_key, status, explain, drain, demo, bench])
 }
 
 impl Command {
@@ -47,6 +50,7 @@
             Command::Explain(args) => args.exec(),
             Command::Drain(args) => args.exec(),
             Command::Demo(args) => args.exec(),
+            Command::Bench(args) => args.exec(),
         }
     }
 }
--- a/src/gypsumchute/ops/mod.rs
+++ b/src/gypsumchute/ops/mod.rs
@@ -1,5 +1,6 @@
 //! One module an operation.
 
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod drain;
