--- a/crates/decide/src/permits/endpoint.rs
+++ b/crates/decide/src/permits/endpoint.rs
@@ -8,7 +8,10 @@
 use std::collections::BTreeMap;
 
 /// Points ahead, in tokens of each running output, at which memory need is forecast.
-const HORIZON_TOKENS: [f64; 8] = [0.0, 64.0, 128.0, 256.0, 512.0, 1_024.0, 2_048.0, 4_096.0];
+const HORIZON_TOKENS: [f64; 10] =
+    [0.0, 16.0, 32.0, 64.0, 128.0, 256.0, 512.0, 1_024.0, 2_048.0, 4_096.0];
+/// Chance of still running below which a request adds nothing to the need at a point ahead.
+const GONE_CHANCE: f64 = 0.05;
 /// Standard deviations above the mean need that forecasts allow for.
 const CAUTION: f64 = 1.5;
 /// Part of an engine's memory that forecasts may fill.
@@ -29,11 +32,19 @@
 }
 
 impl Need<'_> {
+    /// The chance that it still runs once running outputs have `ahead` more tokens.
+    fn alive(&self, ahead: f64) -> f64 {
+        let length = self.produced + ahead;
+        match length > self.max {
+            true => 0.0,
+            false => self.lengths.map_or(1.0, |l| l.reaches(length, self.produced)),
+        }
+    }
+
     /// Mean and variance of the memory that it holds once running outputs have `ahead` more tokens.
     fn at(&self, ahead: f64) -> (f64, f64) {
-        let length = (self.produced + ahead).min(self.max);
-        let alive = self.lengths.map_or(1.0, |l| l.reaches(length, self.produced));
-        let held = self.prompt + length;
+        let alive = self.alive(ahead);
+        let held = self.prompt + self.produced + ahead;
         (alive * held, alive * (1.0 - alive) * held * held)
     }
 }
@@ -212,7 +223,8 @@
         produced.min(f64::from(permit.max_tokens))
     }
 
-    /// Whether the memory that all its generations are going to need, with one more, fits.
+    /// Whether the memory that all its generations are going to need, with one more, fits for as
+    /// long as that one is likely to run: a short one need not wait for what comes after its end.
     pub(super) fn memory_fits(
         &self,
         now: BootMs,
@@ -238,6 +250,10 @@
             max: f64::from(max),
             produced: 0.0,
         };
+        let ends_before = |ahead: f64| candidate.alive(ahead) < GONE_CHANCE;
+        let horizons =
+            HORIZON_TOKENS.iter().filter(|ahead| **ahead == 0.0 || !ends_before(**ahead));
+        let horizons: Vec<f64> = horizons.copied().collect();
         let all: Vec<Need> = running.chain([candidate]).collect();
         let fits = |ahead: &f64| {
             let (mean, variance) = all
@@ -246,7 +262,7 @@
                 .fold((0.0, 0.0), |(mean, variance), (m, v)| (mean + m, variance + v));
             mean + variance.sqrt() * CAUTION <= room
         };
-        self.in_flight() == 0 || HORIZON_TOKENS.iter().all(fits)
+        self.in_flight() == 0 || horizons.iter().all(fits)
     }
 
     fn unseen_tokens(&self) -> f64 {
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -119,12 +119,7 @@
 
     /// Searches room for a request.
     pub(crate) fn search(&mut self, ctx: &mut Context<'_>, wish: Wish) {
-        let zones = zones_serving(ctx, &wish.route);
-        let here = zones.contains(&ctx.me.zone);
-        let mut others: Vec<ZoneId> = zones.into_iter().filter(|z| *z != ctx.me.zone).collect();
-        for index in (1..others.len()).rev() {
-            others.swap(index, ctx.rng.random_range(0..=index));
-        }
+        let (here, zones_left) = zones_to_try(ctx, &wish.route);
         let key = wish.key;
         let search = Search {
             began_ms: ctx.now,
@@ -135,7 +130,7 @@
             sent_ms: ctx.now,
             resend_ms: ctx.now,
             until_ms: ctx.now,
-            zones_left: others.into_iter().take(ZONES_TRIED).collect(),
+            zones_left,
             retry_after_ms: RETRY_AFTER_MIN_MS,
             last_reason: RefusalReason::NoEndpoint,
             wish,
@@ -354,7 +349,21 @@
             (Look::Wait, _) if search.last_reason == RefusalReason::NoEndpoint => {
                 self.pause(ctx, key);
             }
-            (Look::Wait, _) => self.wait(ctx, key),
+            (Look::Wait, _) => self.look_around(ctx, key),
+        }
+    }
+
+    /// Looks everywhere again after a slice of waiting in one queue.
+    fn look_around(&mut self, ctx: &mut Context<'_>, key: RequestKey) {
+        let Some(search) = self.searches.get_mut(&key) else { return };
+        if ctx.now >= search.wish.deadline_ms {
+            return self.refuse(key);
+        }
+        let (here, zones_left) = zones_to_try(ctx, &search.wish.route);
+        search.zones_left = zones_left;
+        match here {
+            true => self.look_here(ctx, key),
+            false => self.next_zone(ctx, key),
         }
     }
 
@@ -457,6 +466,17 @@
     }
 }
 
+/// Whether this zone serves `route`, and some other zones that do, in random order.
+fn zones_to_try(ctx: &mut Context<'_>, route: &RouteId) -> (bool, VecDeque<ZoneId>) {
+    let zones = zones_serving(ctx, route);
+    let here = zones.contains(&ctx.me.zone);
+    let mut others: Vec<ZoneId> = zones.into_iter().filter(|z| *z != ctx.me.zone).collect();
+    for index in (1..others.len()).rev() {
+        others.swap(index, ctx.rng.random_range(0..=index));
+    }
+    (here, others.into_iter().take(ZONES_TRIED).collect())
+}
+
 /// The zones with an endpoint in service for `route`.
 fn zones_serving(ctx: &Context<'_>, route: &RouteId) -> Vec<ZoneId> {
     let serving = ctx.config.endpoints.values().filter(|spec| spec.routes.contains(route));
