Checking a configuration costs time in its size, not in its square

Cause: each item was compared with all earlier ones of its list for its id, and each endpoint with all others for its address. Ruled out: parsing (perf of the parse alone grows with the size).

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// What a route leads to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -118,6 +119,7 @@
 #[derive(Default)]
 struct Builder {
     errors: Vec<ConfigError>,
+    addresses: BTreeMap<SocketAddr, EndpointId>,
 }
 
 impl Builder {
@@ -248,9 +250,9 @@
                 self.report(item.place_of(field), problem, "write 1 or more");
             }
         }
-        let same_address = config.endpoints.values().find(|e| e.address == endpoint.address);
+        let same_address = self.addresses.insert(endpoint.address, endpoint.id.clone());
         if let Some(other) = same_address {
-            let problem = format!("endpoint `{}` has this address already", other.id);
+            let problem = format!("endpoint `{other}` has this address already");
             self.report(item.place_of("address"), problem, "give each endpoint its own address");
         }
     }
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -108,6 +108,8 @@
     pub fleet: Option<Item>,
     /// Items of each list, in the order of the files.
     pub lists: BTreeMap<String, Vec<Item>>,
+    /// Where in its list each id stands.
+    positions: BTreeMap<(String, String), usize>,
 }
 
 /// Merges `files` in the order of their names.
@@ -227,8 +229,8 @@
         };
         let overrides = item.fields.remove(OVERRIDE_FIELD) == Some(Value::Bool(true));
         let list = merged.lists.entry(section.to_owned()).or_default();
-        let earlier =
-            list.iter_mut().find(|other| other.fields[ID_FIELD] == Value::String(id.clone()));
+        let position = (section.to_owned(), id.clone());
+        let earlier = merged.positions.get(&position).and_then(|index| list.get_mut(*index));
         match earlier {
             Some(earlier) if overrides => {
                 earlier.fields.extend(item.fields);
@@ -246,6 +248,7 @@
                 place: item.place,
             }),
             None => {
+                merged.positions.insert(position, list.len());
                 list.push(item);
                 Ok(())
             }
--- a/crates/decide/benches/capacity.rs
+++ b/crates/decide/benches/capacity.rs
@@ -8,9 +8,11 @@
 #[allow(dead_code, reason = "the tests use what this bench does not")]
 mod world;
 
+use gypsumchute_config::FleetConfig;
 use rand::RngExt;
+use std::collections::BTreeMap;
 use std::fs;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use world::{World, config};
 
 const CUSTOMERS: usize = 360;
@@ -77,7 +79,39 @@
     }
 }
 
+/// Time and memory for one version of the configuration, raw values and the checked whole, each
+/// endpoint a file of its own.
+fn measure_configuration(endpoints: usize) -> (f64, f64) {
+    let before = resident_bytes();
+    let mut files = BTreeMap::from([(
+        "00.json".to_owned(),
+        r#"{ "zones": [{ "id": "z" }], "app_routes": [{ "id": "app" }] }"#.to_owned(),
+    )]);
+    for number in 0..endpoints {
+        let address = format!("10.{}.{}.{}:80", number / 62_500, number / 250 % 250, number % 250);
+        let text = format!(
+            r#"{{ "endpoints": [{{ "id": "engine-{number:05}", "zone": "z",
+            "address": "{address}", "routes": ["app"], "warm_limit": 16, "memory_tokens": 100000 }}] }}"#
+        );
+        files.insert(format!("90-engine-{number:05}.json"), text);
+    }
+    let began = Instant::now();
+    let config = FleetConfig::from_files(1, &files).expect("a good configuration");
+    let elapsed_ms = began.elapsed().as_secs_f64() * 1_000.0;
+    let mib = (resident_bytes() - before) / MIB;
+    assert_eq!(config.endpoints.len(), endpoints);
+    (elapsed_ms, mib)
+}
+
 fn main() {
+    println!("endpoints  check ms  MiB   (one version)");
+    for endpoints in [1_000, 3_000, 10_000] {
+        let (ms, mib) = measure_configuration(endpoints);
+        println!("{endpoints:<9} {ms:>9.0} {mib:>6.1}");
+    }
+    if std::env::args().any(|arg| arg == "configuration") {
+        return;
+    }
     println!("VMs  load     messages/s  bytes/s  core %  MiB   (per VM)");
     for loaded in [false, true] {
         for vms in [32, 96, 416] {
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -46,6 +46,11 @@
         assert!(done.success(), "kill {name} failed");
     }
 
+    /// Its number, for reading what it uses.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process without warning.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
