A search for tokens in vain is made once more; share_unavailable only when nobody answers

A part on its way between two VMs is seen by neither. A VM whose owner answers with nothing now says over_rate.

--- a/crates/decide/src/shares/account.rs
+++ b/crates/decide/src/shares/account.rs
@@ -72,6 +72,8 @@
 pub(super) struct Waiter {
     pub(super) key: RequestKey,
     pub(super) give_up_ms: BootMs,
+    /// Searches that may still be made for it after one in vain.
+    pub(super) searches_left: u32,
 }
 
 /// How far gathering has come.
@@ -117,6 +119,8 @@
     pub(super) refused_while_dry: u64,
     /// Until when the bucket is emptier than its customer's past would have left it.
     pub(super) short_until_ms: BootMs,
+    /// When another VM last answered a question about this customer.
+    pub(super) answered_ms: BootMs,
     pub(super) used_ms: BootMs,
     pub(super) demand: BTreeMap<VmId, BootMs>,
 }
@@ -138,6 +142,7 @@
             dry_until_ms: now,
             refused_while_dry: 0,
             short_until_ms: BootMs(0),
+            answered_ms: BootMs(0),
             used_ms: BootMs(0),
             demand: BTreeMap::new(),
         }
--- a/crates/decide/src/shares/mod.rs
+++ b/crates/decide/src/shares/mod.rs
@@ -35,6 +35,9 @@
 use gypsumchute_units::{BootMs, CustomerId, NanoTokens, RequestRate, VmId, ZoneId};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Searches for tokens after a first one in vain: parts may have been on their way.
+const SEARCHES_AGAIN: u32 = 1;
+
 /// What became of a request that waited for its customer's rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ShareOutcome {
@@ -109,7 +112,7 @@
     ) {
         let give_up_ms = ctx.now + RATE_WAIT_MS;
         let account = self.account(ctx, customer);
-        account.waiters.push_back(Waiter { key, give_up_ms });
+        account.waiters.push_back(Waiter { key, give_up_ms, searches_left: SEARCHES_AGAIN });
         account.used_ms = ctx.now;
         self.pump(ctx, customer);
     }
@@ -489,21 +492,32 @@
         let now = ctx.now;
         let suspended = !account.may_spend();
         let filling = now < account.short_until_ms;
-        let keep = |waiter: &Waiter| (suspended || filling) && now < waiter.give_up_ms;
+        let searched = now >= account.dry_until_ms;
+        let keep = |waiter: &mut Waiter| {
+            let again = searched && waiter.searches_left > 0;
+            waiter.searches_left -= u32::from(again);
+            (suspended || filling || again) && now < waiter.give_up_ms
+        };
         let asks: Vec<PeerAsk> = account.deep_asks.drain(..).collect();
-        if now >= account.dry_until_ms {
+        let (mut kept, mut refused) = (VecDeque::new(), VecDeque::new());
+        for mut waiter in account.waiters.drain(..) {
+            match keep(&mut waiter) {
+                true => kept.push_back(waiter),
+                false => refused.push_back(waiter),
+            }
+        }
+        account.waiters = kept;
+        account.gather = None;
+        if searched && !refused.is_empty() {
             account.refused_while_dry = 0;
             let missing = NanoTokens::ONE_REQUEST.saturating_sub(account.bucket.level());
             let dry_ms = rate.ms_to_mint(missing).unwrap_or(DRY_MAX_MS).min(DRY_MAX_MS);
             account.dry_until_ms = now + if suspended { 0 } else { dry_ms };
         }
-        account.gather = None;
-        let (kept, refused): (VecDeque<Waiter>, VecDeque<Waiter>) =
-            account.waiters.drain(..).partition(keep);
-        account.waiters = kept;
+        let nobody_answers = now.since(account.answered_ms) > SHARE_LEASE_MS;
         let nothing_held = account.bucket.piece().capacity == NanoTokens::ZERO;
         for waiter in refused {
-            if nothing_held && account.lent.is_empty() {
+            if nothing_held && nobody_answers && account.lent.is_empty() {
                 self.outcomes.push(ShareOutcome::Unavailable(waiter.key));
                 continue;
             }
@@ -573,6 +587,7 @@
         };
         let until_ms = out.sent_ms + held_ms(answer.lease_ms);
         let account = self.account(ctx, &customer);
+        account.answered_ms = ctx.now;
         account.short_until_ms = account.short_until_ms.max(ctx.now + answer.short_ms);
         if answer.lease_id != 0 && until_ms > ctx.now {
             let piece = Piece {
