--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -41,7 +41,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let done = Command::new("kill").args([name, &id]).status().expect("kill runs");
         assert!(done.success(), "kill {name} failed");
     }
