--- /dev/null
+++ b/crates/decide/src/idempotency/claims.rs
@@ -0,0 +1,170 @@
+//! The claimer's side: claims of this VM's requests and the outcomes it reports.
+
+use super::{
+    ClaimOutcome, Idempotency, MAX_KEPT_ANSWER_BYTES, PendingOutcome, due, home_zone, resource,
+};
+use crate::context::Context;
+use crate::event::{KeptAnswer, RequestKey};
+use crate::limits::{CLAIM_RESEND_MS, KEY_OUTCOME_MS, KEY_RESEND_MS};
+use crate::rendezvous;
+use gypsumchute_proto::peer::peer_frame::Body;
+use gypsumchute_proto::peer::{
+    KeyClaim, KeyClaimAnswer, KeyOutcome, KeyOutcomeAck, KeyRecord, KeyState,
+};
+use gypsumchute_units::{Refusal, RefusalReason, Verdict, VmId};
+
+impl Idempotency {
+    /// Forgets a claim whose caller is gone. If it is granted all the same, it is released.
+    pub(crate) fn cancel(&mut self, ctx: &Context<'_>, key: RequestKey) {
+        let ids: Vec<u64> = due(&self.claims, |claim| claim.key == key);
+        ids.into_iter().for_each(|id| self.abandon(ctx, id));
+    }
+
+    pub(super) fn abandon(&mut self, ctx: &Context<'_>, id: u64) {
+        if let Some(claim) = self.claims.remove(&id) {
+            self.abandoned.insert(id, (claim.scope, ctx.now + KEY_OUTCOME_MS));
+        }
+    }
+
+    /// Whom to ask about a key: its owner where this VM can tell, else its best guess.
+    pub(super) fn guess(&self, ctx: &Context<'_>, scope: &str) -> Option<VmId> {
+        let zone = home_zone(ctx, scope)?;
+        let resource = resource(scope);
+        if *zone == ctx.me.zone {
+            return ctx.members.owner(ctx.now, &resource).cloned();
+        }
+        let vms = ctx.list.of_zone(zone).filter(|(_, record)| !record.leaving);
+        let ranked = rendezvous::ranked(&resource, vms.map(|(vm, _)| vm));
+        let turn = (ctx.now.0 / (2 * CLAIM_RESEND_MS)) as usize;
+        ranked.get(turn % ranked.len().max(1)).map(|vm| (*vm).clone())
+    }
+
+    pub(super) fn send_claim(&mut self, ctx: &mut Context<'_>, id: u64) {
+        let Some(claim) = self.claims.get(&id) else { return };
+        let target = claim.target.clone().or_else(|| self.guess(ctx, &claim.scope));
+        let Some(claim) = self.claims.get_mut(&id) else { return };
+        claim.resend_ms = ctx.now + CLAIM_RESEND_MS;
+        let message = KeyClaim {
+            ask_id: id,
+            scope: claim.scope.clone(),
+            body_hash: claim.body_hash,
+            run_ms: claim.run_ms,
+        };
+        claim.target = None;
+        if let Some(target) = target {
+            ctx.send(&target, Body::KeyClaim(message));
+        }
+    }
+
+    /// An owner answers a claim of this VM.
+    pub(crate) fn on_claim_answer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: &VmId,
+        answer: &KeyClaimAnswer,
+    ) {
+        if answer.state() == KeyState::NotOwner {
+            if let Some(claim) = self.claims.get_mut(&answer.ask_id) {
+                claim.target = answer.owner_vm.parse().ok().filter(|owner| owner != from);
+                self.send_claim(ctx, answer.ask_id);
+            }
+            return;
+        }
+        let Some(claim) = self.claims.remove(&answer.ask_id) else {
+            let abandoned = self.abandoned.remove(&answer.ask_id);
+            if let (KeyState::Granted, Some((scope, _))) = (answer.state(), abandoned) {
+                self.report(ctx, answer.ask_id, scope, None, true);
+            }
+            return;
+        };
+        let key = claim.key;
+        let decided = match answer.state() {
+            KeyState::Granted => ClaimOutcome::Claimed(key),
+            KeyState::Done if answer.status != 0 => {
+                let kept = KeptAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type.clone(),
+                    body: answer.answer.clone(),
+                    whole: true,
+                };
+                ClaimOutcome::Replay(key, kept)
+            }
+            KeyState::Running => refused(key, RefusalReason::KeyInUse, Some(1_000)),
+            KeyState::BodyDiffers => {
+                ClaimOutcome::Refused(key, Refusal::not_run(RefusalReason::KeyReused))
+            }
+            _ => refused(key, RefusalReason::AlreadyRan, None),
+        };
+        self.decided.push(decided);
+    }
+
+    /// Reports the outcome of a request that a claim of this VM was for.
+    pub(crate) fn report(
+        &mut self,
+        ctx: &mut Context<'_>,
+        claim_id: u64,
+        scope: String,
+        answer: Option<KeptAnswer>,
+        not_run: bool,
+    ) {
+        let state = match (&answer, not_run) {
+            (_, true) => KeyState::Released,
+            (Some(_), false) => KeyState::Done,
+            (None, false) => KeyState::MayHaveRun,
+        };
+        let mut record = KeyRecord {
+            scope: scope.clone(),
+            state: state as i32,
+            claim_id,
+            runner_vm: ctx.me.vm.to_string(),
+            runner_incarnation: ctx.me.incarnation,
+            ..KeyRecord::default()
+        };
+        if let Some(answer) = answer.filter(|a| a.whole && a.body.len() <= MAX_KEPT_ANSWER_BYTES) {
+            record.status = answer.status;
+            record.content_type = answer.content_type;
+            record.answer = answer.body;
+        }
+        let pending = PendingOutcome {
+            scope,
+            record,
+            target: None,
+            resend_ms: ctx.now,
+            until_ms: ctx.now + KEY_OUTCOME_MS,
+        };
+        self.outcomes_out.insert(claim_id, pending);
+        self.send_outcome(ctx, claim_id);
+    }
+
+    pub(super) fn send_outcome(&mut self, ctx: &mut Context<'_>, claim_id: u64) {
+        let Some(pending) = self.outcomes_out.get(&claim_id) else { return };
+        let target = pending.target.clone().or_else(|| self.guess(ctx, &pending.scope));
+        let Some(pending) = self.outcomes_out.get_mut(&claim_id) else { return };
+        pending.resend_ms = ctx.now + KEY_RESEND_MS;
+        pending.target = None;
+        let outcome =
+            KeyOutcome { scope: pending.scope.clone(), record: Some(pending.record.clone()) };
+        if let Some(target) = target {
+            ctx.send(&target, Body::KeyOutcome(outcome));
+        }
+    }
+
+    /// An owner took in an outcome, or names the VM that owns the key.
+    pub(crate) fn on_outcome_ack(&mut self, ctx: &mut Context<'_>, ack: &KeyOutcomeAck) {
+        match ack.owner_vm.parse::<VmId>() {
+            Ok(owner) => {
+                if let Some(pending) = self.outcomes_out.get_mut(&ack.claim_id) {
+                    pending.target = Some(owner);
+                    self.send_outcome(ctx, ack.claim_id);
+                }
+            }
+            Err(_) => {
+                self.outcomes_out.remove(&ack.claim_id);
+            }
+        }
+    }
+}
+
+fn refused(key: RequestKey, reason: RefusalReason, retry_after_ms: Option<u64>) -> ClaimOutcome {
+    ClaimOutcome::Refused(key, Refusal { reason, verdict: Verdict::MayHaveRun, retry_after_ms })
+}
--- a/crates/decide/src/shares/fraction.rs
+++ b/crates/decide/src/shares/fraction.rs
@@ -4,13 +4,12 @@
 //! weights changed, waits until every zone has the new version in force: until then another zone
 //! may still use what this one is to gain.
 
+use crate::bucket::Piece;
 use crate::context::Context;
 use gypsumchute_config::FleetConfig;
 use gypsumchute_units::{BootMs, NanoTokens, RequestRate, ZoneId};
 use std::collections::BTreeMap;
 
-use crate::bucket::Piece;
-
 /// How long a process that never knew another fraction waits to hear of the other zones.
 const UNHEARD_WAIT_MS: u64 = 7_000;
 
