A VM that is joining ends no view: a restart costs its zone no owners

Cause (limits::a_customer_inside_..., rolled fleet): as soon as a restarted VM was heard, the other VM of its zone moved to a view with it, but the restarted one supports no view for 2 s, in which its former incarnation's promises may hold. The zone had no owner meanwhile. Ruled out: takeover of the endpoint itself (1 s), queues of a VM that leaves. Now a heartbeat says that its sender is joining, and it is left out of views until it can support them.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -71,6 +71,7 @@
     previous_active: ViewId,
     support_until_ms: BootMs,
     retired: bool,
+    joining: bool,
     adopted_version: u64,
     rooms: BTreeMap<u32, u32>,
 }
@@ -212,6 +213,7 @@
         peer.supports = beat.supports;
         peer.wants = beat.wants;
         peer.retired = beat.retired;
+        peer.joining = beat.joining;
         peer.previous_active = beat.previous_active;
         peer.adopted_version = beat.adopted_version;
         peer.rooms = beat.rooms.iter().map(|room| (room.route_hash, room.free)).collect();
@@ -236,7 +238,7 @@
         let wanted = self.wanted(now);
         match &self.support {
             Support::Supporting { view, .. }
-                if view.members != wanted || !self.is_majority(&view.members) =>
+                if view.members != wanted || !self.is_majority(&view.members, true) =>
             {
                 let promised_until_ms = self.last_support_ms + view.lease_ms();
                 let left_ms = self.last_sent_ms + 1;
@@ -251,7 +253,7 @@
             }
             Support::Supporting { .. } => false,
         };
-        if released && !self.retired && self.is_majority(&wanted) {
+        if released && !self.retired && self.is_majority(&wanted, false) {
             let since_ms = self.last_sent_ms + 1;
             self.support = Support::Supporting { view: View::new(wanted), since_ms };
             self.next_beat_ms = now;
@@ -305,7 +307,8 @@
 
     fn wanted(&self, now: BootMs) -> BTreeMap<VmId, u64> {
         let suspect_ms = SUSPECT_INTERVALS * self.interval_ms();
-        let live = |peer: &Peer| now.since(peer.heard_ms) < suspect_ms && !peer.retired;
+        let live =
+            |peer: &Peer| now.since(peer.heard_ms) < suspect_ms && !peer.retired && !peer.joining;
         let mut members: BTreeMap<VmId, u64> = self
             .peers
             .iter()
@@ -318,12 +321,15 @@
         members
     }
 
-    fn is_majority(&self, members: &BTreeMap<VmId, u64>) -> bool {
+    /// Whether `members` are a majority of the zone's listed VMs. A VM that is joining supports no
+    /// other view, so it does not end one that acts (`continuing`); it counts where a view begins.
+    fn is_majority(&self, members: &BTreeMap<VmId, u64>, continuing: bool) -> bool {
         if !members.contains_key(&self.me.vm) {
             return false;
         }
-        let retired = |vm: &VmId| self.peers.get(vm).is_some_and(|peer| peer.retired);
-        let counted: BTreeSet<&VmId> = self.listed.keys().filter(|vm| !retired(vm)).collect();
+        let out = |peer: &Peer| peer.retired || peer.joining && continuing;
+        let left_out = |vm: &VmId| self.peers.get(vm).is_some_and(out);
+        let counted: BTreeSet<&VmId> = self.listed.keys().filter(|vm| !left_out(vm)).collect();
         let present = counted.iter().filter(|vm| members.contains_key(**vm)).count();
         match (2 * present).cmp(&counted.len()) {
             std::cmp::Ordering::Greater => true,
@@ -364,6 +370,7 @@
         }
         let wants = View::new(self.wanted(now)).id;
         let previous_active = self.previous_active_for(supports);
+        let joining = self.is_joining(now);
         let others = self.listed.keys().filter(|vm| **vm != self.me.vm);
         others
             .map(|vm| {
@@ -376,6 +383,7 @@
                     wants,
                     previous_active,
                     retired: self.retired,
+                    joining,
                     rooms: rooms.to_vec(),
                     adopted_version,
                 };
@@ -398,6 +406,16 @@
         }
     }
 
+    /// Whether promises of a former incarnation may still hold.
+    fn is_joining(&self, now: BootMs) -> bool {
+        match &self.support {
+            Support::Waiting { old, promised_until_ms, .. } => {
+                old.members.is_empty() && now < *promised_until_ms
+            }
+            Support::Supporting { .. } => false,
+        }
+    }
+
     /// Whether this VM may act for its zone at `now`.
     pub fn is_active(&self, now: BootMs) -> bool {
         self.active_view(now).is_some()
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -85,6 +85,9 @@
     pub rooms: ::prost::alloc::vec::Vec<RouteRoom>,
     #[prost(uint64, tag = "9")]
     pub adopted_version: u64,
+    /// The sender has just started and supports no view before its former promises have ended.
+    #[prost(bool, tag = "10")]
+    pub joining: bool,
 }
 /// Free places that the sender can give on one route.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
