--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -46,14 +46,17 @@
 pub mod poison;
 pub mod rendezvous;
 pub mod shares;
+pub mod status;
+pub mod view;
 pub mod vm_list;
 
 pub use event::{
     Action, AdmitRequest, CallerKey, Counter, Event, FinishedRequest, Grant, KeptAnswer,
     LoadReport, Order, RequestKey, RequestKind, RetryReason, RetryRequest,
 };
-pub use node::{Node, NodeStatus};
+pub use node::Node;
 pub use permits::model_hash;
+pub use status::NodeStatus;
 pub use vm_list::{VmList, VmRecord};
 
 use gypsumchute_units::{VmId, ZoneId};
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -16,49 +16,12 @@
     BEAT_PAUSE_MS, LIST_GRACE_MS, SUSPECT_INTERVALS, heartbeat_ms, held_ms, view_lease_ms,
 };
 use crate::rendezvous;
+use crate::view::{NO_VIEW, View, ViewId};
 use crate::vm_list::VmList;
 use gypsumchute_proto::peer::{Heartbeat, RouteRoom};
 use gypsumchute_units::{BootMs, VmId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Names a view in messages; 0 means none.
-pub type ViewId = u64;
-/// No view.
-pub const NO_VIEW: ViewId = 0;
-
-/// A set of VMs that act together.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct View {
-    members: BTreeMap<VmId, u64>,
-    id: ViewId,
-}
-
-impl View {
-    fn new(members: BTreeMap<VmId, u64>) -> Self {
-        let mut parts = Vec::new();
-        for (vm, incarnation) in &members {
-            parts.push(vm.as_str().to_owned());
-            parts.push(incarnation.to_string());
-        }
-        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
-        View { id: rendezvous::hash64(&parts).max(1), members }
-    }
-
-    /// Its name in messages.
-    pub fn id(&self) -> ViewId {
-        self.id
-    }
-
-    /// Its members.
-    pub fn members(&self) -> impl Iterator<Item = &VmId> {
-        self.members.keys()
-    }
-
-    fn lease_ms(&self) -> u64 {
-        view_lease_ms(self.members.len())
-    }
-}
-
 /// What is known of another VM of the zone.
 #[derive(Debug, Clone, Default)]
 struct Peer {
--- a/crates/decide/tests/testsuite/rate.rs
+++ b/crates/decide/tests/testsuite/rate.rs
@@ -1,6 +1,7 @@
 //! Rate and burst over the whole fleet, against one naive bucket.
 
-use crate::world::{Charge, Fate, NaiveBucket, World, config, seeds};
+use crate::naive::NaiveBucket;
+use crate::world::{Charge, Fate, World, config, seeds};
 use gypsumchute_units::RefusalReason;
 use rand::RngExt;
 use std::collections::BTreeSet;
