--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -95,6 +95,8 @@
     note("no such path", call_app(Method::GET, at, KEY, "/else", "", ""));
     let resumed = Stream::resume(at, KEY, "engine-1~00", "");
     note("no such generation", resumed.err().flatten());
+    let crafted = Stream::resume(at, KEY, "engine-1~../../-/seen", "");
+    note("crafted generation", crafted.err().flatten());
     insta::assert_snapshot!(lines.join("\n"), @"
     no key: 401 unknown_key not_run
     unknown key: 401 unknown_key not_run
@@ -105,6 +107,7 @@
     open route: 200  
     no such path: 404 no_such_route not_run
     no such generation: 404 no_such_generation not_run
+    crafted generation: 404 no_such_generation not_run
     ");
 }
 
