--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,4 +29,4 @@
     AppRoute, Customer, CutOff, Endpoint, EndpointState, Fleet, KeyWithdrawal, ModelRoute, Zone,
     ZoneState,
 };
-pub use settings::{ControlSettings, EntrySettings, SeedPeer};
+pub use settings::{ControlSettings, DaemonSettings, EntrySettings, SeedPeer, read_settings};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,12 +1,13 @@
 //! The settings file that each process starts from: its addresses and its availability zone.
 
 use crate::error::{ConfigError, ConfigErrors, Place};
-use gypsumchute_units::{VmId, ZoneId};
+use gypsumchute_units::{RegionId, VmId, ZoneId};
 use jsonc_parser::{ParseOptions, parse_to_serde_value};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::Path;
 
 /// A control process to ask for the configuration while the platform can't be reached.
@@ -99,3 +100,49 @@
         ConfigErrors::Invalid(vec![ConfigError { place, problem, fix }])
     })
 }
+
+/// Settings of a daemon: one process a VM that serves callers on the users' platform.
+///
+/// Fields that are not listed here are ignored, since the platform adds some over time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DaemonSettings {
+    /// The VM it runs on.
+    pub vm: VmId,
+    /// The availability zone of that VM.
+    pub zone: ZoneId,
+    /// The region of each availability zone.
+    pub zone_regions: BTreeMap<ZoneId, RegionId>,
+    /// Where callers reach it, over HTTP.
+    pub callers_listen: SocketAddr,
+    /// Where the platform asks whether it takes new connections.
+    pub readiness_listen: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics_listen: SocketAddr,
+    /// Where it hears daemons of other VMs, over UDP and TCP.
+    pub peers_listen: SocketAddrV4,
+    /// Some VMs to begin with. Only the IP numbers count: all daemons use the same port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time between SIGTERM and SIGKILL.
+    pub shutdown_grace_s: f64,
+    /// Retries that the fleet may make for each request, over `retry_window_s`.
+    pub retry_ratio: f64,
+    /// Retries that the fleet may make beyond that in each window.
+    pub retry_fixed: f64,
+    /// Length of the window in which retries are counted.
+    pub retry_window_s: f64,
+}
+
+impl DaemonSettings {
+    /// Time between SIGTERM and SIGKILL, in ms.
+    pub fn shutdown_grace_ms(&self) -> u64 {
+        (self.shutdown_grace_s * 1_000.0) as u64
+    }
+
+    /// Length of the window in which retries are counted, in ms.
+    pub fn retry_window_ms(&self) -> u64 {
+        (self.retry_window_s * 1_000.0) as u64
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,293 @@
+//! What all tasks of the daemon share.
+
+use gypsumchute_config::DaemonSettings;
+use gypsumchute_fleet::{Members, PeerAddress, StoreCopy};
+use gypsumchute_platform::StoreClient;
+use gypsumchute_routing::admission::WaitingRoom;
+use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
+use gypsumchute_routing::load::{Load, Loads};
+use gypsumchute_routing::outcomes::{Outcome, Outcomes};
+use gypsumchute_routing::placement::Fleet;
+use gypsumchute_routing::poison::Poison;
+use gypsumchute_routing::warmup::Warmups;
+use gypsumchute_routing::{Endpoints, RoutingTable};
+use gypsumchute_telemetry::Metrics;
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{BootMs, EndpointId, ServiceId};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+
+/// Endpoints that a request may bring down before it is refused everywhere. Two could be an
+/// innocent request beside the guilty one.
+const MAX_CRASHES: usize = 3;
+/// How long a crash is remembered.
+pub const CRASH_KEEP_MS: u64 = 60_000;
+/// For how long a crash is told to other VMs: several heartbeats.
+const CRASH_TELL_MS: u64 = 2_500;
+/// A registry entry that vanishes so long after trouble with the store may have lapsed.
+const STORE_TROUBLE_MS: u64 = 4_000;
+/// Knowledge of the configuration is fresh while a reader's last answer is younger than this.
+const FRESH_MS: u64 = 4_000;
+
+/// What the daemon knows and decides with.
+pub struct State {
+    /// The configuration in force; none before the first one is known.
+    pub table: Option<Rc<RoutingTable>>,
+    /// Endpoints in service.
+    pub endpoints: Endpoints,
+    /// What runs there.
+    pub loads: Loads,
+    /// How they behaved.
+    pub outcomes: Outcomes,
+    /// Retries made.
+    pub retries: RetryBudget,
+    /// What cold endpoints got.
+    pub warmups: Warmups,
+    /// Requests that brought endpoints down.
+    pub poison: Poison,
+    /// Who waits for room.
+    pub waiting: WaitingRoom,
+    /// The other VMs.
+    pub members: Members,
+    /// What the platform published.
+    pub copy: StoreCopy,
+    /// Whether this VM's own reads of the store succeed.
+    pub reads_store: bool,
+    /// When this VM's last read of the store failed.
+    pub store_trouble_ms: Option<BootMs>,
+    /// When the store, or a VM that reads it, was last heard.
+    pub store_heard_ms: Option<BootMs>,
+    /// Source of randomness.
+    pub rng: StdRng,
+    crashes: VecDeque<Crash>,
+}
+
+/// A crash that this VM saw.
+#[derive(Debug, Clone)]
+pub struct Crash {
+    /// The request that ran there.
+    pub fingerprint: u64,
+    /// The endpoint that broke.
+    pub endpoint: EndpointId,
+    /// Tells crashes apart.
+    pub number: u64,
+    seen_ms: BootMs,
+}
+
+/// Settings, state and signals, shared by all tasks.
+pub struct Context {
+    /// What the process was started with.
+    pub settings: DaemonSettings,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// Fires when a heartbeat should go out before its time.
+    pub heartbeat_due: Notify,
+    state: RefCell<State>,
+    changed: watch::Sender<()>,
+    registry_changed: watch::Sender<()>,
+    shutdown: watch::Sender<bool>,
+    open_calls: Cell<usize>,
+}
+
+impl Context {
+    /// A context that knows nothing yet.
+    pub fn new(settings: DaemonSettings) -> Rc<Self> {
+        let me = PeerAddress {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers_listen,
+        };
+        let port = settings.peers_listen.port();
+        let seeds = settings.seeds.iter().map(|seed| {
+            let mut seed = *seed;
+            seed.set_port(port);
+            seed
+        });
+        let state = State {
+            table: None,
+            endpoints: Endpoints::default(),
+            loads: Loads::default(),
+            outcomes: Outcomes::default(),
+            retries: RetryBudget::default(),
+            warmups: Warmups::default(),
+            poison: Poison::new(MAX_CRASHES),
+            waiting: WaitingRoom::default(),
+            members: Members::new(me, seeds.collect()),
+            copy: StoreCopy::default(),
+            reads_store: false,
+            store_trouble_ms: None,
+            store_heard_ms: None,
+            rng: StdRng::from_rng(&mut rand::rng()),
+            crashes: VecDeque::new(),
+        };
+        Rc::new(Context {
+            store: StoreClient::new(settings.store),
+            settings,
+            metrics: Metrics::new(),
+            heartbeat_due: Notify::new(),
+            state: RefCell::new(state),
+            changed: watch::Sender::new(()),
+            registry_changed: watch::Sender::new(()),
+            shutdown: watch::Sender::new(false),
+            open_calls: Cell::new(0),
+        })
+    }
+
+    /// Runs `act` on the state. It must not call back into the context.
+    pub fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.borrow_mut())
+    }
+
+    /// Tells all who wait that endpoints, loads or the configuration changed.
+    pub fn notify_changed(&self) {
+        self.changed.send_replace(());
+    }
+
+    /// Fires whenever [`Self::notify_changed`] is called.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Tells all who wait that the platform published something new.
+    pub fn notify_published(&self) {
+        self.registry_changed.send_replace(());
+        self.notify_changed();
+    }
+
+    /// Fires whenever [`Self::notify_published`] is called.
+    pub fn registry_changes(&self) -> watch::Receiver<()> {
+        self.registry_changed.subscribe()
+    }
+
+    /// Begins to shut down.
+    pub fn begin_shutdown(&self) {
+        self.shutdown.send_replace(true);
+    }
+
+    /// Whether the process shuts down.
+    pub fn shuts_down(&self) -> bool {
+        *self.shutdown.borrow()
+    }
+
+    /// Becomes true when the process shuts down.
+    pub fn shutdown(&self) -> watch::Receiver<bool> {
+        self.shutdown.subscribe()
+    }
+
+    /// Requests in progress.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.get()
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn open_call(self: &Rc<Self>) -> OpenCall {
+        self.open_calls.set(self.open_calls.get() + 1);
+        OpenCall { context: self.clone() }
+    }
+
+    /// Counts `load` at `endpoint` until the guard is dropped.
+    pub fn occupy(self: &Rc<Self>, endpoint: &EndpointId, load: Load) -> Occupied {
+        self.with(|state| state.loads.add(endpoint, load));
+        self.heartbeat_due.notify_one();
+        Occupied { context: self.clone(), endpoint: endpoint.clone(), load }
+    }
+
+    /// Takes in what became of a request at `endpoint`.
+    pub fn observe(&self, endpoint: &EndpointId, outcome: Outcome) {
+        let now = boot_now();
+        self.with(|state| state.outcomes.observe(now, endpoint, outcome));
+    }
+
+    /// Takes one retry for `service`, if this VM's part of the budget has one left.
+    pub fn take_retry(&self, service: &ServiceId, reason: &'static str) -> bool {
+        let allowance = RetryAllowance {
+            ratio: self.settings.retry_ratio,
+            fixed: self.settings.retry_fixed,
+            window_ms: self.settings.retry_window_ms(),
+        };
+        let taken = self.with(|state| {
+            let vms = state.members.all_vms().len();
+            state.retries.take_retry(boot_now(), service, allowance, vms)
+        });
+        match taken {
+            true => self.metrics.count_retry(reason),
+            false => self.metrics.count_retry("budget_spent"),
+        }
+        taken
+    }
+
+    /// Notes that `endpoint` broke while it ran the request with `fingerprint`.
+    pub fn note_crash(&self, fingerprint: u64, endpoint: &EndpointId) {
+        let now = boot_now();
+        self.with(|state| {
+            let number = state.rng.random();
+            let crash = Crash { fingerprint, endpoint: endpoint.clone(), number, seen_ms: now };
+            let seen = [(number, endpoint.clone())];
+            state.poison.on_crashes(now, fingerprint, seen, CRASH_KEEP_MS);
+            state.crashes.push_back(crash);
+        });
+        self.heartbeat_due.notify_one();
+    }
+}
+
+impl State {
+    /// What placement looks at.
+    pub fn fleet<'a>(&'a self, settings: &'a DaemonSettings) -> Fleet<'a> {
+        Fleet {
+            endpoints: &self.endpoints,
+            loads: &self.loads,
+            outcomes: &self.outcomes,
+            home: &settings.zone,
+        }
+    }
+
+    /// Whether an entry that vanishes now may only have lapsed.
+    pub fn registry_is_unreliable(&self, now: BootMs) -> bool {
+        self.store_trouble_ms.is_some_and(|trouble| now.since(trouble) < STORE_TROUBLE_MS)
+    }
+
+    /// Whether this VM would know by now of a configuration that was changed.
+    pub fn is_fresh(&self, now: BootMs) -> bool {
+        self.store_heard_ms.is_some_and(|heard| now.since(heard) < FRESH_MS)
+    }
+
+    /// The crashes that other VMs should hear of.
+    pub fn crashes_to_tell(&mut self, now: BootMs) -> impl Iterator<Item = &Crash> {
+        while self.crashes.front().is_some_and(|c| now.since(c.seen_ms) > CRASH_TELL_MS) {
+            self.crashes.pop_front();
+        }
+        self.crashes.iter()
+    }
+}
+
+/// A request in progress.
+pub struct OpenCall {
+    context: Rc<Context>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.context.open_calls.set(self.context.open_calls.get() - 1);
+    }
+}
+
+/// Load that counts at an endpoint while this lives.
+pub struct Occupied {
+    context: Rc<Context>,
+    endpoint: EndpointId,
+    load: Load,
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.context.with(|state| state.loads.remove(&self.endpoint, self.load));
+        self.context.notify_changed();
+        self.context.heartbeat_due.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front.rs
@@ -0,0 +1,261 @@
+//! Callers' connections, and what is decided on a request before it looks for an endpoint.
+
+use crate::call::Call;
+use crate::context::Context;
+use crate::reply::{self, Reply};
+use crate::{generation, plain};
+use bytes::{Bytes, BytesMut};
+use gypsumchute_exchange::bound_silence;
+use gypsumchute_platform::CallerHead;
+use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{BootMs, Refusal, RefusalReason};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderValue, Request};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{info, warn};
+use rand::RngExt;
+use std::convert::Infallible;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// What callers may send before a configuration says so.
+const DEFAULT_LIMITS: IngressLimits = IngressLimits {
+    head_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    head_timeout_ms: 10_000,
+    idle_timeout_ms: 30_000,
+};
+/// Smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Longest time for a request's body, in ms.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+/// Pause after a connection could not be accepted, in ms.
+const ACCEPT_PAUSE_MS: u64 = 20;
+/// How long after SIGTERM unused connections stay open: the balancer has taken this VM out by
+/// then, and callers have had time to use them once more.
+const CLOSE_IDLE_AFTER_MS: u64 = 3_500;
+/// When a caller without a better estimate returns, in ms.
+const RETURN_SOON_MS: u64 = 500;
+
+/// Takes callers' connections for as long as the process lives.
+pub async fn serve(context: Rc<Context>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(serve_connection(context.clone(), stream))),
+            Err(err) => {
+                warn!(error:% = err; "a caller's connection could not be accepted");
+                sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(context: Rc<Context>, stream: TcpStream) {
+    if let Err(err) = bound_silence(&stream) {
+        warn!(error:% = err; "a caller's connection could not be set up");
+        return;
+    }
+    let limits = context.with(|state| limits_of(state.table.as_deref()));
+    let mut shutdown = context.shutdown();
+    let answer = service_fn(move |request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(answer(context, request).await) }
+    });
+    // The timer for a head starts when the connection falls idle, so that it bounds both.
+    let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), answer);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A connection that fails has lost its caller: nobody is left to tell.
+        _ = connection.as_mut() => return,
+        _ = shutdown.wait_for(|closing| *closing) => {}
+    }
+    // Callers reuse connections for a while: their next request is answered, and then closes.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = sleep(Duration::from_millis(CLOSE_IDLE_AFTER_MS)) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+fn limits_of(table: Option<&RoutingTable>) -> IngressLimits {
+    table.and_then(|table| table.limits).unwrap_or(DEFAULT_LIMITS)
+}
+
+/// Answers one request. Dropped when the caller leaves, which ends the endpoint's work.
+async fn answer(context: Rc<Context>, request: Request<Incoming>) -> Reply {
+    let _open = context.open_call();
+    let arrived_ms = boot_now();
+    let (head, body) = request.into_parts();
+    let mut reply = match admit(&context, arrived_ms, head, body).await {
+        Ok(call) => match call.route.kind {
+            RouteKind::Generation { .. } => generation::answer(call).await,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => plain::answer(&call).await,
+        },
+        Err(rejected) => rejected.into_reply(&context),
+    };
+    if context.shuts_down() {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    context.metrics.record_request(
+        boot_now().since(arrived_ms) as f64,
+        if reply.status().is_success() { "success" } else { "failure" },
+    );
+    reply
+}
+
+/// A request that got its answer before it looked for an endpoint.
+struct Rejected {
+    refusal: Refusal,
+    request_id: String,
+    /// Whether its framing can't be trusted, so that the connection must end.
+    closes: bool,
+}
+
+impl Rejected {
+    fn into_reply(self, context: &Context) -> Reply {
+        let Refusal { reason, verdict, retry_after_ms } = self.refusal;
+        context.metrics.count_refusal(reason.into(), verdict.into());
+        let version = context.with(|state| state.table.as_ref().map_or(0, |t| t.version.0));
+        let store_revision = context.with(|state| state.copy.revision());
+        info!(request = self.request_id.as_str(), reason:% = reason, verdict:% = verdict,
+            retry_after_ms:? = retry_after_ms, version, store_revision; "request refused");
+        let mut reply = reply::refuse(self.refusal);
+        if self.closes {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+}
+
+async fn admit(
+    context: &Rc<Context>,
+    arrived_ms: BootMs,
+    head: Parts,
+    body: Incoming,
+) -> Result<Call, Rejected> {
+    let caller = CallerHead::read(&head.headers);
+    let request_id = caller.request_id.as_ref().map_or("-", |id| id.as_str()).to_owned();
+    let reject =
+        |refusal: Refusal| Rejected { refusal, request_id: request_id.clone(), closes: false };
+    let close = |reason| Rejected {
+        refusal: Refusal::not_run(reason),
+        request_id: request_id.clone(),
+        closes: true,
+    };
+    if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+        return Err(close(RefusalReason::Malformed));
+    }
+    let table = context.with(|state| state.table.clone());
+    let Some(table) = table else {
+        let refusal = Refusal::not_run_until(RefusalReason::NoConfiguration, RETURN_SOON_MS);
+        return Err(reject(refusal));
+    };
+    let draw = context.with(|state| state.rng.random::<u64>());
+    let (route, service) = route_of(context, &table, &head, draw).map_err(reject)?;
+    let customer = customer_of(context, &table, &route, &caller).map_err(reject)?;
+    let limits = limits_of(Some(&table));
+    let reading = read_body(body, limits.body_bytes);
+    let body = match timeout(Duration::from_millis(BODY_TIMEOUT_MS), reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason)) => return Err(close(reason)),
+        Err(_) => return Err(close(RefusalReason::Malformed)),
+    };
+    let fingerprint = fingerprint(head.uri.path(), customer.as_ref(), &body);
+    let now = boot_now();
+    let refused_for_ms = context.with(|state| state.poison.refused_for_ms(now, fingerprint));
+    if let Some(after_ms) = refused_for_ms {
+        return Err(reject(Refusal::not_run_until(RefusalReason::PoisonRequest, after_ms)));
+    }
+    context.with(|state| state.retries.count_request(now, &service.id));
+    let wait_ms = caller.patience_ms.unwrap_or(route.answer_timeout_ms);
+    Ok(Call {
+        context: context.clone(),
+        caller,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        deadline_ms: arrived_ms + wait_ms.min(route.answer_timeout_ms),
+        route,
+        service,
+        customer,
+        arrived_ms,
+        fingerprint,
+        draw,
+    })
+}
+
+/// What a caller is told of a route or key that isn't known here. A VM that may have missed a
+/// change does not call it wrong for good.
+fn unknown(context: &Context, reason: RefusalReason) -> Refusal {
+    match context.with(|state| state.is_fresh(boot_now())) {
+        true => Refusal::not_run(reason),
+        false => Refusal::not_run_until(RefusalReason::NoConfiguration, RETURN_SOON_MS),
+    }
+}
+
+fn route_of(
+    context: &Context,
+    table: &RoutingTable,
+    head: &Parts,
+    draw: u64,
+) -> Result<(Route, Service), Refusal> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let route = table.route(host, head.uri.path());
+    let route = route.ok_or_else(|| unknown(context, RefusalReason::NoSuchRoute))?;
+    let service = route.service_for(draw).and_then(|id| table.services.get(id));
+    let service =
+        service.ok_or_else(|| Refusal::not_run_until(RefusalReason::NoEndpoint, RETURN_SOON_MS))?;
+    Ok((route.clone(), service.clone()))
+}
+
+fn customer_of(
+    context: &Context,
+    table: &RoutingTable,
+    route: &Route,
+    caller: &CallerHead,
+) -> Result<Option<Customer>, Refusal> {
+    let holder = caller.key.as_deref().and_then(|key| table.holder(key)).cloned();
+    match holder {
+        None if table.needs_key && !route.open => Err(unknown(context, RefusalReason::UnknownKey)),
+        holder => Ok(holder),
+    }
+}
+
+async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, RefusalReason> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers decide nothing and are not passed on.
+        let piece = frame.map_err(|_| RefusalReason::Malformed)?.into_data().unwrap_or_default();
+        if whole.len() + piece.len() > limit_bytes {
+            return Err(RefusalReason::BodyTooLarge);
+        }
+        whole.extend_from_slice(&piece);
+    }
+    Ok(whole.freeze())
+}
+
+fn fingerprint(path: &str, customer: Option<&Customer>, body: &Bytes) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    path.hash(&mut hasher);
+    customer.map(|customer| customer.id.as_str()).hash(&mut hasher);
+    body.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/daemon/src/gossip.rs
@@ -0,0 +1,328 @@
+//! What daemons of different VMs tell each other: heartbeats over UDP, and over TCP what a VM
+//! missed of the platform's changes.
+
+use crate::context::{CRASH_KEEP_MS, Context};
+use crate::knowledge::{Source, take_changes, take_listing};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use gypsumchute_exchange::bound_silence;
+use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
+use gypsumchute_fleet::messages::{
+    Crash, EndpointLoad, Heartbeat, Item, Member, PullReply, PullRequest,
+};
+use gypsumchute_fleet::{PeerAddress, StoreItem};
+use gypsumchute_routing::load::Load;
+use gypsumchute_units::time::boot_now;
+use log::{info, warn};
+use prost::Message;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Largest frame over TCP, in bytes: a configuration of 1 MB and a registry of thousands.
+const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Shortest time between two heartbeats that go out before their time, for each VM they go to.
+const URGENT_GAP_MS_PER_TARGET: u64 = 12;
+/// Longest time to fetch changes from another VM, in ms.
+const PULL_MS: u64 = 1_000;
+/// How often a VM looks whether another one knows more, in ms.
+const PULL_LOOK_MS: u64 = 40;
+/// How often silent VMs and old loads are forgotten, in ms.
+const EXPIRE_MS: u64 = 500;
+
+type Channel = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Sends heartbeats for as long as the process lives.
+pub async fn send_heartbeats(context: Rc<Context>, socket: Rc<UdpSocket>) {
+    let mut next_at = Instant::now();
+    loop {
+        let targets = context.with(|state| state.members.next_targets(boot_now()));
+        let heartbeat = heartbeat(&context, context.with(|s| s.members.members_per_heartbeat()));
+        send_all(&context, &socket, &heartbeat, &targets).await;
+        let regular_ms = context.with(|state| state.members.heartbeat_ms());
+        let gap_ms = (URGENT_GAP_MS_PER_TARGET * targets.len() as u64).min(regular_ms);
+        let sent_at = Instant::now();
+        next_at = next_at.max(sent_at - Duration::from_millis(regular_ms))
+            + Duration::from_millis(regular_ms);
+        tokio::select! {
+            () = sleep_until(next_at) => {}
+            () = context.heartbeat_due.notified() => {
+                sleep_until(sent_at + Duration::from_millis(gap_ms)).await;
+            }
+        }
+    }
+}
+
+/// Takes in heartbeats for as long as the process lives.
+pub async fn hear_heartbeats(context: Rc<Context>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, _) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(err) => {
+                // Some systems report here that an earlier datagram found no listener.
+                warn!(error:% = err; "no datagram could be received");
+                sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+                continue;
+            }
+        };
+        match Heartbeat::decode(&buffer[..length]) {
+            Ok(heartbeat) => take_in(&context, &socket, heartbeat).await,
+            Err(err) => {
+                context.metrics.count_message(0);
+                warn!(error:% = err, bytes = length; "datagram is no heartbeat");
+            }
+        }
+    }
+}
+
+/// Tells the others that this VM shuts down, so that they don't wait for it.
+pub async fn say_goodbye(context: &Rc<Context>, socket: &UdpSocket) {
+    let targets = context.with(|state| state.members.next_targets(boot_now()));
+    let heartbeat = Heartbeat { leaving: true, ..heartbeat(context, 0) };
+    send_all(context, socket, &heartbeat, &targets).await;
+}
+
+async fn send_all(
+    context: &Context,
+    socket: &UdpSocket,
+    heartbeat: &Heartbeat,
+    targets: &[SocketAddrV4],
+) {
+    let bytes = heartbeat.encode_to_vec();
+    for target in targets {
+        // A datagram may be lost on its way just as well: the next one makes up for it.
+        let sent = socket.send_to(&bytes, SocketAddr::V4(*target)).await;
+        if sent.is_ok() {
+            context.metrics.count_message(bytes.len() as u64);
+        }
+    }
+}
+
+fn heartbeat(context: &Context, member_count: usize) -> Heartbeat {
+    let now = boot_now();
+    context.with(|state| {
+        let me = state.members.me().clone();
+        let loads = state.loads.own().map(|(endpoint, load)| EndpointLoad {
+            endpoint: endpoint.to_string(),
+            requests: load.requests,
+            tokens: load.tokens,
+            backup_tokens: load.backup_tokens,
+        });
+        let loads = loads.collect();
+        let members = state.members.some_members(now, member_count, &mut state.rng);
+        let crashes = state.crashes_to_tell(now).map(|crash| Crash {
+            fingerprint: crash.fingerprint,
+            endpoint: crash.endpoint.to_string(),
+            number: crash.number,
+            keep_ms: CRASH_KEEP_MS,
+        });
+        let crashes = crashes.collect();
+        Heartbeat {
+            vm: me.vm.to_string(),
+            zone: me.zone.to_string(),
+            ip: (*me.address.ip()).into(),
+            port: me.address.port().into(),
+            store_revision: state.copy.revision(),
+            reads_platform: state.reads_store,
+            loads,
+            members: members.iter().map(member).collect(),
+            crashes,
+            joining: !state.members.has_company(now),
+            leaving: false,
+        }
+    })
+}
+
+fn member(peer: &PeerAddress) -> Member {
+    Member {
+        vm: peer.vm.to_string(),
+        zone: peer.zone.to_string(),
+        ip: (*peer.address.ip()).into(),
+        port: peer.address.port().into(),
+    }
+}
+
+fn peer_address(vm: &str, zone: &str, ip: u32, port: u32) -> Option<PeerAddress> {
+    let port = u16::try_from(port).ok()?;
+    let address = SocketAddrV4::new(Ipv4Addr::from(ip), port);
+    Some(PeerAddress { vm: vm.parse().ok()?, zone: zone.parse().ok()?, address })
+}
+
+async fn take_in(context: &Rc<Context>, socket: &UdpSocket, heartbeat: Heartbeat) {
+    let now = boot_now();
+    let Heartbeat { vm, zone, ip, port, .. } = &heartbeat;
+    let Some(peer) = peer_address(vm, zone, *ip, *port) else {
+        warn!(vm = vm.as_str(), zone = zone.as_str(); "heartbeat without a proper sender");
+        return;
+    };
+    let me = &context.settings.vm;
+    if peer.vm == *me {
+        return;
+    }
+    if heartbeat.leaving {
+        info!(vm = peer.vm.as_str(); "VM shuts down");
+        context.with(|state| {
+            state.members.on_leaving(&peer.vm);
+            state.loads.set_peer(now, &peer.vm, []);
+        });
+        return;
+    }
+    let loads = heartbeat.loads.iter().filter_map(|load| {
+        let &EndpointLoad { requests, tokens, backup_tokens, .. } = load;
+        Some((load.endpoint.parse().ok()?, Load { requests, tokens, backup_tokens }))
+    });
+    let loads: Vec<_> = loads.collect();
+    let is_new = context.with(|state| {
+        let heard = Heard {
+            peer: peer.clone(),
+            reads_platform: heartbeat.reads_platform,
+            store_revision: heartbeat.store_revision,
+        };
+        let is_new = state.members.on_heartbeat(now, heard);
+        let named = heartbeat.members.iter();
+        let named = named.filter_map(|m| peer_address(&m.vm, &m.zone, m.ip, m.port));
+        named.for_each(|named| state.members.on_named(now, named));
+        state.loads.set_peer(now, &peer.vm, loads);
+        if heartbeat.reads_platform && heartbeat.store_revision <= state.copy.revision() {
+            state.store_heard_ms = Some(now);
+        }
+        for crash in &heartbeat.crashes {
+            let Ok(endpoint) = crash.endpoint.parse() else { continue };
+            let seen = [(crash.number, endpoint)];
+            state.poison.on_crashes(now, crash.fingerprint, seen, crash.keep_ms);
+        }
+        is_new
+    });
+    context.notify_changed();
+    if is_new {
+        info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
+            "VM heard of");
+    }
+    if heartbeat.joining || is_new {
+        let answer = self::heartbeat(context, MEMBERS_PER_ANSWER);
+        send_all(context, socket, &answer, &[peer.address]).await;
+    }
+}
+
+/// Fetches what other VMs know and this one missed, for as long as the process lives.
+pub async fn pull_changes(context: Rc<Context>) {
+    let mut expire_at = Instant::now();
+    loop {
+        sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+        let now = boot_now();
+        if expire_at <= Instant::now() {
+            expire_at = Instant::now() + Duration::from_millis(EXPIRE_MS);
+            expire(&context);
+        }
+        let revision = context.with(|state| state.copy.revision());
+        let ahead = context.with(|state| state.members.ahead_of(now, revision));
+        let Some(peer) = ahead else { continue };
+        match timeout(Duration::from_millis(PULL_MS), pull(&peer, revision)).await {
+            Ok(Ok(reply)) => take_reply(&context, &peer, reply),
+            Ok(Err(err)) => {
+                info!(vm = peer.vm.as_str(), error:% = err; "changes could not be fetched");
+            }
+            Err(_) => info!(vm = peer.vm.as_str(); "changes could not be fetched in time"),
+        }
+    }
+}
+
+fn expire(context: &Rc<Context>) {
+    let now = boot_now();
+    let gone = context.with(|state| {
+        state.members.expire(now);
+        state.loads.expire(now);
+        state.poison.on_tick(now);
+        state.retries.expire(now, context.settings.retry_window_ms());
+        let endpoints = &state.endpoints;
+        state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
+        state.endpoints.expire(now)
+    });
+    for endpoint in &gone {
+        info!(endpoint = endpoint.as_str(); "endpoint in doubt is taken for gone");
+    }
+    if !gone.is_empty() {
+        context.notify_published();
+    }
+}
+
+fn take_reply(context: &Rc<Context>, peer: &PeerAddress, reply: PullReply) {
+    info!(vm = peer.vm.as_str(), revision = reply.revision, whole = reply.whole,
+        items = reply.items.len(); "changes fetched from another VM");
+    let items = reply.items.into_iter().map(|item| StoreItem {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.map(Bytes::from),
+    });
+    let items = items.collect();
+    match reply.whole {
+        true => take_listing(context, Source::Peer, reply.revision, items),
+        false => take_changes(context, Source::Peer, reply.revision, items),
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+async fn write_message(framed: &mut Channel, message: &impl Message) -> io::Result<()> {
+    framed.send(Bytes::from(message.encode_to_vec())).await
+}
+
+async fn read_message<M: Message + Default>(framed: &mut Channel) -> io::Result<M> {
+    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    M::decode(frame).map_err(io::Error::other)
+}
+
+async fn pull(peer: &PeerAddress, after_revision: u64) -> io::Result<PullReply> {
+    let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
+    bound_silence(&stream)?;
+    let mut framed = Framed::new(stream, codec());
+    write_message(&mut framed, &PullRequest { after_revision }).await?;
+    read_message(&mut framed).await
+}
+
+/// Answers other VMs that fetch changes, for as long as the process lives.
+pub async fn serve_pulls(context: Rc<Context>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                spawn_local(async move {
+                    let answered = timeout(Duration::from_millis(PULL_MS), serve(context, stream));
+                    match answered.await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(err)) => info!(error:% = err; "a VM could not fetch changes"),
+                        Err(_) => info!("a VM fetched changes too slowly"),
+                    }
+                });
+            }
+            Err(err) => {
+                warn!(error:% = err; "a VM's connection could not be accepted");
+                sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve(context: Rc<Context>, stream: TcpStream) -> io::Result<()> {
+    bound_silence(&stream)?;
+    let mut framed = Framed::new(stream, codec());
+    let request: PullRequest = read_message(&mut framed).await?;
+    let delta = context.with(|state| state.copy.delta(request.after_revision));
+    let items = delta.items.into_iter().map(|item| Item {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.map(|value| value.to_vec()),
+    });
+    let reply = PullReply { revision: delta.revision, whole: delta.whole, items: items.collect() };
+    write_message(&mut framed, &reply).await
+}
--- /dev/null
+++ b/crates/daemon/src/knowledge.rs
@@ -0,0 +1,118 @@
+//! Takes in what the platform published, wherever it was learnt from.
+
+use crate::context::{Context, State};
+use bytes::Bytes;
+use gypsumchute_fleet::StoreItem;
+use gypsumchute_platform::items::{CONFIGURATION_KEY, ItemKind, ZONE_OUT_PREFIX};
+use gypsumchute_platform::{configuration, registry};
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{BootMs, EndpointId};
+use log::{info, warn};
+use std::rc::Rc;
+
+/// From whom a change was learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Source {
+    /// The platform's store itself.
+    Store,
+    /// Another VM.
+    Peer,
+}
+
+/// Takes in changes after which everything through `revision` is known.
+pub fn take_changes(context: &Rc<Context>, source: Source, revision: u64, items: Vec<StoreItem>) {
+    let (before, changed) =
+        context.with(|state| (state.copy.revision(), state.copy.apply(revision, items)));
+    apply(context, source, before, &changed);
+}
+
+/// Takes in a whole listing that began at `revision`.
+pub fn take_listing(context: &Rc<Context>, source: Source, revision: u64, items: Vec<StoreItem>) {
+    let (before, changed) =
+        context.with(|state| (state.copy.revision(), state.copy.replace(revision, items)));
+    info!(source:% = source, revision, changed = changed.len(); "listing taken in");
+    apply(context, source, before, &changed);
+}
+
+fn apply(context: &Rc<Context>, source: Source, before: u64, changed: &[String]) {
+    let now = boot_now();
+    let published = context
+        .with(|state| changed.iter().filter(|key| apply_key(state, now, source, key)).count());
+    if published > 0 {
+        context.notify_published();
+    }
+    if context.with(|state| state.copy.revision()) > before && !changed.is_empty() {
+        context.heartbeat_due.notify_one();
+    }
+}
+
+/// Returns whether requests may be decided differently now.
+fn apply_key(state: &mut State, now: BootMs, source: Source, key: &str) -> bool {
+    match ItemKind::of(key) {
+        ItemKind::Configuration => apply_configuration(state, source),
+        ItemKind::ZoneOut(zone) => {
+            let out = state.copy.with_prefix(ZONE_OUT_PREFIX);
+            let zones = out.filter_map(|item| match ItemKind::of(&item.key) {
+                ItemKind::ZoneOut(zone) => Some(zone),
+                _ => None,
+            });
+            let zones = zones.collect();
+            let changed = state.endpoints.set_zones_out(zones);
+            let is_out = state.endpoints.zone_is_out(&zone);
+            info!(source:% = source, zone = zone.as_str(), is_out; "zone taken out or back");
+            changed
+        }
+        ItemKind::Endpoint(id) => apply_endpoint(state, now, source, key, &id),
+        ItemKind::Other => false,
+    }
+}
+
+fn apply_configuration(state: &mut State, source: Source) -> bool {
+    let Some(item) = state.copy.get(CONFIGURATION_KEY).cloned() else { return false };
+    let value = item.value.unwrap_or_default();
+    let in_force = state.table.as_ref().map(|table| table.version);
+    match configuration::decode(&value) {
+        Ok(table) if Some(table.version) <= in_force => false,
+        Ok(table) => {
+            info!(source:% = source, version:% = table.version, revision = item.revision,
+                routes = table.route_count(), bytes = value.len(); "configuration in force");
+            state.table = Some(Rc::new(table));
+            true
+        }
+        Err(err) => {
+            warn!(source:% = source, revision = item.revision, error:% = err;
+                "configuration refused; the one before it stays in force");
+            false
+        }
+    }
+}
+
+fn apply_endpoint(
+    state: &mut State,
+    now: BootMs,
+    source: Source,
+    key: &str,
+    id: &EndpointId,
+) -> bool {
+    let revision = state.copy.revision();
+    let value: Option<Bytes> = state.copy.get(key).and_then(|item| item.value.clone());
+    let Some(value) = value else {
+        let unreliable = state.registry_is_unreliable(now);
+        info!(source:% = source, endpoint = id.as_str(), revision, unreliable; "endpoint is gone");
+        return state.endpoints.remove(now, id, unreliable);
+    };
+    match registry::decode(id, &value) {
+        Ok(entry) => {
+            info!(source:% = source, endpoint = id.as_str(), service = entry.service.as_str(),
+                zone = entry.zone.as_str(), leaving = entry.leaving,
+                warmup_left_ms = entry.warmup_left_ms, revision; "endpoint registered");
+            state.endpoints.upsert(now, entry)
+        }
+        Err(err) => {
+            warn!(source:% = source, endpoint = id.as_str(), revision, error:% = err;
+                "registry entry names no endpoint to use");
+            state.endpoints.remove(now, id, false)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,129 @@
+//! Starts the daemon's tasks and ends them without cutting requests.
+
+use crate::context::Context;
+use crate::{front, gossip, http_service, store_reader};
+use gypsumchute_config::DaemonSettings;
+use gypsumchute_platform::READINESS_PATH;
+use gypsumchute_units::time::boot_now;
+use http::StatusCode;
+use log::{info, warn};
+use quick_error::quick_error;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+/// Where metrics are shown.
+const METRICS_PATH: &str = "/metrics";
+/// How long a process that shuts down still takes connections: the balancer leaves it out after
+/// two questions, which come once a second.
+const STILL_TAKES_MS: u64 = 4_000;
+/// What is left of the grace period when requests in progress are given up, in ms.
+const LAST_MS: u64 = 400;
+/// How often a process that shuts down looks whether it is done, in ms.
+const LOOK_MS: u64 = 50;
+
+quick_error! {
+    /// Why the daemon could not start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address could not be bound.
+        Bind(what: &'static str, address: SocketAddr, err: io::Error) {
+            display("{} address {} can't be bound: {}", what, address, err)
+        }
+        /// The runtime or its signals.
+        Runtime(err: io::Error) {
+            from()
+            display("the runtime could not be started: {}", err)
+        }
+    }
+}
+
+/// Runs the daemon until it is told to end.
+///
+/// # Errors
+///
+/// It could not start.
+pub fn run(settings: DaemonSettings) -> Result<(), StartError> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: DaemonSettings) -> Result<(), StartError> {
+    let context = Context::new(settings);
+    let settings = &context.settings;
+    let callers = bind("callers", settings.callers_listen).await?;
+    let readiness = bind("readiness", settings.readiness_listen).await?;
+    let metrics = bind("metrics", settings.metrics_listen).await?;
+    let peers_address = SocketAddr::V4(settings.peers_listen);
+    let peers = bind("peers", peers_address).await?;
+    let datagrams = UdpSocket::bind(peers_address).await;
+    let datagrams = datagrams.map_err(|err| StartError::Bind("peers", peers_address, err))?;
+    let datagrams = Rc::new(datagrams);
+    info!(vm = settings.vm.as_str(), zone = settings.zone.as_str(), callers:% = settings.callers_listen,
+        peers:% = settings.peers_listen, store:% = settings.store; "daemon started");
+
+    spawn_local(store_reader::run(context.clone()));
+    spawn_local(gossip::send_heartbeats(context.clone(), datagrams.clone()));
+    spawn_local(gossip::hear_heartbeats(context.clone(), datagrams.clone()));
+    spawn_local(gossip::pull_changes(context.clone()));
+    spawn_local(gossip::serve_pulls(context.clone(), peers));
+    spawn_local(front::serve(context.clone(), callers));
+    let shown = context.clone();
+    let page = Rc::new(move || readiness_page(&shown));
+    spawn_local(http_service::serve(readiness, READINESS_PATH, page));
+    let shown = context.clone();
+    let page = Rc::new(move || (StatusCode::OK, shown.metrics.to_text()));
+    spawn_local(http_service::serve(metrics, METRICS_PATH, page));
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => {
+                info!("settings reloaded; addresses and names stay until a restart");
+            }
+        }
+    }
+    shut_down(&context, &datagrams).await;
+    Ok(())
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|err| StartError::Bind(what, address, err))
+}
+
+/// Ready once the configuration and the registry are known, until the process shuts down.
+fn readiness_page(context: &Context) -> (StatusCode, String) {
+    let knows = context.with(|state| state.table.is_some() && state.copy.revision() > 0);
+    match (context.shuts_down(), knows) {
+        (false, true) => (StatusCode::OK, "ready\n".to_owned()),
+        (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "shutting down\n".to_owned()),
+        (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n".to_owned()),
+    }
+}
+
+async fn shut_down(context: &Rc<Context>, datagrams: &UdpSocket) {
+    let begun_ms = boot_now();
+    info!(requests = context.open_calls(); "daemon shuts down");
+    context.begin_shutdown();
+    let end_ms = begun_ms + context.settings.shutdown_grace_ms().saturating_sub(LAST_MS);
+    while boot_now() < end_ms {
+        let may_end = boot_now().since(begun_ms) >= STILL_TAKES_MS && context.open_calls() == 0;
+        if may_end {
+            break;
+        }
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+    match context.open_calls() {
+        0 => info!("daemon ended"),
+        requests => warn!(requests; "daemon ended with requests in progress"),
+    }
+    gossip::say_goodbye(context, datagrams).await;
+}
--- /dev/null
+++ b/crates/daemon/src/reply.rs
@@ -0,0 +1,109 @@
+//! What goes back to a caller: a whole body, a stream, or a refusal.
+
+use bytes::Bytes;
+use gypsumchute_units::{Refusal, Verdict};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+
+/// Ends a stream without its proper end: the caller sees that it broke off.
+#[derive(Debug, Clone, Copy)]
+pub struct BrokenOff;
+
+impl fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the generation broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+impl From<Infallible> for BrokenOff {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// The body of a reply.
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Pieces as they come. The sender sees when the caller has gone.
+    Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            ReplyBody::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            ReplyBody::Stream(pieces) => {
+                pieces.poll_recv(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, ReplyBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ReplyBody::Whole(body) => {
+                SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            ReplyBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A reply to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// A reply with a whole body.
+pub fn whole(status: StatusCode, body: Bytes) -> Reply {
+    let mut reply = Response::new(ReplyBody::Whole(Some(body)));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// The status that tells a caller what it must know of `refusal`: 429 and 503 promise that the
+/// request has not run, so that what may have run must not get them.
+pub fn status_of(refusal: Refusal) -> StatusCode {
+    let status =
+        StatusCode::from_u16(refusal.reason.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let promises_not_run =
+        [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status);
+    match refusal.verdict {
+        Verdict::MayHaveRun if promises_not_run => StatusCode::BAD_GATEWAY,
+        _ => status,
+    }
+}
+
+/// The reply that carries `refusal`.
+pub fn refuse(refusal: Refusal) -> Reply {
+    let body = format!(
+        "{{\"reason\":\"{}\",\"verdict\":\"{}\",\"message\":\"{}\"}}\n",
+        refusal.reason,
+        refusal.verdict,
+        refusal.reason.message()
+    );
+    let mut reply = whole(status_of(refusal), Bytes::from(body));
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let seconds = refusal.retry_after_ms.map(|ms| format!("{:.3}", ms as f64 / 1_000.0));
+    if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
+        headers.insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/daemon/src/store_reader.rs
@@ -0,0 +1,87 @@
+//! Reads the platform's store, if this VM is one of those of its zone that do.
+
+use crate::context::Context;
+use crate::knowledge::{Source, take_changes, take_listing};
+use gypsumchute_platform::items::ALL;
+use gypsumchute_platform::{Changes, StoreError};
+use gypsumchute_units::time::boot_now;
+use log::{info, warn};
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest wait of a watch, in ms. What other VMs must know of a lost store is known after it.
+const WATCH_MS: u64 = 2_000;
+/// How often a VM that does not read looks whether it should, in ms.
+const LOOK_MS: u64 = 150;
+/// Shortest and longest pause after a failed read, in ms.
+const PAUSE_MS: (u64, u64) = (60, 600);
+
+/// Reads for as long as the process lives.
+pub async fn run(context: Rc<Context>) {
+    let mut failures = 0u32;
+    loop {
+        let reads = context.with(|state| state.members.should_read(boot_now()));
+        if !reads {
+            context.with(|state| state.reads_store = false);
+            sleep(Duration::from_millis(LOOK_MS)).await;
+            continue;
+        }
+        match read_once(&context).await {
+            Ok(()) => {
+                if failures > 0 {
+                    info!(failures; "store answers again");
+                }
+                failures = 0;
+                context.with(|state| {
+                    state.reads_store = true;
+                    state.store_heard_ms = Some(boot_now());
+                });
+            }
+            Err(err) => {
+                failures += 1;
+                if failures == 1 {
+                    warn!(error:% = err; "store does not answer");
+                }
+                context.with(|state| {
+                    state.reads_store = false;
+                    state.store_trouble_ms = Some(boot_now());
+                });
+                sleep(pause(&context, failures)).await;
+            }
+        }
+    }
+}
+
+async fn read_once(context: &Rc<Context>) -> Result<(), StoreError> {
+    let revision = context.with(|state| state.copy.revision());
+    if revision == 0 {
+        return list(context).await;
+    }
+    match context.store.watch(ALL, revision, WATCH_MS).await {
+        Ok(Changes { revision, items }) => {
+            take_changes(context, Source::Store, revision, items);
+            Ok(())
+        }
+        Err(StoreError::HistoryGone) => {
+            info!(revision; "store has forgotten its history; listing it");
+            list(context).await
+        }
+        Err(err) => Err(err),
+    }
+}
+
+async fn list(context: &Rc<Context>) -> Result<(), StoreError> {
+    let Changes { revision, items } = context.store.list(ALL).await?;
+    take_listing(context, Source::Store, revision, items);
+    Ok(())
+}
+
+/// Grows with failures, and differs between VMs.
+fn pause(context: &Context, failures: u32) -> Duration {
+    let (shortest, longest) = PAUSE_MS;
+    let grown = shortest.saturating_mul(1 << failures.min(8)).min(longest);
+    let ms = context.with(|state| state.rng.random_range(grown / 2..=grown));
+    Duration::from_millis(ms)
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`shares`] moves parts of each customer's rate and burst between VMs ([`bucket`]);
 //! - [`permits`] gives the right to send a request to an owned endpoint, [`placement`] asks for it;
 //! - [`idempotency`] keeps the keys of requests that must not run twice;
-//! - [`poison`] remembers requests that brought endpoints down;
+//! - [`gypsumchute_routing::poison`] remembers requests that brought endpoints down;
 //! - [`adoption`] decides which version of the configuration and of the VM list is in force;
 //! - [`admission`] leads each request through all of them.
 //!
@@ -43,7 +43,6 @@
 pub mod permits;
 mod pipeline;
 pub mod placement;
-pub mod poison;
 pub mod rendezvous;
 pub mod shares;
 pub mod status;
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,245 @@
+//! The VMs of the fleet, learnt from each other, and who of them reads the platform.
+//!
+//! Nothing lists the VMs: each begins with a few seeds that may be gone, and heartbeats carry some
+//! of the members that the sender knows. All VMs of a small fleet keep in touch with each other.
+//! In a large one a VM keeps in touch with its zone, and two gateways a zone with those of the
+//! other zones, so that a VM's traffic grows with its zone and not with the fleet.
+
+use gypsumchute_units::{BootMs, VmId, ZoneId};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// Up to this many VMs all keep in touch with all.
+const FULL_MESH_VMS: usize = 16;
+/// VMs of each zone that speak to other zones, in a larger fleet.
+const GATEWAYS_PER_ZONE: usize = 2;
+/// VMs of each zone that read the platform.
+const READERS_PER_ZONE: usize = 2;
+/// Shortest time between two heartbeats.
+pub const MIN_HEARTBEAT_MS: u64 = 300;
+/// Longest time between two heartbeats: what a VM learns must be known within 2 s.
+const MAX_HEARTBEAT_MS: u64 = 600;
+/// Estimated size of a heartbeat, in bytes.
+const HEARTBEAT_BYTES: u64 = 110;
+/// What a VM may send for control, in bytes a second.
+const CONTROL_BYTES_PER_S: u64 = 2_000;
+/// Heartbeats in a row that are missed by a VM that is taken for silent.
+const MISSED_HEARTBEATS: u64 = 4;
+/// How long a silent VM is remembered and counts where limits are divided.
+const REMEMBER_MS: u64 = 60_000;
+/// A silent VM is tried with each of so many heartbeats.
+const TRY_SILENT_EVERY: u64 = 4;
+/// Members that a heartbeat names.
+const MEMBERS_PER_HEARTBEAT: usize = 3;
+/// Members that the answer to a joining VM names.
+pub const MEMBERS_PER_ANSWER: usize = 48;
+
+/// Where a VM is heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// The VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where it listens for other VMs.
+    pub address: SocketAddrV4,
+}
+
+#[derive(Debug)]
+struct Member {
+    peer: PeerAddress,
+    /// When a heartbeat of its own came; none if only others told of it.
+    heard_ms: Option<BootMs>,
+    learnt_ms: BootMs,
+    reads_platform: bool,
+    store_revision: u64,
+}
+
+/// What a heartbeat says of its sender.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// Who.
+    pub peer: PeerAddress,
+    /// Whether it reads the platform itself and its reads succeed.
+    pub reads_platform: bool,
+    /// The revision through which it knows all changes.
+    pub store_revision: u64,
+}
+
+/// The members that this VM knows.
+#[derive(Debug)]
+pub struct Members {
+    me: PeerAddress,
+    seeds: Vec<SocketAddrV4>,
+    members: BTreeMap<VmId, Member>,
+    heartbeat_ms: u64,
+    beats: u64,
+}
+
+impl Members {
+    /// Knows nobody but the seeds.
+    pub fn new(me: PeerAddress, seeds: Vec<SocketAddrV4>) -> Self {
+        let seeds = seeds.into_iter().filter(|seed| *seed != me.address).collect();
+        Members { me, seeds, members: BTreeMap::new(), heartbeat_ms: MIN_HEARTBEAT_MS, beats: 0 }
+    }
+
+    /// This VM.
+    pub fn me(&self) -> &PeerAddress {
+        &self.me
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.seeds = seeds.into_iter().filter(|seed| *seed != self.me.address).collect();
+    }
+
+    /// Takes in a heartbeat; returns whether its sender was silent or unknown before.
+    pub fn on_heartbeat(&mut self, now: BootMs, heard: Heard) -> bool {
+        if heard.peer.vm == self.me.vm {
+            return false;
+        }
+        let was_alive = self.is_alive(now, &heard.peer.vm);
+        let member = Member {
+            peer: heard.peer.clone(),
+            heard_ms: Some(now),
+            learnt_ms: now,
+            reads_platform: heard.reads_platform,
+            store_revision: heard.store_revision,
+        };
+        self.members.insert(heard.peer.vm, member);
+        !was_alive
+    }
+
+    /// Takes in a member that another VM named.
+    pub fn on_named(&mut self, now: BootMs, peer: PeerAddress) {
+        if peer.vm == self.me.vm {
+            return;
+        }
+        let member = self.members.entry(peer.vm.clone()).or_insert_with(|| Member {
+            peer: peer.clone(),
+            heard_ms: None,
+            learnt_ms: now,
+            reads_platform: false,
+            store_revision: 0,
+        });
+        let silent = member.heard_ms.is_none_or(|heard| now.since(heard) > REMEMBER_MS / 4);
+        if silent {
+            member.peer = peer;
+        }
+    }
+
+    /// Takes in that a VM shuts down.
+    pub fn on_leaving(&mut self, vm: &VmId) {
+        self.members.remove(vm);
+    }
+
+    /// Forgets VMs that have been silent for long.
+    pub fn expire(&mut self, now: BootMs) {
+        self.members.retain(|_, member| {
+            now.since(member.heard_ms.unwrap_or(member.learnt_ms)) < REMEMBER_MS
+        });
+    }
+
+    /// Time between two heartbeats: longer where there are many to send to.
+    pub fn heartbeat_ms(&self) -> u64 {
+        self.heartbeat_ms
+    }
+
+    /// Whether `vm` was heard lately.
+    pub fn is_alive(&self, now: BootMs, vm: &VmId) -> bool {
+        let heard_ms = self.members.get(vm).and_then(|member| member.heard_ms);
+        heard_ms.is_some_and(|heard| now.since(heard) < self.heartbeat_ms * MISSED_HEARTBEATS)
+    }
+
+    /// Whether any other VM was heard lately.
+    pub fn has_company(&self, now: BootMs) -> bool {
+        self.members.keys().any(|vm| self.is_alive(now, vm))
+    }
+
+    /// All VMs that limits are divided over: those heard of in the last minute, and this one.
+    pub fn all_vms(&self) -> Vec<VmId> {
+        self.members.keys().cloned().chain([self.me.vm.clone()]).collect()
+    }
+
+    /// Whom the next heartbeat goes to.
+    pub fn next_targets(&mut self, now: BootMs) -> Vec<SocketAddrV4> {
+        self.beats += 1;
+        let try_silent = self.beats.is_multiple_of(TRY_SILENT_EVERY);
+        let contacts = self.contacts(now);
+        let bytes = contacts.len() as u64 * HEARTBEAT_BYTES;
+        let heartbeat_ms =
+            (bytes * 1_000 / CONTROL_BYTES_PER_S).clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS);
+        let due = contacts.into_iter().filter(|vm| try_silent || self.is_alive(now, vm));
+        let mut targets: BTreeSet<_> = due.map(|vm| self.members[vm].peer.address).collect();
+        let alone = !self.has_company(now);
+        if alone || try_silent {
+            let known: BTreeSet<_> = self.members.values().map(|m| m.peer.address).collect();
+            targets.extend(self.seeds.iter().filter(|seed| alone || !known.contains(seed)));
+        }
+        self.heartbeat_ms = heartbeat_ms;
+        targets.into_iter().collect()
+    }
+
+    /// Some members, for a heartbeat.
+    pub fn some_members(&self, now: BootMs, count: usize, rng: &mut impl Rng) -> Vec<PeerAddress> {
+        let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
+        alive.map(|member| member.peer.clone()).sample(rng, count)
+    }
+
+    /// How many members a heartbeat names.
+    pub fn members_per_heartbeat(&self) -> usize {
+        MEMBERS_PER_HEARTBEAT
+    }
+
+    /// Whether this VM reads the platform: it ranks first in its zone, or nobody else there does.
+    pub fn should_read(&self, now: BootMs) -> bool {
+        let readers = self
+            .in_zone(&self.me.zone)
+            .filter(|member| member.reads_platform && self.is_alive(now, &member.peer.vm));
+        self.rank_in_zone(now) < READERS_PER_ZONE || readers.count() == 0
+    }
+
+    /// A live VM that knows more than `revision`, those of the own zone first.
+    pub fn ahead_of(&self, now: BootMs, revision: u64) -> Option<PeerAddress> {
+        let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
+        let ahead = alive.filter(|member| member.store_revision > revision);
+        let best = ahead.max_by_key(|m| (m.peer.zone == self.me.zone, m.store_revision));
+        best.map(|member| member.peer.clone())
+    }
+
+    fn in_zone<'a>(&'a self, zone: &'a ZoneId) -> impl Iterator<Item = &'a Member> {
+        self.members.values().filter(move |member| member.peer.zone == *zone)
+    }
+
+    fn rank_in_zone(&self, now: BootMs) -> usize {
+        let alive = self.in_zone(&self.me.zone).filter(|m| self.is_alive(now, &m.peer.vm));
+        alive.filter(|member| member.peer.vm < self.me.vm).count()
+    }
+
+    /// The VMs that this one keeps in touch with.
+    fn contacts(&self, now: BootMs) -> Vec<&VmId> {
+        if self.members.len() < FULL_MESH_VMS {
+            return self.members.keys().collect();
+        }
+        let heard = |vm: &VmId| {
+            let heard_ms = self.members[vm].heard_ms;
+            heard_ms.is_some_and(|heard| now.since(heard) < MAX_HEARTBEAT_MS * MISSED_HEARTBEATS)
+        };
+        let own_zone = self.in_zone(&self.me.zone).map(|member| &member.peer.vm);
+        let mut contacts: Vec<_> = own_zone.collect();
+        let before_me = contacts.iter().filter(|vm| ***vm < self.me.vm && heard(vm)).count();
+        if before_me < GATEWAYS_PER_ZONE {
+            let mut per_zone: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+            for member in self.members.values().filter(|m| m.peer.zone != self.me.zone) {
+                let gateways = per_zone.entry(&member.peer.zone).or_default();
+                if *gateways < GATEWAYS_PER_ZONE {
+                    *gateways += usize::from(heard(&member.peer.vm));
+                    contacts.push(&member.peer.vm);
+                }
+            }
+        }
+        contacts
+    }
+}
--- /dev/null
+++ b/crates/routing/src/placement.rs
@@ -0,0 +1,150 @@
+//! Which endpoint gets a request, and which one keeps a copy of a generation's memory.
+//!
+//! Answers the patterns "long generations of unknown length fill an engine's memory in the middle
+//! of their output" and "a zone's link to the others breaks": memory is counted as it will be
+//! needed at the end, and a request stays in its own zone while that has room.
+
+use crate::endpoints::{Endpoint, Endpoints};
+use crate::load::{Load, Loads};
+use crate::outcomes::Outcomes;
+use crate::table::{EngineShape, Service};
+use gypsumchute_units::{BootMs, EndpointId, ZoneId};
+use std::collections::BTreeSet;
+
+/// Part of an engine's memory that may be promised to runs. Forecasts err to both sides; beyond
+/// it runs start to throw each other out.
+const FILL: f64 = 0.92;
+/// Part of an engine's memory up to which backups of runs elsewhere are taken in.
+const BACKUP_FILL: f64 = 0.80;
+/// Cost of leaving the own zone, as a part of an endpoint's load.
+const OTHER_ZONE_COST: f64 = 0.20;
+/// Cost of one fresh failure, as a part of an endpoint's load.
+const SUSPICION_COST: f64 = 0.8;
+/// Cost of a cold endpoint, as a part of its load.
+const COLD_COST: f64 = 0.3;
+/// Largest cost by which requests that are alike are spread.
+const SPREAD: f64 = 0.02;
+/// Requests that may wait at a plain service, as a multiple of those it works on.
+const SERVICE_QUEUE: u32 = 2;
+
+/// What has to be known to place a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet<'a> {
+    /// Endpoints in service.
+    pub endpoints: &'a Endpoints,
+    /// What runs there.
+    pub loads: &'a Loads,
+    /// How they behaved.
+    pub outcomes: &'a Outcomes,
+    /// The zone of this VM.
+    pub home: &'a ZoneId,
+}
+
+/// A request that looks for an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// The service it is for.
+    pub service: &'a Service,
+    /// What it will need.
+    pub load: Load,
+    /// Endpoints that it must not go to.
+    pub avoid: &'a BTreeSet<EndpointId>,
+    /// A number that differs between requests, to spread those that are alike.
+    pub draw: u64,
+}
+
+/// Where a request may go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Placement {
+    /// To this endpoint.
+    At(EndpointId),
+    /// All endpoints are full; one may become free.
+    Full,
+    /// No endpoint of the service is in service.
+    Nowhere,
+}
+
+/// Chooses an endpoint.
+pub fn place(now: BootMs, fleet: Fleet<'_>, demand: Demand<'_>) -> Placement {
+    let candidates = fleet.endpoints.candidates(&demand.service.id);
+    let open: Vec<_> =
+        candidates.into_iter().filter(|e| !demand.avoid.contains(&e.entry.id)).collect();
+    if open.is_empty() {
+        return Placement::Nowhere;
+    }
+    let fitting = open.into_iter().filter(|endpoint| fits(fleet, demand, endpoint));
+    let costs = fitting.map(|endpoint| (cost(now, fleet, demand, endpoint), endpoint));
+    match costs.min_by(|a, b| a.0.total_cmp(&b.0)) {
+        Some((_, endpoint)) => Placement::At(endpoint.entry.id.clone()),
+        None => Placement::Full,
+    }
+}
+
+/// Chooses an engine that keeps a backup of a run at `run_at`, if one has memory to spare.
+pub fn place_backup(
+    now: BootMs,
+    fleet: Fleet<'_>,
+    demand: Demand<'_>,
+    run_at: &EndpointId,
+) -> Option<EndpointId> {
+    let shape = demand.service.engine.filter(|shape| shape.keeps_backups)?;
+    let run_zone = fleet.endpoints.get(run_at).map(|endpoint| &endpoint.entry.zone);
+    let spare = |endpoint: &&Endpoint| {
+        let after = fleet.loads.at(&endpoint.entry.id).memory_tokens() + demand.load.tokens;
+        let fresh = fleet.outcomes.suspicion(now, &endpoint.entry.id) < 0.5;
+        fresh && after as f64 <= shape.memory_tokens as f64 * BACKUP_FILL
+    };
+    let candidates = fleet.endpoints.candidates(&demand.service.id).into_iter();
+    let others = candidates
+        .filter(|endpoint| endpoint.entry.id != *run_at)
+        .filter(|endpoint| !demand.avoid.contains(&endpoint.entry.id));
+    let costs = others.filter(spare).map(|endpoint| {
+        let zone_cost = match Some(&endpoint.entry.zone) == run_zone {
+            true => 0.0,
+            false => OTHER_ZONE_COST,
+        };
+        let memory = memory_part(shape, fleet.loads.at(&endpoint.entry.id));
+        (memory + zone_cost + spread(demand.draw, &endpoint.entry.id), endpoint)
+    });
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, endpoint)| endpoint.entry.id.clone())
+}
+
+fn fits(fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> bool {
+    let mut load = fleet.loads.at(&endpoint.entry.id);
+    load += demand.load;
+    match demand.service.engine {
+        Some(shape) => load.requests <= endpoint.entry.slots && memory_part(shape, load) <= FILL,
+        None => load.requests <= endpoint.entry.slots * SERVICE_QUEUE,
+    }
+}
+
+fn cost(now: BootMs, fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> f64 {
+    let id = &endpoint.entry.id;
+    let load = fleet.loads.at(id);
+    let slots = f64::from(load.requests) / f64::from(endpoint.entry.slots.max(1));
+    let full = demand.service.engine.map_or(slots, |shape| slots.max(memory_part(shape, load)));
+    let zone_cost = match endpoint.entry.zone == *fleet.home {
+        true => 0.0,
+        false => OTHER_ZONE_COST,
+    };
+    let cold_cost = match endpoint.cold_until_ms > now {
+        true => COLD_COST,
+        false => 0.0,
+    };
+    let suspicion = SUSPICION_COST * fleet.outcomes.suspicion(now, id);
+    full + zone_cost + cold_cost + suspicion + spread(demand.draw, id)
+}
+
+fn memory_part(shape: EngineShape, load: Load) -> f64 {
+    load.memory_tokens() as f64 / shape.memory_tokens.max(1) as f64
+}
+
+/// A small cost that differs by request and endpoint.
+fn spread(draw: u64, id: &EndpointId) -> f64 {
+    let mixed = id
+        .as_str()
+        .bytes()
+        .fold(draw, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3));
+    (mixed >> 40) as f64 / (1u64 << 24) as f64 * SPREAD
+}
--- a/crates/decide/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -2,13 +2,13 @@
 //!
 //! A request is known by the hash of its route and body. After a crash it is a suspect, as is
 //! every other request that ran at that endpoint; suspects run at different endpoints, so that of
-//! several the next crash tells which one it was. After [`MAX_CRASHES`] it is refused, here and
+//! several the next crash tells which one it was. After a few it is refused, here and
 //! at all VMs, which hear of each crash at once.
 
 use gypsumchute_units::{BootMs, EndpointId};
 use std::collections::BTreeMap;
 
-/// Endpoints that one request may bring down.
+/// Endpoints that one request may bring down, unless the fleet's design says otherwise.
 pub const MAX_CRASHES: usize = 2;
 
 #[derive(Debug)]
@@ -18,12 +18,24 @@
 }
 
 /// What is known of crashes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Poison {
+    max_crashes: usize,
     records: BTreeMap<u64, Record>,
 }
 
+impl Default for Poison {
+    fn default() -> Self {
+        Poison::new(MAX_CRASHES)
+    }
+}
+
 impl Poison {
+    /// Refuses a request once it has brought down `max_crashes` endpoints.
+    pub fn new(max_crashes: usize) -> Self {
+        Poison { max_crashes, records: BTreeMap::new() }
+    }
+
     /// Notes crashes, each under a number of its own; returns whether one of them is news.
     pub fn on_crashes(
         &mut self,
@@ -50,7 +62,7 @@
     /// How long the request stays refused, if it is.
     pub fn refused_for_ms(&self, now: BootMs, fingerprint: u64) -> Option<u64> {
         let record = self.record(now, fingerprint)?;
-        (record.crashes.len() >= MAX_CRASHES).then(|| now.until(record.until_ms))
+        (record.crashes.len() >= self.max_crashes).then(|| now.until(record.until_ms))
     }
 
     /// The crashes known of the request, and for how long they are remembered.
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -87,6 +87,14 @@
     /// An availability zone.
     ZoneId
 }
+id_type! {
+    /// A region: availability zones that lie close to each other.
+    RegionId
+}
+id_type! {
+    /// A service: endpoints that are copies of each other.
+    ServiceId
+}
 id_type! {
     /// A customer, whose rate, burst and fair share are counted together.
     CustomerId
@@ -103,3 +111,28 @@
     /// The name under which operators grant and withdraw one key.
     KeyId
 }
+
+/// What names one try of a caller. Any text: it is only compared and passed on.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(Arc<str>);
+
+impl RequestId {
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(RequestId(text.into()))
+    }
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod refusal;
 pub mod time;
 
-pub use ids::{CustomerId, EndpointId, KeyId, RouteId, VmId, ZoneId};
+pub use ids::{
+    CustomerId, EndpointId, KeyId, RegionId, RequestId, RouteId, ServiceId, VmId, ZoneId,
+};
 pub use rate::{NanoTokens, RequestRate};
 pub use refusal::{Refusal, RefusalReason, Verdict};
 pub use time::BootMs;
--- /dev/null
+++ b/src/bin/gypsumchute-daemon/main.rs
@@ -0,0 +1,36 @@
+//! The daemon of one VM: `gypsumchute-daemon SETTINGS`.
+
+use bpaf::{OptionParser, Parser, positional};
+use gypsumchute_config::{DaemonSettings, read_settings};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn options() -> OptionParser<PathBuf> {
+    positional("SETTINGS")
+        .help("Settings file, JSON with comments; without one, that of GYPSUMCHUTE_CONFIG")
+        .optional()
+        .map(|path: Option<PathBuf>| {
+            let from_environment = std::env::var_os("GYPSUMCHUTE_CONFIG").map(PathBuf::from);
+            path.or(from_environment).unwrap_or_default()
+        })
+        .to_options()
+        .descr("Takes callers' requests to endpoints, on one VM of the fleet")
+}
+
+fn main() -> ExitCode {
+    let path = options().run();
+    if let Err(err) = gypsumchute_telemetry::logs::init_bounded_stdout() {
+        eprintln!("error: there will be no log lines: {err}");
+    }
+    let started = read_settings::<DaemonSettings>(&path).map_err(|err| err.to_string()).and_then(
+        |settings| gypsumchute_daemon::process::run(settings).map_err(|err| err.to_string()),
+    );
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!(error = err.as_str(); "daemon could not run");
+            log::logger().flush();
+            ExitCode::FAILURE
+        }
+    }
+}
