--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -15,7 +15,9 @@
 use gypsumchute_routing::continuity::{Loss, Next, RunState, next_step};
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Outcome;
-use gypsumchute_routing::placement::{Demand, Placement, place, place_backup};
+use gypsumchute_routing::placement::{
+    Demand, Placement, deserves_backup, place_backup, place_copy,
+};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason, RequestId};
 use http::Response;
@@ -399,6 +401,9 @@
 
     fn choose_backup(&self, run_at: &EndpointId) -> Option<Backup> {
         let context = &self.call.context;
+        if !deserves_backup(self.call.route.kind, self.call.expected_output_tokens()) {
+            return None;
+        }
         let request_id = self.call.caller.request_id.as_ref()?;
         let (endpoint, address) = context.with(|state| {
             let fleet = state.fleet(&context.settings);
@@ -470,14 +475,10 @@
             let next = next_step(Loss::Leaving, self.run_state(backup.is_some()));
             self.log_next(Loss::Leaving, next);
             match (next, backup) {
-                (Next::FromBackup, Some(backup)) => {
-                    let attempt = self.attempt(Step::FromBackup(backup));
-                    match timeout(Duration::from_millis(OVERLAP_MS), attempt).await {
-                        Ok(Attempt::Running(next_run)) => run = *next_run,
-                        // The old run goes on; its memory may still be copied.
-                        _ => run.noticed = false,
-                    }
-                }
+                (Next::FromBackup, Some(backup)) => match self.hand_over(run, backup).await {
+                    Ok(next_run) => run = *next_run,
+                    Err(pumped) => return pumped,
+                },
                 (Next::Move, _) if copy_tries < MAX_COPY_TRIES => {
                     copy_tries += 1;
                     copying = self.start_copy(&run);
@@ -487,6 +488,30 @@
         }
     }
 
+    /// Goes on from `backup`. The old run is kept until the new one has begun, unless that takes
+    /// so long that both might work.
+    async fn hand_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, Pumped> {
+        let mut attempt = Box::pin(self.attempt(Step::FromBackup(backup)));
+        let in_time = timeout(Duration::from_millis(OVERLAP_MS), attempt.as_mut()).await;
+        let (attempt, old) = match in_time {
+            Ok(attempt) => (attempt, Some(run)),
+            Err(_) => {
+                drop(run);
+                (attempt.await, None)
+            }
+        };
+        match (attempt, old) {
+            (Attempt::Running(next_run), _) => Ok(next_run),
+            // It goes on where it is; its memory may still be copied.
+            (_, Some(mut run)) => {
+                run.noticed = false;
+                Ok(Box::new(run))
+            }
+            (Attempt::Lost(backup), None) => Err(Pumped::Lost(Loss::Broken, backup)),
+            (_, None) => Err(Pumped::Lost(Loss::Broken, None)),
+        }
+    }
+
     /// Whether the engine announced that it leaves, or its entry is gone.
     fn must_leave(&self, run: &Run) -> bool {
         self.call.context.with(|state| {
@@ -505,8 +530,10 @@
     fn start_copy(&self, run: &Run) -> Option<Copying> {
         let context = &self.call.context;
         let request_id: RequestId = self.call.caller.request_id.clone()?;
-        let placement =
-            context.with(|state| place(boot_now(), state.fleet(&context.settings), self.demand()));
+        let placement = context.with(|state| {
+            let fleet = state.fleet(&context.settings);
+            place_copy(boot_now(), fleet, self.demand(), &run.endpoint)
+        });
         let Placement::At(endpoint) = placement else { return None };
         let address =
             context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address))?;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -7,7 +7,7 @@
 use crate::endpoints::{Endpoint, Endpoints};
 use crate::load::{Load, Loads};
 use crate::outcomes::Outcomes;
-use crate::table::{EngineShape, Service};
+use crate::table::{EngineShape, RouteKind, Service};
 use gypsumchute_units::{BootMs, EndpointId, ZoneId};
 use std::collections::BTreeSet;
 
@@ -16,6 +16,8 @@
 const FILL: f64 = 0.92;
 /// Part of an engine's memory up to which backups of runs elsewhere are taken in.
 const BACKUP_FILL: f64 = 0.80;
+/// Outputs from here on are long: they take a second and more.
+const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
 const OTHER_ZONE_COST: f64 = 0.20;
 /// Cost of one fresh failure, as a part of an endpoint's load.
@@ -80,6 +82,28 @@
     }
 }
 
+/// Whether a generation is worth a backup: one that may run anew elsewhere and is short is served
+/// as well without, and leaves the memory to those that would be lost.
+pub fn deserves_backup(kind: RouteKind, expected_output_tokens: u64) -> bool {
+    match kind {
+        RouteKind::Generation { resumable: false } => true,
+        RouteKind::Generation { resumable: true } => expected_output_tokens >= LONG_OUTPUT_TOKENS,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => false,
+    }
+}
+
+/// Chooses an engine that takes a run in from `run_at`, which leaves. Copies within a zone take
+/// half the time, which decides whether all runs get away.
+pub fn place_copy(
+    now: BootMs,
+    fleet: Fleet<'_>,
+    demand: Demand<'_>,
+    run_at: &EndpointId,
+) -> Placement {
+    let run_zone = fleet.endpoints.get(run_at).map(|endpoint| &endpoint.entry.zone);
+    place(now, Fleet { home: run_zone.unwrap_or(fleet.home), ..fleet }, demand)
+}
+
 /// Chooses an engine that keeps a backup of a run at `run_at`, if one has memory to spare.
 pub fn place_backup(
     now: BootMs,
--- /dev/null
+++ b/crates/routing/tests/testsuite/budget.rs
@@ -0,0 +1,44 @@
+//! The retry budget holds over all VMs, without their asking each other.
+
+use crate::support::NOW;
+use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
+use gypsumchute_units::BootMs;
+
+const ALLOWANCE: RetryAllowance = RetryAllowance { ratio: 0.2, fixed: 54.0, window_ms: 10_000 };
+
+#[test]
+fn all_vms_together_stay_within_the_budget_in_every_window() {
+    const VMS: usize = 7;
+    let service = "books".parse().expect("an id");
+    let mut budgets: Vec<RetryBudget> = (0..VMS).map(|_| RetryBudget::default()).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for step in 0..4_000u64 {
+        let now = NOW + step * 10;
+        let budget = &mut budgets[step as usize % VMS];
+        budget.count_request(now, &service);
+        requests.push(now);
+        for _ in 0..3 {
+            if budget.take_retry(now, &service, ALLOWANCE, VMS) {
+                retries.push(now);
+            }
+        }
+    }
+    let within = |times: &[BootMs], end: BootMs| {
+        times.iter().filter(|time| **time <= end && end.since(**time) < 10_000).count() as f64
+    };
+    for end in (0..40).map(|second| NOW + second * 1_000) {
+        let allowed = 0.2 * within(&requests, end) + 54.0;
+        assert!(within(&retries, end) <= allowed, "too many retries before {end}");
+    }
+    assert!(retries.len() > 300, "most of the budget must be of use: {}", retries.len());
+}
+
+#[test]
+fn services_do_not_share_a_budget() {
+    let (books, engines) = ("books".parse().expect("an id"), "engines".parse().expect("an id"));
+    let mut budget = RetryBudget::default();
+    let small = RetryAllowance { fixed: 2.0, ..ALLOWANCE };
+    assert!(budget.take_retry(NOW, &books, small, 1));
+    assert!(!budget.take_retry(NOW, &books, small, 1));
+    assert!(budget.take_retry(NOW, &engines, small, 1));
+}
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -1,1 +1,11 @@
 //! Tests by feature.
+
+mod admission;
+mod budget;
+mod continuity;
+mod endpoints;
+mod outcomes;
+mod placement;
+mod support;
+mod table;
+mod warmup;
--- /dev/null
+++ b/crates/routing/tests/testsuite/table.rs
@@ -0,0 +1,56 @@
+//! Routes and keys.
+
+use gypsumchute_routing::{Customer, Priority, Route, RouteKind, RoutingTable, WeightedService};
+
+fn route(id: &str) -> Route {
+    Route {
+        id: id.parse().expect("an id"),
+        kind: RouteKind::Idempotent,
+        answer_timeout_ms: 1_000,
+        target_ms: 100,
+        pause_target_ms: 0,
+        priority: Priority(1),
+        max_endpoints: 2,
+        open: false,
+        services: vec![],
+        regions: [].into(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_that_ends_at_a_slash_wins() {
+    let mut table = RoutingTable::default();
+    table.add_route("Models.example", "/a/", route("short"));
+    table.add_route("models.example", "/a/b/", route("long"));
+    let found = |host: &str, path: &str| {
+        table.route(host, path).map_or("-".to_owned(), |route| route.id.to_string())
+    };
+    let paths = ["/a/b/c", "/a/b/", "/a/b", "/a/bc/d", "/a", "/", "/x/a/b/"];
+    let routes: Vec<_> = paths.iter().map(|path| found("models.example:80", path)).collect();
+    assert_eq!(routes, ["long", "long", "short", "short", "-", "-", "-"]);
+    assert_eq!(found("other.example", "/a/b/c"), "-");
+}
+
+#[test]
+fn weights_split_requests() {
+    let services = [("s1", 90), ("s2", 10), ("s3", 0)].map(|(service, weight)| WeightedService {
+        service: service.parse().expect("an id"),
+        weight,
+    });
+    let route = Route { services: services.into(), ..route("r") };
+    let count = |name: &str| {
+        let hits = (0..1_000).filter_map(|draw| route.service_for(draw));
+        hits.filter(|service| service.as_str() == name).count()
+    };
+    assert_eq!((count("s1"), count("s2"), count("s3")), (900, 100, 0));
+}
+
+#[test]
+fn a_customer_may_hold_several_keys() {
+    let mut table = RoutingTable::default();
+    let customer = Customer { id: "acme".parse().expect("an id"), priority: None };
+    table.add_key("k1", customer.clone());
+    table.add_key("k2", customer.clone());
+    assert_eq!(table.holder("k2"), Some(&customer));
+    assert_eq!(table.holder("k3"), None);
+}
--- /dev/null
+++ b/crates/routing/tests/testsuite/warmup.rs
@@ -0,0 +1,31 @@
+//! Cold endpoints get no more than they bear, over all VMs.
+
+use crate::support::{NOW, endpoint_id};
+use gypsumchute_routing::warmup::Warmups;
+use gypsumchute_units::VmId;
+
+/// Most requests in one second from `count` VMs that all send whenever they may.
+fn most_per_s(count: usize, cold_per_s: f64) -> usize {
+    let vms: Vec<VmId> = (0..count).map(|n| format!("vm-{n}").parse().expect("an id")).collect();
+    let mut warmups: Vec<Warmups> = vms.iter().map(|_| Warmups::default()).collect();
+    let endpoint = endpoint_id("e1");
+    let mut sent = Vec::new();
+    for ms in 0..4_000u64 {
+        for (vm, warmup) in vms.iter().zip(&mut warmups) {
+            if warmup.take(NOW + ms, &endpoint, cold_per_s, vm, &vms) {
+                sent.push(ms);
+            }
+        }
+    }
+    let within = |start: u64| sent.iter().filter(|ms| (start..start + 1_000).contains(*ms)).count();
+    (0..3_000).step_by(50).map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn all_vms_together_stay_under_the_limit() {
+    for count in [1, 7, 9, 90] {
+        let most = most_per_s(count, 20.0);
+        assert!(most as f64 <= 20.0 * 1.5 + 5.0, "{count} VMs sent {most} in a second");
+        assert!(most >= 15, "{count} VMs sent only {most} in a second");
+    }
+}
