A silent stream whose backup has gone stays where it is

It is asked of the backup as it is now, before the run is dropped. Two tests, the second red before.

--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -462,6 +462,10 @@
                     }
                 }
                 () = at(silent_at) => {
+                    // The place to go on may have gone at the same moment.
+                    if self.silent_at(&run).is_none() {
+                        continue;
+                    }
                     self.call.context.observe(&run.endpoint, Outcome::Silent);
                     self.avoid.insert(run.endpoint.clone());
                     return Pumped::Lost(Loss::Silent, run.backup);
@@ -546,9 +550,11 @@
         }))
     }
 
-    /// When the run counts as silent, if it can go on elsewhere then.
+    /// When the run counts as silent, if it can go on elsewhere now.
     fn silent_at(&self, run: &Run) -> Option<Instant> {
-        let next = next_step(Loss::Silent, self.run_state(run.backup.is_some()));
+        let backup = run.backup.as_ref();
+        let has_backup = backup.is_some_and(|backup| self.takes_work(&backup.endpoint));
+        let next = next_step(Loss::Silent, self.run_state(has_backup));
         let limit_ms = match (next, self.delivered) {
             (Next::Stay | Next::GiveUp | Next::Move, _) => return None,
             (_, 0) => self.call.route.target_ms + FIRST_EVENT_SLACK_MS,
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -110,3 +110,31 @@
     drop(stream);
     eventually("the end of its work", || set.world.at_work("r1") == 0);
 }
+
+#[test]
+fn a_stream_that_falls_silent_goes_on_from_its_backup() {
+    let (set, engines) = Set::start(two_engines);
+    engines.iter().for_each(|engine| engine.set(Behaviour::Pauses { pause_ms: 4_000 }));
+    let mut stream = generation("surveys", "r1").open(set.daemon.address());
+    let first = stream.next_chunk().expect("a stream").expect("an event");
+    engines.iter().for_each(|engine| engine.set(Behaviour::Streams { events: 20, pace_ms: 10 }));
+    let begun = std::time::Instant::now();
+    let reply = stream.finish();
+    assert!(begun.elapsed().as_millis() < 2_000);
+    assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(20)));
+    assert_eq!(set.world.most_at_work("r1"), 1, "a silent run must end before another begins");
+}
+
+#[test]
+fn a_stream_that_falls_silent_stays_where_it_is_when_its_backup_has_gone() {
+    let (set, engines) = Set::start(two_engines);
+    engines.iter().for_each(|engine| engine.set(Behaviour::Pauses { pause_ms: 1_500 }));
+    let mut stream = generation("surveys", "r1").open(set.daemon.address());
+    let first = stream.next_chunk().expect("a stream").expect("an event");
+    let runner = set.ran_at("r1");
+    let other = engines.iter().find(|engine| engine.id != runner).expect("another engine");
+    set.store.delete(&format!("servers/{}", other.id));
+    let reply = stream.finish();
+    assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(20)));
+    assert_eq!(set.ran_at("r1"), runner);
+}
