--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::context::{Context, Occupied};
 use bytes::Bytes;
-use gypsumchute_exchange::{Answer, Connection, ExchangeError};
+use gypsumchute_exchange::{Answer, Connection, ExchangeError, Patience};
 use gypsumchute_platform::{AnswerKind, CallerHead, Forwarding, RunSource, endpoints, read_answer};
 use gypsumchute_routing::admission::{Ticket, patience_ms, return_after_ms};
 use gypsumchute_routing::load::Load;
@@ -140,7 +140,7 @@
             let (endpoint, address) = self.wait_for_room(&avoid).await?;
             let occupied = self.context.occupy(&endpoint, self.load());
             let limit_ms = CONNECT_MS.min(self.left_ms());
-            match Connection::open(address, limit_ms).await {
+            match Connection::open(address, limit_ms, Patience::Long).await {
                 // The endpoint may have been taken out while the connection was made.
                 Ok(_) if !self.context.with(|state| state.endpoints.takes_work(&endpoint)) => {
                     avoid.insert(endpoint);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,7 @@
 use crate::reply::{self, Reply};
 use crate::{generation, plain};
 use bytes::{Bytes, BytesMut};
-use gypsumchute_exchange::bound_silence;
+use gypsumchute_exchange::{Patience, bound_silence};
 use gypsumchute_platform::CallerHead;
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::time::boot_now;
@@ -62,7 +62,7 @@
 
 async fn serve_connection(context: Rc<Context>, stream: TcpStream) {
     let _open = context.count_connection();
-    if let Err(err) = bound_silence(&stream) {
+    if let Err(err) = bound_silence(&stream, Patience::Long) {
         warn!(error:% = err; "a caller's connection could not be set up");
         return;
     }
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::plain::pass_on;
 use crate::reply::{self, BrokenOff, Reply, ReplyBody};
 use bytes::Bytes;
-use gypsumchute_exchange::{Answer, Connection};
+use gypsumchute_exchange::{Answer, Connection, Patience};
 use gypsumchute_platform::endpoints::{CopyError, RunCopy, copy_run};
 use gypsumchute_platform::{AnswerKind, RunSource, endpoints};
 use gypsumchute_routing::continuity::{Loss, Next, RunState, next_step};
@@ -296,7 +296,8 @@
                 Err(refusal) => return Attempt::Refused(refusal),
             },
             Step::FromBackup(backup) => {
-                let opened = Connection::open(backup.address, CONNECT_TO_COPY_MS).await;
+                let opened =
+                    Connection::open(backup.address, CONNECT_TO_COPY_MS, Patience::Long).await;
                 let Ok(connection) = opened else {
                     self.call.context.observe(&backup.endpoint, Outcome::Broken);
                     return Attempt::NotRun;
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -5,7 +5,7 @@
 use crate::knowledge::{Source, take_changes, take_listing};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use gypsumchute_exchange::bound_silence;
+use gypsumchute_exchange::{Patience, bound_silence};
 use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
 use gypsumchute_fleet::messages::{
     Crash, EndpointLoad, Heartbeat, Item, Member, PullReply, PullRequest,
@@ -284,7 +284,7 @@
 
 async fn pull(peer: &PeerAddress, after_revision: u64) -> io::Result<PullReply> {
     let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
-    bound_silence(&stream)?;
+    bound_silence(&stream, Patience::Short)?;
     let mut framed = Framed::new(stream, codec());
     write_message(&mut framed, &PullRequest { after_revision }).await?;
     read_message(&mut framed).await
@@ -314,7 +314,7 @@
 }
 
 async fn serve(context: Rc<Context>, stream: TcpStream) -> io::Result<()> {
-    bound_silence(&stream)?;
+    bound_silence(&stream, Patience::Short)?;
     let mut framed = Framed::new(stream, codec());
     let request: PullRequest = read_message(&mut framed).await?;
     let delta = context.with(|state| state.copy.delta(request.after_revision));
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,14 +19,38 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Time after which unacknowledged bytes end a connection: longer than a lost packet takes, well
-/// below every bound that counts in seconds.
-const UNACKNOWLEDGED_MS: u64 = 2_500;
-/// Idle time before a connection is probed, and between probes.
-const PROBE_MS: u64 = 1_000;
 /// Probes without an answer that end a connection.
 const PROBES: u32 = 2;
 
+/// How long the other end of a connection may be silent before it is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Where another way can be tried: longer than a lost packet takes, well below every bound
+    /// that counts in seconds.
+    Short,
+    /// Where nothing else is left, and what was sent is kept by the network: longer than a zone is
+    /// cut off for, as long as callers wait for a stream that pauses.
+    Long,
+}
+
+impl Patience {
+    /// Time after which unacknowledged bytes end a connection, in ms.
+    fn unacknowledged_ms(self) -> u64 {
+        match self {
+            Patience::Short => 2_500,
+            Patience::Long => 12_000,
+        }
+    }
+
+    /// Idle time before a connection is probed, and between probes, in ms.
+    fn probe_ms(self) -> u64 {
+        match self {
+            Patience::Short => 1_000,
+            Patience::Long => 4_000,
+        }
+    }
+}
+
 quick_error! {
     /// How an exchange failed.
     #[derive(Debug)]
@@ -81,15 +105,13 @@
 /// # Errors
 ///
 /// The socket's own.
-pub fn bound_silence(stream: &TcpStream) -> io::Result<()> {
+pub fn bound_silence(stream: &TcpStream, patience: Patience) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(Duration::from_millis(PROBE_MS))
-        .with_interval(Duration::from_millis(PROBE_MS))
-        .with_retries(PROBES);
+    let probe = Duration::from_millis(patience.probe_ms());
+    let keepalive = TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS)))
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(patience.unacknowledged_ms())))
 }
 
 impl Connection {
@@ -98,13 +120,17 @@
     /// # Errors
     ///
     /// [`ExchangeError::NoConnection`] if that fails or takes longer than `limit_ms`.
-    pub async fn open(address: SocketAddr, limit_ms: u64) -> Result<Self, ExchangeError> {
+    pub async fn open(
+        address: SocketAddr,
+        limit_ms: u64,
+        patience: Patience,
+    ) -> Result<Self, ExchangeError> {
         let connecting = timeout(Duration::from_millis(limit_ms), TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(connected) => connected.map_err(ExchangeError::NoConnection)?,
             Err(_) => return Err(ExchangeError::NoConnection(io::ErrorKind::TimedOut.into())),
         };
-        bound_silence(&stream).map_err(ExchangeError::NoConnection)?;
+        bound_silence(&stream, patience).map_err(ExchangeError::NoConnection)?;
         Ok(Connection { stream })
     }
 
@@ -170,7 +196,7 @@
     limit_bytes: usize,
 ) -> Result<(http::response::Parts, Bytes), ExchangeError> {
     let exchange = async {
-        let connection = Connection::open(address, limit_ms).await?;
+        let connection = Connection::open(address, limit_ms, Patience::Short).await?;
         let mut answer = connection.send(request).await?;
         let body = answer.read_all(limit_bytes).await?;
         Ok((answer.head, body))
