Other zones whose load is not seen do not look empty

Cause (grown sites): in a fleet of over 16 VMs a VM hears loads of its own zone only, and took the other zones' engines for idle, so that every VM with a zone more than a fifth full sent elsewhere blindly.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -244,6 +244,7 @@
             loads: &self.loads,
             outcomes: &self.outcomes,
             home: &settings.zone,
+            sees_all_zones: self.members.is_full_mesh(),
         }
     }
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -218,9 +218,14 @@
         alive.filter(|member| member.peer.vm < self.me.vm).count()
     }
 
+    /// Whether all VMs keep in touch with all.
+    pub fn is_full_mesh(&self) -> bool {
+        self.members.len() < FULL_MESH_VMS
+    }
+
     /// The VMs that this one keeps in touch with.
     fn contacts(&self, now: BootMs) -> Vec<&VmId> {
-        if self.members.len() < FULL_MESH_VMS {
+        if self.is_full_mesh() {
             return self.members.keys().collect();
         }
         let heard = |vm: &VmId| {
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -40,6 +40,8 @@
     pub outcomes: &'a Outcomes,
     /// The zone of this VM.
     pub home: &'a ZoneId,
+    /// Whether the loads tell what VMs of other zones sent. In a large fleet they don't.
+    pub sees_all_zones: bool,
 }
 
 /// A request that looks for an endpoint.
@@ -74,8 +76,13 @@
     if open.is_empty() {
         return Placement::Nowhere;
     }
+    let unseen = unseen_load(fleet, demand, &open);
     let fitting = open.into_iter().filter(|endpoint| fits(fleet, demand, endpoint));
-    let costs = fitting.map(|endpoint| (cost(now, fleet, demand, endpoint), endpoint));
+    let costs = fitting.map(|endpoint| {
+        let seen = fleet.sees_all_zones || endpoint.entry.zone == *fleet.home;
+        let unseen = if seen { 0.0 } else { unseen };
+        (unseen + cost(now, fleet, demand, endpoint), endpoint)
+    });
     match costs.min_by(|a, b| a.0.total_cmp(&b.0)) {
         Some((_, endpoint)) => Placement::At(endpoint.entry.id.clone()),
         None => Placement::Full,
@@ -143,11 +150,24 @@
     }
 }
 
+/// What endpoints are taken to carry that this VM can't see: as much as those of its own zone do
+/// on average.
+fn unseen_load(fleet: Fleet<'_>, demand: Demand<'_>, candidates: &[&Endpoint]) -> f64 {
+    let home = candidates.iter().filter(|endpoint| endpoint.entry.zone == *fleet.home);
+    let loads: Vec<f64> = home.map(|endpoint| load_part(fleet, demand, endpoint)).collect();
+    loads.iter().sum::<f64>() / loads.len().max(1) as f64
+}
+
+/// The part of an endpoint that is taken.
+fn load_part(fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> f64 {
+    let load = fleet.loads.at(&endpoint.entry.id);
+    let slots = f64::from(load.requests) / f64::from(endpoint.entry.slots.max(1));
+    demand.service.engine.map_or(slots, |shape| slots.max(memory_part(shape, load)))
+}
+
 fn cost(now: BootMs, fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> f64 {
     let id = &endpoint.entry.id;
-    let load = fleet.loads.at(id);
-    let slots = f64::from(load.requests) / f64::from(endpoint.entry.slots.max(1));
-    let full = demand.service.engine.map_or(slots, |shape| slots.max(memory_part(shape, load)));
+    let full = load_part(fleet, demand, endpoint);
     let zone_cost = match endpoint.entry.zone == *fleet.home {
         true => 0.0,
         false => OTHER_ZONE_COST,
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -115,3 +115,16 @@
     assert!(deserves_backup(RouteKind::Generation { resumable: true }, 1_000));
     assert!(!deserves_backup(RouteKind::Idempotent, 1_000));
 }
+
+#[test]
+fn other_zones_whose_load_is_not_seen_do_not_look_empty() {
+    let mut known = Knowledge::of(&[("near", "a"), ("far", "b")]);
+    known.loads.add(&endpoint_id("near"), run_of(15_000));
+    let service = engine_service();
+    let load = run_of(3_000);
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("far"));
+    known.sees_all_zones = false;
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("near"));
+    known.loads.add(&endpoint_id("near"), run_of(13_000));
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("far"));
+}
--- a/crates/routing/tests/testsuite/support.rs
+++ b/crates/routing/tests/testsuite/support.rs
@@ -56,6 +56,7 @@
     pub outcomes: Outcomes,
     pub home: ZoneId,
     pub avoid: BTreeSet<EndpointId>,
+    pub sees_all_zones: bool,
 }
 
 impl Knowledge {
@@ -67,6 +68,7 @@
             outcomes: Outcomes::default(),
             home: "a".parse().expect("an id"),
             avoid: BTreeSet::new(),
+            sees_all_zones: true,
         };
         for (name, zone) in endpoints {
             known.endpoints.upsert(NOW, entry(name, zone));
@@ -80,6 +82,7 @@
             loads: &self.loads,
             outcomes: &self.outcomes,
             home: &self.home,
+            sees_all_zones: self.sees_all_zones,
         }
     }
 
