--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -14,8 +14,9 @@
 /// Part of an engine's memory that may be promised to runs. Forecasts err to both sides; beyond
 /// it runs start to throw each other out.
 const FILL: f64 = 0.92;
-/// Part of an engine's memory up to which backups of runs elsewhere are taken in.
-const BACKUP_FILL: f64 = 0.80;
+/// Part of an engine's memory up to which backups of runs elsewhere are taken in. Fuller engines
+/// need it for runs: a backup that pushes a run out costs more than the few runs that it saves.
+const BACKUP_FILL: f64 = 0.45;
 /// Outputs from here on are long: they take a second and more.
 const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
@@ -44,6 +45,13 @@
     pub sees_all_zones: bool,
 }
 
+impl Fleet<'_> {
+    /// Whether all that runs at `endpoint` is known.
+    fn sees(&self, endpoint: &Endpoint) -> bool {
+        self.sees_all_zones || endpoint.entry.zone == *self.home
+    }
+}
+
 /// A request that looks for an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -79,8 +87,7 @@
     let unseen = unseen_load(fleet, demand, &open);
     let fitting = open.into_iter().filter(|endpoint| fits(fleet, demand, endpoint));
     let costs = fitting.map(|endpoint| {
-        let seen = fleet.sees_all_zones || endpoint.entry.zone == *fleet.home;
-        let unseen = if seen { 0.0 } else { unseen };
+        let unseen = if fleet.sees(endpoint) { 0.0 } else { unseen };
         (unseen + cost(now, fleet, demand, endpoint), endpoint)
     });
     match costs.min_by(|a, b| a.0.total_cmp(&b.0)) {
@@ -128,6 +135,7 @@
     let candidates = fleet.endpoints.candidates(&demand.service.id).into_iter();
     let others = candidates
         .filter(|endpoint| endpoint.entry.id != *run_at)
+        .filter(|endpoint| fleet.sees(endpoint))
         .filter(|endpoint| !demand.avoid.contains(&endpoint.entry.id));
     let costs = others.filter(spare).map(|endpoint| {
         let zone_cost = match Some(&endpoint.entry.zone) == run_zone {
