Placement counts prompts that engines have yet to read

Each VM tells the others what its requests still have to have read. A test of prompts that arrive together, red before.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -107,7 +107,16 @@
             Some(_) => self.caller.prompt_tokens + self.expected_output_tokens(),
             None => 0,
         };
-        Load { requests: 1, tokens, backup_tokens: 0 }
+        Load { requests: 1, tokens, backup_tokens: 0, unread_tokens: 0 }
+    }
+
+    /// What it takes at an engine that has yet to read its prompt.
+    pub fn load_unread(&self) -> Load {
+        let unread_tokens = match self.service.engine {
+            Some(_) => self.caller.prompt_tokens,
+            None => 0,
+        };
+        Load { unread_tokens, ..self.load() }
     }
 
     /// How many tokens a generation is likely to make.
@@ -138,7 +147,7 @@
         let mut failures = 0;
         loop {
             let (endpoint, address) = self.wait_for_room(&avoid).await?;
-            let occupied = self.context.occupy(&endpoint, self.load());
+            let occupied = self.context.occupy(&endpoint, self.load_unread());
             let limit_ms = CONNECT_MS.min(self.left_ms());
             match Connection::open(address, limit_ms, Patience::Long).await {
                 // The endpoint may have been taken out while the connection was made.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -285,6 +285,19 @@
     load: Load,
 }
 
+impl Occupied {
+    /// Takes in that the engine has read the prompt.
+    pub fn prompt_was_read(&mut self) {
+        let read = Load { unread_tokens: self.load.unread_tokens, ..Load::default() };
+        if read.is_none() {
+            return;
+        }
+        self.context.with(|state| state.loads.remove(&self.endpoint, read));
+        self.load = self.load - read;
+        self.context.heartbeat_due.notify_one();
+    }
+}
+
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.context.with(|state| state.loads.remove(&self.endpoint, self.load));
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -88,7 +88,7 @@
     backup: Option<Backup>,
     heard_at: Instant,
     noticed: bool,
-    _occupied: Occupied,
+    occupied: Occupied,
 }
 
 /// How to begin or go on.
@@ -345,7 +345,7 @@
                     backup,
                     heard_at: Instant::now(),
                     noticed: false,
-                    _occupied: occupied,
+                    occupied,
                 }))
             }
             // It has no such copy, but it may still take the generation anew.
@@ -397,7 +397,7 @@
     }
 
     fn backup_load(&self) -> Load {
-        Load { requests: 0, tokens: 0, backup_tokens: self.call.load().tokens }
+        Load { backup_tokens: self.call.load().tokens, ..Load::default() }
     }
 
     fn choose_backup(&self, run_at: &EndpointId) -> Option<Backup> {
@@ -568,6 +568,7 @@
         run.events.push(piece);
         while let Some(event) = run.events.next_event().map_err(|err| err.to_string())? {
             run.heard_at = Instant::now();
+            run.occupied.prompt_was_read();
             match self.sequence.turn(event.id) {
                 Ok(Turn::Skip) => continue,
                 Ok(Turn::Pass) => {}
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -115,6 +115,7 @@
             requests: load.requests,
             tokens: load.tokens,
             backup_tokens: load.backup_tokens,
+            unread_tokens: load.unread_tokens,
         });
         let loads = loads.collect();
         let members = state.members.some_members(now, member_count, &mut state.rng);
@@ -176,8 +177,9 @@
         return;
     }
     let loads = heartbeat.loads.iter().filter_map(|load| {
-        let &EndpointLoad { requests, tokens, backup_tokens, .. } = load;
-        Some((load.endpoint.parse().ok()?, Load { requests, tokens, backup_tokens }))
+        let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = load;
+        let endpoint = load.endpoint.parse().ok()?;
+        Some((endpoint, Load { requests, tokens, backup_tokens, unread_tokens }))
     });
     let loads: Vec<_> = loads.collect();
     let is_new = context.with(|state| {
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -54,6 +54,8 @@
     pub tokens: u64,
     #[prost(uint64, tag = "4")]
     pub backup_tokens: u64,
+    #[prost(uint64, tag = "5")]
+    pub unread_tokens: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crash {
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -20,6 +20,8 @@
     pub tokens: u64,
     /// Engine memory taken by backups of runs elsewhere, in tokens.
     pub backup_tokens: u64,
+    /// Prompts that the engine has yet to read, in tokens.
+    pub unread_tokens: u64,
 }
 
 impl Load {
@@ -39,6 +41,7 @@
         self.requests += other.requests;
         self.tokens += other.tokens;
         self.backup_tokens += other.backup_tokens;
+        self.unread_tokens += other.unread_tokens;
     }
 }
 
@@ -50,6 +53,7 @@
             requests: self.requests.saturating_sub(other.requests),
             tokens: self.tokens.saturating_sub(other.tokens),
             backup_tokens: self.backup_tokens.saturating_sub(other.backup_tokens),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
         }
     }
 }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which endpoint gets a request, and which one keeps a copy of a generation's memory.
 //!
-//! Answers the patterns "long generations of unknown length fill an engine's memory in the middle
+//! Answers the patterns "several long prompts meet at one engine", "long generations of unknown length fill an engine's memory in the middle
 //! of their output" and "a zone's link to the others breaks": memory is counted as it will be
 //! needed at the end, and a request stays in its own zone while that has room.
 
@@ -21,6 +21,9 @@
 const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
 const OTHER_ZONE_COST: f64 = 0.20;
+/// Cost of prompts that an engine has yet to read, against that of memory that is taken: a prompt
+/// delays those that come after it at once, memory only once it is full.
+const UNREAD_COST: f64 = 2.0;
 /// Cost of one fresh failure, as a part of an endpoint's load.
 const SUSPICION_COST: f64 = 0.8;
 /// Cost of a cold endpoint, as a part of its load.
@@ -170,7 +173,9 @@
 fn load_part(fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> f64 {
     let load = fleet.loads.at(&endpoint.entry.id);
     let slots = f64::from(load.requests) / f64::from(endpoint.entry.slots.max(1));
-    demand.service.engine.map_or(slots, |shape| slots.max(memory_part(shape, load)))
+    let Some(shape) = demand.service.engine else { return slots };
+    let unread = load.unread_tokens as f64 / shape.memory_tokens.max(1) as f64;
+    slots.max(memory_part(shape, load)) + UNREAD_COST * unread
 }
 
 fn cost(now: BootMs, fleet: Fleet<'_>, demand: Demand<'_>, endpoint: &Endpoint) -> f64 {
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -141,3 +141,15 @@
     known.loads.add(&endpoint_id("near"), run_of(13_000));
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("far"));
 }
+
+#[test]
+fn prompts_that_arrive_together_are_read_by_different_engines() {
+    let mut known = Knowledge::of(&[("e1", "a"), ("e2", "a"), ("e3", "a")]);
+    // The first holds little but has a prompt to read; the second works on long outputs.
+    let reading = Load { unread_tokens: 3_000, ..run_of(3_200) };
+    known.loads.add(&endpoint_id("e1"), reading);
+    known.loads.add(&endpoint_id("e2"), run_of(6_000));
+    known.loads.add(&endpoint_id("e3"), run_of(20_000));
+    let service = engine_service();
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, run_of(3_200), 1)), at("e2"));
+}
