--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -4,6 +4,7 @@
 use crate::knowledge::{Source, take_changes, take_listing};
 use gypsumchute_platform::items::ALL;
 use gypsumchute_platform::{Changes, StoreError};
+use gypsumchute_units::BootMs;
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
 use rand::RngExt;
@@ -17,10 +18,16 @@
 const LOOK_MS: u64 = 150;
 /// Shortest and longest pause after a failed read, in ms.
 const PAUSE_MS: (u64, u64) = (60, 600);
+/// Reads in a row that need not wait: a change after a quiet time is known at once.
+const READS_AT_ONCE: u64 = 4;
+/// Time after which one more read need not wait, in ms. Where changes come all the time a reader
+/// takes several with one call, and still knows each well within every bound.
+const READ_EVERY_MS: u64 = 400;
 
 /// Reads for as long as the process lives.
 pub async fn run(context: Rc<Context>) {
     let mut failures = 0u32;
+    let mut pace = ReadPace::new(boot_now());
     loop {
         let reads = context.with(|state| state.members.should_read(boot_now()));
         if !reads {
@@ -28,6 +35,7 @@
             sleep(Duration::from_millis(LOOK_MS)).await;
             continue;
         }
+        sleep(Duration::from_millis(pace.wait_ms(boot_now()))).await;
         match read_once(&context).await {
             Ok(()) => {
                 if failures > 0 {
@@ -54,6 +62,26 @@
     }
 }
 
+/// Spaces reads: some at once after a quiet time, then one at a time.
+#[derive(Debug)]
+pub struct ReadPace {
+    /// The time at which all reads so far would have been made, one at a time.
+    paid_until: BootMs,
+}
+
+impl ReadPace {
+    /// Nothing was read before `now`.
+    pub fn new(now: BootMs) -> Self {
+        ReadPace { paid_until: now }
+    }
+
+    /// Takes one read, and tells how long it must wait, in ms.
+    pub fn wait_ms(&mut self, now: BootMs) -> u64 {
+        self.paid_until = self.paid_until.max(now) + READ_EVERY_MS;
+        now.until(self.paid_until).saturating_sub(READS_AT_ONCE * READ_EVERY_MS)
+    }
+}
+
 async fn read_once(context: &Rc<Context>) -> Result<(), StoreError> {
     let revision = context.with(|state| state.copy.revision());
     if revision == 0 {
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod events;
 mod generations;
 mod plain;
+mod reading;
 mod shutdown;
 mod support;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -15,8 +15,9 @@
 const FULL_MESH_VMS: usize = 16;
 /// VMs of each zone that speak to other zones, in a larger fleet.
 const GATEWAYS_PER_ZONE: usize = 2;
-/// VMs of each zone that read the platform.
-const READERS_PER_ZONE: usize = 2;
+/// VMs of each zone that read the platform. The other zones' readers are heard as well, and a VM
+/// that hears of no reader in its zone reads itself.
+const READERS_PER_ZONE: usize = 1;
 /// Shortest time between two heartbeats.
 pub const MIN_HEARTBEAT_MS: u64 = 300;
 /// Longest time between two heartbeats: what a VM learns must be known within 2 s.
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -17,6 +17,9 @@
 /// Part of an engine's memory up to which backups of runs elsewhere are taken in. Fuller engines
 /// need it for runs: a backup that pushes a run out costs more than the few runs that it saves.
 const BACKUP_FILL: f64 = 0.45;
+/// Mean part of all engines' memory up to which there are backups. Beyond it the empty engines are
+/// those that the next runs need.
+const BACKUP_MEAN: f64 = 0.35;
 /// Outputs from here on are long: they take a second and more.
 const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
@@ -129,14 +132,18 @@
     run_at: &EndpointId,
 ) -> Option<EndpointId> {
     let shape = demand.service.engine.filter(|shape| shape.keeps_backups)?;
+    let candidates = fleet.endpoints.candidates(&demand.service.id);
+    if mean_memory_part(fleet, shape, &candidates) > BACKUP_MEAN {
+        return None;
+    }
     let run_zone = fleet.endpoints.get(run_at).map(|endpoint| &endpoint.entry.zone);
     let spare = |endpoint: &&Endpoint| {
         let after = fleet.loads.at(&endpoint.entry.id).memory_tokens() + demand.load.tokens;
         let fresh = fleet.outcomes.suspicion(now, &endpoint.entry.id) < 0.5;
         fresh && after as f64 <= shape.memory_tokens as f64 * BACKUP_FILL
     };
-    let candidates = fleet.endpoints.candidates(&demand.service.id).into_iter();
     let others = candidates
+        .into_iter()
         .filter(|endpoint| endpoint.entry.id != *run_at)
         .filter(|endpoint| fleet.sees(endpoint))
         .filter(|endpoint| !demand.avoid.contains(&endpoint.entry.id));
@@ -193,6 +200,14 @@
     full + zone_cost + cold_cost + suspicion + spread(demand.draw, id)
 }
 
+/// The mean part of memory that is taken at the endpoints whose load is seen.
+fn mean_memory_part(fleet: Fleet<'_>, shape: EngineShape, candidates: &[&Endpoint]) -> f64 {
+    let seen = candidates.iter().filter(|endpoint| fleet.sees(endpoint));
+    let parts = seen.map(|endpoint| memory_part(shape, fleet.loads.at(&endpoint.entry.id)));
+    let parts: Vec<f64> = parts.collect();
+    parts.iter().sum::<f64>() / parts.len().max(1) as f64
+}
+
 fn memory_part(shape: EngineShape, load: Load) -> f64 {
     load.memory_tokens() as f64 / shape.memory_tokens.max(1) as f64
 }
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -153,3 +153,19 @@
     let service = engine_service();
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, run_of(3_200), 1)), at("e2"));
 }
+
+#[test]
+fn a_crowded_fleet_keeps_its_empty_engines_for_runs() {
+    let mut known = Knowledge::of(&[("e1", "a"), ("e2", "a"), ("empty", "a")]);
+    let service = engine_service();
+    let load = run_of(4_000);
+    let run_at = endpoint_id("e1");
+    let backup = |known: &Knowledge| {
+        place_backup(NOW, known.fleet(), known.demand(&service, load, 1), &run_at)
+    };
+    known.loads.add(&endpoint_id("e1"), run_of(12_000));
+    known.loads.add(&endpoint_id("e2"), run_of(6_000));
+    assert_eq!(backup(&known), Some(endpoint_id("empty")));
+    known.loads.add(&endpoint_id("e2"), run_of(15_000));
+    assert_eq!(backup(&known), None);
+}
