Zones that fell silent come last, and connections are given up after 150 ms

VMs of a zone that all fell silent say that the zone's endpoints can't be reached either; and a connection that takes 150 ms has lost a packet. Tests of placement and members, red before.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -19,9 +19,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Longest time for a connection to an endpoint. A lost packet is sent again after 1 s; another
-/// endpoint is tried before that.
-const CONNECT_MS: u64 = 400;
+/// Longest time for a connection to an endpoint. It takes a few ms, and a lost packet is sent again
+/// only after 1 s: another endpoint is tried before that.
+const CONNECT_MS: u64 = 150;
 /// Connections that fail before a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
 /// What a generation is taken to need beyond the caller's estimate of its output.
@@ -147,6 +147,7 @@
         let mut failures = 0;
         loop {
             let (endpoint, address) = self.wait_for_room(&avoid).await?;
+            self.log_placement(&endpoint);
             let occupied = self.context.occupy(&endpoint, self.load_unread());
             let limit_ms = CONNECT_MS.min(self.left_ms());
             match Connection::open(address, limit_ms, Patience::Long).await {
@@ -243,6 +244,27 @@
         })
     }
 
+    /// Writes the line that tells why the request goes to `endpoint`.
+    fn log_placement(&self, endpoint: &EndpointId) {
+        let now = boot_now();
+        let (load, suspicion, revision) = self.context.with(|state| {
+            let suspicion = state.outcomes.suspicion(now, endpoint);
+            (state.loads.at(endpoint), suspicion, state.copy.revision())
+        });
+        info!(
+            request = self.id(),
+            endpoint = endpoint.as_str(),
+            waited_ms = now.since(self.arrived_ms),
+            needs_tokens = self.load().tokens,
+            requests_there = load.requests,
+            memory_tokens_there = load.memory_tokens(),
+            unread_tokens_there = load.unread_tokens,
+            suspicion,
+            store_revision = revision;
+            "request placed"
+        );
+    }
+
     /// Sends the request on `connection` and waits for the answer's head.
     ///
     /// # Errors
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,11 +13,11 @@
 use gypsumchute_routing::{Endpoints, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, ServiceId};
+use gypsumchute_units::{BootMs, EndpointId, ServiceId, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
@@ -56,6 +56,8 @@
     pub waiting: WaitingRoom,
     /// The other VMs.
     pub members: Members,
+    /// Zones that this VM seems to be cut off from.
+    pub silent_zones: BTreeSet<ZoneId>,
     /// What the platform published.
     pub copy: StoreCopy,
     /// Whether this VM's own reads of the store succeed.
@@ -122,6 +124,7 @@
             poison: Poison::new(MAX_CRASHES),
             waiting: WaitingRoom::default(),
             members: Members::new(me, seeds.collect()),
+            silent_zones: BTreeSet::new(),
             copy: StoreCopy::default(),
             reads_store: false,
             store_trouble_ms: None,
@@ -248,6 +251,7 @@
             outcomes: &self.outcomes,
             home: &settings.zone,
             sees_all_zones: self.members.is_full_mesh(),
+            silent_zones: &self.silent_zones,
         }
     }
 
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -220,6 +220,7 @@
     loop {
         sleep(Duration::from_millis(PULL_LOOK_MS)).await;
         let now = boot_now();
+        watch_zones(&context);
         if expire_at <= Instant::now() {
             expire_at = Instant::now() + Duration::from_millis(EXPIRE_MS);
             expire(&context);
@@ -237,6 +238,21 @@
     }
 }
 
+/// Notes which zones fell silent or are heard again.
+fn watch_zones(context: &Context) {
+    let now = boot_now();
+    let (before, silent) = context.with(|state| {
+        let silent = state.members.silent_zones(now);
+        (std::mem::replace(&mut state.silent_zones, silent.clone()), silent)
+    });
+    for zone in silent.difference(&before) {
+        info!(zone = zone.as_str(); "zone fell silent");
+    }
+    for zone in before.difference(&silent) {
+        info!(zone = zone.as_str(); "zone is heard again");
+    }
+}
+
 fn expire(context: &Rc<Context>) {
     let now = boot_now();
     let gone = context.with(|state| {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -27,7 +27,7 @@
 /// What a VM may send for control, in bytes a second.
 const CONTROL_BYTES_PER_S: u64 = 2_000;
 /// Heartbeats in a row that are missed by a VM that is taken for silent.
-const MISSED_HEARTBEATS: u64 = 4;
+const MISSED_HEARTBEATS: u64 = 3;
 /// How long a silent VM is remembered and counts where limits are divided.
 const REMEMBER_MS: u64 = 60_000;
 /// A silent VM is tried with each of so many heartbeats.
@@ -202,6 +202,18 @@
         self.rank_in_zone(now) < READERS_PER_ZONE || readers.count() == 0
     }
 
+    /// Zones whose VMs all fell silent although this VM keeps in touch with them: it is likely to
+    /// be cut off from their endpoints as well.
+    pub fn silent_zones(&self, now: BootMs) -> BTreeSet<ZoneId> {
+        let mut heard: BTreeMap<&ZoneId, bool> = BTreeMap::new();
+        for member in self.members.values().filter(|member| member.heard_ms.is_some()) {
+            let zone = heard.entry(&member.peer.zone).or_default();
+            *zone |= self.is_alive(now, &member.peer.vm);
+        }
+        let silent = heard.into_iter().filter(|(zone, heard)| !heard && **zone != self.me.zone);
+        silent.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// A live VM that knows more than `revision`, those of the own zone first.
     pub fn ahead_of(&self, now: BootMs, revision: u64) -> Option<PeerAddress> {
         let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -134,11 +134,15 @@
     let mut net = Net::of(9, 3);
     net.run(5_000);
     net.cut_zone = Some(peer(1, 3).zone);
-    net.run(6_000);
+    net.run(1_600);
+    let silent = net.vms[&peer(0, 3).address].silent_zones(net.now);
+    assert_eq!(silent, [peer(1, 3).zone].into());
+    net.run(4_400);
     assert!(net.readers().values().all(|count| *count >= 1), "{:?}", net.readers());
     net.cut_zone = None;
     net.run(3_000);
     let vm = &net.vms[&peer(0, 3).address];
+    assert!(vm.silent_zones(net.now).is_empty());
     assert!((1..9).all(|other| vm.is_alive(net.now, &peer(other, 3).vm)));
 }
 
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -24,6 +24,8 @@
 const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
 const OTHER_ZONE_COST: f64 = 0.20;
+/// Cost of a zone that seems cut off: its endpoints come after all others.
+const SILENT_ZONE_COST: f64 = 4.0;
 /// Cost of prompts that an engine has yet to read, against that of memory that is taken: a prompt
 /// delays those that come after it at once, memory only once it is full.
 const UNREAD_COST: f64 = 2.0;
@@ -49,6 +51,8 @@
     pub home: &'a ZoneId,
     /// Whether the loads tell what VMs of other zones sent. In a large fleet they don't.
     pub sees_all_zones: bool,
+    /// Zones that this VM seems to be cut off from.
+    pub silent_zones: &'a BTreeSet<ZoneId>,
 }
 
 impl Fleet<'_> {
@@ -146,6 +150,7 @@
         .into_iter()
         .filter(|endpoint| endpoint.entry.id != *run_at)
         .filter(|endpoint| fleet.sees(endpoint))
+        .filter(|endpoint| !fleet.silent_zones.contains(&endpoint.entry.zone))
         .filter(|endpoint| !demand.avoid.contains(&endpoint.entry.id));
     let costs = others.filter(spare).map(|endpoint| {
         let zone_cost = match Some(&endpoint.entry.zone) == run_zone {
@@ -192,12 +197,16 @@
         true => 0.0,
         false => OTHER_ZONE_COST,
     };
+    let silent_cost = match fleet.silent_zones.contains(&endpoint.entry.zone) {
+        true => SILENT_ZONE_COST,
+        false => 0.0,
+    };
     let cold_cost = match endpoint.cold_until_ms > now {
         true => COLD_COST,
         false => 0.0,
     };
     let suspicion = SUSPICION_COST * fleet.outcomes.suspicion(now, id);
-    full + zone_cost + cold_cost + suspicion + spread(demand.draw, id)
+    full + zone_cost + silent_cost + cold_cost + suspicion + spread(demand.draw, id)
 }
 
 /// The mean part of memory that is taken at the endpoints whose load is seen.
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -169,3 +169,17 @@
     known.loads.add(&endpoint_id("e2"), run_of(15_000));
     assert_eq!(backup(&known), None);
 }
+
+#[test]
+fn a_zone_that_seems_cut_off_comes_last() {
+    let mut known = Knowledge::of(&[("near", "a"), ("cut", "b"), ("far", "c")]);
+    known.loads.add(&endpoint_id("near"), run_of(22_000));
+    known.loads.add(&endpoint_id("far"), run_of(10_000));
+    let service = engine_service();
+    let load = run_of(4_000);
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("cut"));
+    known.silent_zones.insert("b".parse().expect("an id"));
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("far"));
+    known.avoid.extend([endpoint_id("near"), endpoint_id("far")]);
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("cut"));
+}
--- a/crates/routing/tests/testsuite/support.rs
+++ b/crates/routing/tests/testsuite/support.rs
@@ -57,6 +57,7 @@
     pub home: ZoneId,
     pub avoid: BTreeSet<EndpointId>,
     pub sees_all_zones: bool,
+    pub silent_zones: BTreeSet<ZoneId>,
 }
 
 impl Knowledge {
@@ -69,6 +70,7 @@
             home: "a".parse().expect("an id"),
             avoid: BTreeSet::new(),
             sees_all_zones: true,
+            silent_zones: BTreeSet::new(),
         };
         for (name, zone) in endpoints {
             known.endpoints.upsert(NOW, entry(name, zone));
@@ -83,6 +85,7 @@
             outcomes: &self.outcomes,
             home: &self.home,
             sees_all_zones: self.sees_all_zones,
+            silent_zones: &self.silent_zones,
         }
     }
 
