--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -96,7 +96,7 @@
     parse_to_serde_value(&text, &ParseOptions::default()).map_err(|err| {
         let place = Place::at(&name, &text, err.range().start);
         let problem = err.kind().to_string();
-        let fix = "see docs/OPERATING.md for the settings of each process".to_owned();
+        let fix = "see docs/OPERATIONS.md for the settings of each process".to_owned();
         ConfigErrors::Invalid(vec![ConfigError { place, problem, fix }])
     })
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -97,6 +97,8 @@
     changed: watch::Sender<()>,
     registry_changed: watch::Sender<()>,
     shutdown: watch::Sender<bool>,
+    /// When the process ends, once it shuts down.
+    ends_ms: Cell<Option<BootMs>>,
     connections: Cell<usize>,
 }
 
@@ -141,6 +143,7 @@
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
             shutdown: watch::Sender::new(false),
+            ends_ms: Cell::new(None),
             connections: Cell::new(0),
         })
     }
@@ -171,11 +174,17 @@
         self.registry_changed.subscribe()
     }
 
-    /// Begins to shut down.
-    pub fn begin_shutdown(&self) {
+    /// Begins to shut down; the process ends at `ends_ms`.
+    pub fn begin_shutdown(&self, ends_ms: BootMs) {
+        self.ends_ms.set(Some(ends_ms));
         self.shutdown.send_replace(true);
     }
 
+    /// When the process ends, once it shuts down.
+    pub fn ends_ms(&self) -> Option<BootMs> {
+        self.ends_ms.get()
+    }
+
     /// Whether the process shuts down.
     pub fn shuts_down(&self) -> bool {
         *self.shutdown.borrow()
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use gypsumchute_exchange::{Patience, bound_silence};
 use gypsumchute_platform::CallerHead;
+use gypsumchute_routing::shutdown::may_begin;
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, Refusal, RefusalReason};
@@ -44,6 +45,8 @@
 /// How long after SIGTERM unused connections stay open: the balancer has taken this VM out by
 /// then, and callers have had time to use them once more.
 const CLOSE_IDLE_AFTER_MS: u64 = 3_500;
+/// When a caller returns whom another VM can serve at once, in ms.
+const RETURN_ELSEWHERE_MS: u64 = 200;
 /// When a caller without a better estimate returns, in ms.
 const RETURN_SOON_MS: u64 = 500;
 
@@ -182,9 +185,9 @@
     if let Some(after_ms) = refused_for_ms {
         return Err(reject(Refusal::not_run_until(RefusalReason::PoisonRequest, after_ms)));
     }
-    context.with(|state| state.retries.count_request(now, &service.id));
+    let vm_left_ms = context.ends_ms().map(|ends| now.until(ends));
     let wait_ms = caller.patience_ms.unwrap_or(route.answer_timeout_ms);
-    Ok(Call {
+    let call = Call {
         context: context.clone(),
         caller,
         method: head.method,
@@ -198,7 +201,17 @@
         arrived_ms,
         fingerprint,
         draw,
-    })
+    };
+    let tokens = call.expected_output_tokens();
+    match vm_left_ms {
+        Some(left_ms) if !may_begin(call.route.kind, tokens, left_ms) => {
+            Err(reject(call.refuse_until(RefusalReason::Draining, RETURN_ELSEWHERE_MS)))
+        }
+        _ => {
+            context.with(|state| state.retries.count_request(now, &call.service.id));
+            Ok(call)
+        }
+    }
 }
 
 /// What a caller is told of a route or key that isn't known here. A VM that may have missed a
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -135,8 +135,8 @@
 async fn shut_down(context: &Rc<Context>, datagrams: &UdpSocket) {
     let begun_ms = boot_now();
     info!(connections = context.connections(); "daemon shuts down");
-    context.begin_shutdown();
     let end_ms = begun_ms + context.settings.shutdown_grace_ms().saturating_sub(LAST_MS);
+    context.begin_shutdown(end_ms);
     while boot_now() < end_ms {
         let may_end = boot_now().since(begun_ms) >= STILL_TAKES_MS && context.connections() == 0;
         if may_end {
--- a/crates/daemon/tests/testsuite/shutdown.rs
+++ b/crates/daemon/tests/testsuite/shutdown.rs
@@ -19,3 +19,23 @@
     assert!(reply.whole, "the stream ended after {} bytes", reply.body.len());
     assert_eq!(first + &reply.body, whole_stream(EVENTS));
 }
+
+#[test]
+fn a_generation_that_would_be_cut_is_refused_and_a_short_one_is_served() {
+    let (mut set, _engines) = Set::start(|world| {
+        let behaviour = Behaviour::Streams { events: 3, pace_ms: 10 };
+        vec![(Endpoint::start(world, "engine-1", behaviour), "engines", "a")]
+    });
+    set.daemon.stop();
+    set.daemon.wait_ready(false);
+    let long = generation("surveys", "r1")
+        .header("X-Token-Usage", "1000,2000")
+        .header("X-Length-Hint", "900");
+    let refused = long.call(set.daemon.address());
+    assert_eq!(refused.status, 503);
+    let after_s: f64 = refused.headers["retry-after"].parse().expect("a number");
+    assert!(after_s <= 0.2);
+    let short = generation("surveys", "r2").header("X-Length-Hint", "20");
+    assert_eq!(short.call(set.daemon.address()).status, 200);
+    assert_eq!(set.world.arrivals().len(), 1);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod outcomes;
 pub mod placement;
 pub mod poison;
+pub mod shutdown;
 pub mod table;
 pub mod warmup;
 
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod outcomes;
 mod placement;
+mod shutdown;
 mod support;
 mod table;
 mod warmup;
