--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -263,6 +263,7 @@
         RunState {
             kind: self.call.route.kind,
             delivered: self.delivered > 0,
+            left_tokens: self.left_tokens(),
             has_backup,
             copies_runs: self.call.service.engine.is_some_and(|engine| engine.copies_runs),
             endpoints_used: self.endpoints_used,
@@ -271,6 +272,12 @@
         }
     }
 
+    fn left_tokens(&self) -> u64 {
+        let per_event = self.call.service.engine.map_or(1, |engine| engine.tokens_per_event);
+        let made = self.delivered * u64::from(per_event);
+        self.call.expected_output_tokens().saturating_sub(made)
+    }
+
     fn log_next(&self, loss: Loss, next: Next) {
         info!(
             request = self.call.id(),
--- a/crates/routing/src/continuity.rs
+++ b/crates/routing/src/continuity.rs
@@ -25,6 +25,8 @@
     pub kind: RouteKind,
     /// Whether an event has reached the caller.
     pub delivered: bool,
+    /// Tokens that are likely still to come.
+    pub left_tokens: u64,
     /// Whether another endpoint in service holds a backup that was not used up.
     pub has_backup: bool,
     /// Whether the engine can copy a run's memory while it works.
@@ -56,12 +58,17 @@
 /// Breaks after which a request counts as the likely cause.
 pub const MAX_BREAKS: u32 = 3;
 
+/// A run with at most so many tokens to come ends before its engine does, and leaves the engine's
+/// link to those that have longer to go. Only where it may run anew if that turns out wrong.
+const ENDS_SOON_TOKENS: u64 = 64;
+
 /// Decides how a generation goes on.
 pub fn next_step(loss: Loss, run: RunState) -> Next {
     let resumable = matches!(run.kind, RouteKind::Generation { resumable: true });
     let may_repeat = resumable && run.endpoints_used < run.max_endpoints;
     match loss {
         _ if run.breaks >= MAX_BREAKS => Next::GiveUp,
+        Loss::Leaving if may_repeat && run.left_tokens <= ENDS_SOON_TOKENS => Next::Stay,
         _ if run.has_backup => Next::FromBackup,
         Loss::Leaving if run.copies_runs && run.delivered => Next::Move,
         Loss::Leaving => Next::Stay,
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -116,16 +116,25 @@
     }
 }
 
-/// Chooses an engine that takes a run in from `run_at`, which leaves. Copies within a zone take
-/// half the time, which decides whether all runs get away.
+/// Chooses an engine that takes a run in from `run_at`, which leaves: one of its zone if any has
+/// room, since copies between zones take twice the time on a link that all of its runs need.
 pub fn place_copy(
     now: BootMs,
     fleet: Fleet<'_>,
     demand: Demand<'_>,
     run_at: &EndpointId,
 ) -> Placement {
-    let run_zone = fleet.endpoints.get(run_at).map(|endpoint| &endpoint.entry.zone);
-    place(now, Fleet { home: run_zone.unwrap_or(fleet.home), ..fleet }, demand)
+    let Some(run_zone) = fleet.endpoints.get(run_at).map(|endpoint| &endpoint.entry.zone) else {
+        return place(now, fleet, demand);
+    };
+    let elsewhere = fleet.endpoints.iter().filter(|e| e.entry.zone != *run_zone);
+    let elsewhere = elsewhere.map(|endpoint| endpoint.entry.id.clone());
+    let avoid: BTreeSet<_> = demand.avoid.iter().cloned().chain(elsewhere).collect();
+    let near = Fleet { home: run_zone, ..fleet };
+    match place(now, near, Demand { avoid: &avoid, ..demand }) {
+        Placement::At(endpoint) => Placement::At(endpoint),
+        Placement::Full | Placement::Nowhere => place(now, near, demand),
+    }
 }
 
 /// Chooses an engine that keeps a backup of a run at `run_at`, if one has memory to spare.
--- a/crates/routing/tests/testsuite/continuity.rs
+++ b/crates/routing/tests/testsuite/continuity.rs
@@ -6,6 +6,7 @@
 const RUN: RunState = RunState {
     kind: RouteKind::Generation { resumable: false },
     delivered: true,
+    left_tokens: 500,
     has_backup: false,
     copies_runs: true,
     endpoints_used: 1,
@@ -24,6 +25,8 @@
         ("once", RUN),
         ("once, backup", backed_up),
         ("resumable", RESUMABLE),
+        ("resumable, about to end", RunState { left_tokens: 20, ..RESUMABLE }),
+        ("once, about to end", RunState { left_tokens: 20, ..RUN }),
         ("resumable, used up", used_up),
         ("no event yet", RunState { delivered: false, ..RUN }),
         ("three breaks", RunState { breaks: 3, ..backed_up }),
@@ -35,6 +38,8 @@
     once: move, give_up, stay
     once, backup: from_backup, from_backup, from_backup
     resumable: move, anew, anew
+    resumable, about to end: stay, anew, anew
+    once, about to end: move, give_up, stay
     resumable, used up: move, give_up, stay
     no event yet: stay, give_up, stay
     three breaks: give_up, give_up, give_up
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -91,6 +91,13 @@
     let demand = known.demand(&service, run_of(4_000), 3);
     assert_eq!(place_copy(NOW, known.fleet(), demand, &endpoint_id("e1")), at("e2"));
     assert_eq!(place(NOW, known.fleet(), demand), at("e3"));
+    known.loads.add(&endpoint_id("e2"), run_of(20_000));
+    let copy = |known: &Knowledge| {
+        place_copy(NOW, known.fleet(), known.demand(&service, run_of(4_000), 3), &endpoint_id("e1"))
+    };
+    assert_eq!(copy(&known), at("e2"), "a fuller engine of the zone is reached in time");
+    known.loads.add(&endpoint_id("e2"), run_of(8_000));
+    assert_eq!(copy(&known), at("e3"));
 }
 
 #[test]
