VMs that share an engine tell each other at once what they send there

Each engine has four VMs of its zone that send there first and tell each other at each change (60 bytes to three VMs); others take its load for heard late. The hash that ranks VMs and names requests stands once, in units. A test of placement, red before.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -58,6 +58,8 @@
     pub members: Members,
     /// Zones that this VM seems to be cut off from.
     pub silent_zones: BTreeSet<ZoneId>,
+    /// Endpoints of the own zone whose load this VM hears of with heartbeats only.
+    pub heard_late: BTreeSet<EndpointId>,
     /// What the platform published.
     pub copy: StoreCopy,
     /// Whether this VM's own reads of the store succeed.
@@ -93,6 +95,9 @@
     pub store: StoreClient,
     /// Fires when a heartbeat should go out before its time.
     pub heartbeat_due: Notify,
+    /// Fires when there are endpoints of which other VMs should hear at once.
+    pub notes_due: Notify,
+    notes: RefCell<BTreeSet<EndpointId>>,
     state: RefCell<State>,
     changed: watch::Sender<()>,
     registry_changed: watch::Sender<()>,
@@ -127,6 +132,7 @@
             waiting: WaitingRoom::default(),
             members: Members::new(me, seeds.collect()),
             silent_zones: BTreeSet::new(),
+            heard_late: BTreeSet::new(),
             copy: StoreCopy::default(),
             reads_store: false,
             store_trouble_ms: None,
@@ -139,6 +145,8 @@
             settings,
             metrics: Metrics::new(),
             heartbeat_due: Notify::new(),
+            notes_due: Notify::new(),
+            notes: RefCell::default(),
             state: RefCell::new(state),
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
@@ -209,10 +217,24 @@
     /// Counts `load` at `endpoint` until the guard is dropped.
     pub fn occupy(self: &Rc<Self>, endpoint: &EndpointId, load: Load) -> Occupied {
         self.with(|state| state.loads.add(endpoint, load));
-        self.heartbeat_due.notify_one();
+        self.tell_load(endpoint, load);
         Occupied { context: self.clone(), endpoint: endpoint.clone(), load }
     }
 
+    /// Has other VMs hear that the load of `endpoint` changed by `change`. Requests without engine
+    /// memory are short: heartbeats tell of them soon enough.
+    fn tell_load(&self, endpoint: &EndpointId, change: Load) {
+        if change.memory_tokens() + change.unread_tokens > 0 {
+            self.notes.borrow_mut().insert(endpoint.clone());
+            self.notes_due.notify_one();
+        }
+    }
+
+    /// Takes the endpoints of which other VMs should hear.
+    pub fn take_notes(&self) -> BTreeSet<EndpointId> {
+        std::mem::take(&mut *self.notes.borrow_mut())
+    }
+
     /// Takes in what became of a request at `endpoint`.
     pub fn observe(&self, endpoint: &EndpointId, outcome: Outcome) {
         let now = boot_now();
@@ -261,6 +283,7 @@
             home: &settings.zone,
             sees_all_zones: self.members.is_full_mesh(),
             silent_zones: &self.silent_zones,
+            heard_late: &self.heard_late,
         }
     }
 
@@ -315,7 +338,7 @@
         }
         self.context.with(|state| state.loads.remove(&self.endpoint, read));
         self.load = self.load - read;
-        self.context.heartbeat_due.notify_one();
+        self.context.tell_load(&self.endpoint, read);
     }
 }
 
@@ -323,6 +346,6 @@
     fn drop(&mut self) {
         self.context.with(|state| state.loads.remove(&self.endpoint, self.load));
         self.context.notify_changed();
-        self.context.heartbeat_due.notify_one();
+        self.context.tell_load(&self.endpoint, self.load);
     }
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -9,6 +9,7 @@
 use gypsumchute_platform::CallerHead;
 use gypsumchute_routing::shutdown::may_begin;
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
+use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, Refusal, RefusalReason};
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
@@ -22,7 +23,6 @@
 use log::{info, warn};
 use rand::RngExt;
 use std::convert::Infallible;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -266,9 +266,6 @@
 }
 
 fn fingerprint(path: &str, customer: Option<&Customer>, body: &Bytes) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    path.hash(&mut hasher);
-    customer.map(|customer| customer.id.as_str()).hash(&mut hasher);
-    body.hash(&mut hasher);
-    hasher.finish()
+    let customer = customer.map_or("", |customer| customer.id.as_str());
+    hash64(&[path.as_bytes(), customer.as_bytes(), body])
 }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -8,10 +8,12 @@
 use gypsumchute_exchange::{Patience, bound_silence};
 use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
 use gypsumchute_fleet::messages::{
-    Crash, EndpointLoad, Heartbeat, Item, Member, PullReply, PullRequest,
+    Crash, Datagram, EndpointLoad, Heartbeat, Item, LoadNote, Member, PullReply, PullRequest,
+    datagram::Body,
 };
 use gypsumchute_fleet::{PeerAddress, StoreItem};
 use gypsumchute_routing::load::Load;
+use gypsumchute_units::EndpointId;
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
 use prost::Message;
@@ -45,7 +47,7 @@
     loop {
         let targets = context.with(|state| state.members.next_targets(boot_now()));
         let heartbeat = heartbeat(&context, context.with(|s| s.members.members_per_heartbeat()));
-        send_all(&context, &socket, &heartbeat, &targets).await;
+        send_all(&context, &socket, heartbeat, &targets).await;
         let regular_ms = context.with(|state| state.members.heartbeat_ms());
         let gap_ms = (URGENT_GAP_MS_PER_TARGET * targets.len() as u64).min(regular_ms);
         let sent_at = Instant::now();
@@ -73,12 +75,11 @@
                 continue;
             }
         };
-        match Heartbeat::decode(&buffer[..length]) {
-            Ok(heartbeat) => take_in(&context, &socket, heartbeat).await,
-            Err(err) => {
-                context.metrics.count_message(0);
-                warn!(error:% = err, bytes = length; "datagram is no heartbeat");
-            }
+        match Datagram::decode(&buffer[..length]).map(|datagram| datagram.body) {
+            Ok(Some(Body::Heartbeat(heartbeat))) => take_in(&context, &socket, heartbeat).await,
+            Ok(Some(Body::Note(note))) => take_note(&context, &note),
+            Ok(None) => warn!(bytes = length; "datagram of a kind that is not known"),
+            Err(err) => warn!(error:% = err, bytes = length; "datagram can't be read"),
         }
     }
 }
@@ -87,16 +88,25 @@
 pub async fn say_goodbye(context: &Rc<Context>, socket: &UdpSocket) {
     let targets = context.with(|state| state.members.next_targets(boot_now()));
     let heartbeat = Heartbeat { leaving: true, ..heartbeat(context, 0) };
-    send_all(context, socket, &heartbeat, &targets).await;
+    send_all(context, socket, heartbeat, &targets).await;
 }
 
 async fn send_all(
     context: &Context,
     socket: &UdpSocket,
-    heartbeat: &Heartbeat,
+    heartbeat: Heartbeat,
+    targets: &[SocketAddrV4],
+) {
+    send_datagram(context, socket, Body::Heartbeat(heartbeat), targets).await;
+}
+
+async fn send_datagram(
+    context: &Context,
+    socket: &UdpSocket,
+    body: Body,
     targets: &[SocketAddrV4],
 ) {
-    let bytes = heartbeat.encode_to_vec();
+    let bytes = Datagram { body: Some(body) }.encode_to_vec();
     for target in targets {
         // A datagram may be lost on its way just as well: the next one makes up for it.
         let sent = socket.send_to(&bytes, SocketAddr::V4(*target)).await;
@@ -110,13 +120,7 @@
     let now = boot_now();
     context.with(|state| {
         let me = state.members.me().clone();
-        let loads = state.loads.own().map(|(endpoint, load)| EndpointLoad {
-            endpoint: endpoint.to_string(),
-            requests: load.requests,
-            tokens: load.tokens,
-            backup_tokens: load.backup_tokens,
-            unread_tokens: load.unread_tokens,
-        });
+        let loads = state.loads.own().map(|(endpoint, load)| encode_load(endpoint, *load));
         let loads = loads.collect();
         let members = state.members.some_members(now, member_count, &mut state.rng);
         let crashes = state.crashes_to_tell(now).map(|crash| Crash {
@@ -142,6 +146,51 @@
     })
 }
 
+fn encode_load(endpoint: &EndpointId, load: Load) -> EndpointLoad {
+    EndpointLoad {
+        endpoint: endpoint.to_string(),
+        requests: load.requests,
+        tokens: load.tokens,
+        backup_tokens: load.backup_tokens,
+        unread_tokens: load.unread_tokens,
+    }
+}
+
+fn decode_load(load: &EndpointLoad) -> Option<(EndpointId, Load)> {
+    let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = load;
+    let endpoint = load.endpoint.parse().ok()?;
+    Some((endpoint, Load { requests, tokens, backup_tokens, unread_tokens }))
+}
+
+/// Tells the VMs that share an endpoint at once what this VM has there, for as long as the process
+/// lives.
+pub async fn send_notes(context: Rc<Context>, socket: Rc<UdpSocket>) {
+    loop {
+        context.notes_due.notified().await;
+        for endpoint in context.take_notes() {
+            let now = boot_now();
+            let (load, sharers) = context.with(|state| {
+                (state.loads.own_at(&endpoint), state.members.sharers(now, &endpoint))
+            });
+            let note = LoadNote {
+                vm: context.settings.vm.to_string(),
+                load: Some(encode_load(&endpoint, load)),
+            };
+            send_datagram(&context, &socket, Body::Note(note), &sharers.others).await;
+        }
+    }
+}
+
+fn take_note(context: &Context, note: &LoadNote) {
+    let told = note.load.as_ref().and_then(decode_load);
+    let (Ok(vm), Some((endpoint, load))) = (note.vm.parse(), told) else {
+        warn!(vm = note.vm.as_str(); "note of a load can't be read");
+        return;
+    };
+    context.with(|state| state.loads.set_peer_at(boot_now(), &vm, endpoint, load));
+    context.notify_changed();
+}
+
 fn member(peer: &PeerAddress) -> Member {
     Member {
         vm: peer.vm.to_string(),
@@ -176,11 +225,7 @@
         });
         return;
     }
-    let loads = heartbeat.loads.iter().filter_map(|load| {
-        let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = load;
-        let endpoint = load.endpoint.parse().ok()?;
-        Some((endpoint, Load { requests, tokens, backup_tokens, unread_tokens }))
-    });
+    let loads = heartbeat.loads.iter().filter_map(decode_load);
     let loads: Vec<_> = loads.collect();
     let is_new = context.with(|state| {
         let heard = Heard {
@@ -210,7 +255,7 @@
     }
     if heartbeat.joining || is_new {
         let answer = self::heartbeat(context, MEMBERS_PER_ANSWER);
-        send_all(context, socket, &answer, &[peer.address]).await;
+        send_all(context, socket, answer, &[peer.address]).await;
     }
 }
 
@@ -253,8 +298,20 @@
     }
 }
 
+/// Notes whose load is heard late. Once each half second is enough: it follows from who is there.
+fn note_heard_late(context: &Context) {
+    let now = boot_now();
+    context.with(|state| {
+        let home = &context.settings.zone;
+        let near = state.endpoints.iter().filter(|endpoint| endpoint.entry.zone == *home);
+        let late = near.filter(|e| !state.members.sharers(now, &e.entry.id).includes_me);
+        state.heard_late = late.map(|endpoint| endpoint.entry.id.clone()).collect();
+    });
+}
+
 fn expire(context: &Rc<Context>) {
     let now = boot_now();
+    note_heard_late(context);
     let gone = context.with(|state| {
         state.members.expire(now);
         state.loads.expire(now);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -101,6 +101,7 @@
 
     spawn_local(store_reader::run(context.clone()));
     spawn_local(gossip::send_heartbeats(context.clone(), datagrams.clone()));
+    spawn_local(gossip::send_notes(context.clone(), datagrams.clone()));
     spawn_local(gossip::hear_heartbeats(context.clone(), datagrams.clone()));
     spawn_local(gossip::pull_changes(context.clone()));
     spawn_local(gossip::serve_pulls(context.clone(), peers));
--- a/crates/decide/src/idempotency/claims.rs
+++ b/crates/decide/src/idempotency/claims.rs
@@ -6,11 +6,11 @@
 use crate::context::Context;
 use crate::event::{KeptAnswer, RequestKey};
 use crate::limits::{CLAIM_RESEND_MS, KEY_OUTCOME_MS, KEY_RESEND_MS};
-use crate::rendezvous;
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{
     KeyClaim, KeyClaimAnswer, KeyOutcome, KeyOutcomeAck, KeyRecord, KeyState,
 };
+use gypsumchute_units::rendezvous;
 use gypsumchute_units::{Refusal, RefusalReason, Verdict, VmId};
 
 impl Idempotency {
--- a/crates/decide/src/idempotency/handover.rs
+++ b/crates/decide/src/idempotency/handover.rs
@@ -4,12 +4,12 @@
 use super::{COPY_BYTES, CopyOut, Idempotency, due, resource, state_rank};
 use crate::context::Context;
 use crate::limits::KEY_RESEND_MS;
-use crate::rendezvous;
 use crate::view::{NO_VIEW, ViewId};
 use gypsumchute_proto::Message;
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{KeyCopy, KeyCopyAck, KeyRecord, KeyState};
 use gypsumchute_units::VmId;
+use gypsumchute_units::rendezvous;
 use std::collections::BTreeMap;
 
 impl Idempotency {
--- a/crates/decide/src/idempotency/keeper.rs
+++ b/crates/decide/src/idempotency/keeper.rs
@@ -2,12 +2,12 @@
 
 use super::{Held, Idempotency, home_zone, resource, state_rank};
 use crate::context::Context;
-use crate::rendezvous;
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{
     KeyClaim, KeyClaimAnswer, KeyOutcome, KeyOutcomeAck, KeyRecord, KeyState,
 };
 use gypsumchute_units::VmId;
+use gypsumchute_units::rendezvous;
 
 impl Idempotency {
     /// Another VM, or this one, claims a key.
--- a/crates/decide/src/idempotency/mod.rs
+++ b/crates/decide/src/idempotency/mod.rs
@@ -17,9 +17,9 @@
 use crate::event::{KeptAnswer, RequestKey};
 use crate::limits::CLAIM_WAIT_MS;
 use crate::membership::Activity;
-use crate::rendezvous;
 use crate::view::{NO_VIEW, ViewId};
 use gypsumchute_proto::peer::{KeyCopy, KeyRecord, KeyState};
+use gypsumchute_units::rendezvous;
 use gypsumchute_units::{BootMs, Refusal, RefusalReason, VmId, ZoneId};
 use std::collections::BTreeMap;
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,7 +8,7 @@
 //! How the parts act together:
 //!
 //! - [`membership`] agrees with the VMs of the same availability zone on a view, under leases, so
-//!   that each resource of the zone has at most one owner at any time ([`rendezvous`]);
+//!   that each resource of the zone has at most one owner at any time ([`gypsumchute_units::rendezvous`]);
 //! - [`shares`] moves parts of each customer's rate and burst between VMs ([`bucket`]);
 //! - [`permits`] gives the right to send a request to an owned endpoint, [`placement`] asks for it;
 //! - [`idempotency`] keeps the keys of requests that must not run twice;
@@ -43,7 +43,6 @@
 pub mod permits;
 mod pipeline;
 pub mod placement;
-pub mod rendezvous;
 pub mod shares;
 pub mod status;
 pub mod view;
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -9,16 +9,16 @@
 //! member in common; and as each holds a majority of the zone's listed VMs, there are not two.
 //!
 //! The owner of a resource of the zone is the highest-ranked member of the acting view
-//! ([`crate::rendezvous`]).
+//! ([`gypsumchute_units::rendezvous`]).
 
 use crate::Identity;
 use crate::limits::{
     BEAT_PAUSE_MS, LIST_GRACE_MS, SUSPECT_INTERVALS, heartbeat_ms, held_ms, view_lease_ms,
 };
-use crate::rendezvous;
 use crate::view::{NO_VIEW, View, ViewId};
 use crate::vm_list::VmList;
 use gypsumchute_proto::peer::{Heartbeat, RouteRoom};
+use gypsumchute_units::rendezvous;
 use gypsumchute_units::{BootMs, VmId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/decide/src/permits/mod.rs
+++ b/crates/decide/src/permits/mod.rs
@@ -15,12 +15,12 @@
 use crate::lengths::Lengths;
 use crate::limits::{PERMIT_USE_MS, RETRY_AFTER_MAX_MS, RETRY_AFTER_MIN_MS};
 use crate::membership::{Activity, Succession};
-use crate::rendezvous::{self, hash32};
 use gypsumchute_config::{Endpoint, FleetConfig, RouteKind};
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{
     PermitAnswer, PermitAsk, PermitDone, PermitDoneAck, PermitEnd, RouteRoom,
 };
+use gypsumchute_units::rendezvous::{self, hash32};
 use gypsumchute_units::{BootMs, CustomerId, EndpointId, RefusalReason, RouteId, VmId};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -12,9 +12,9 @@
     RETRY_AFTER_MIN_MS, SHARE_LEASE_MS, SILENT_PAUSE_MS, held_ms,
 };
 use crate::permits::route_hash;
-use crate::rendezvous;
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{PermitAnswer, PermitAsk, PermitDone, PermitEnd};
+use gypsumchute_units::rendezvous;
 use gypsumchute_units::{
     BootMs, CustomerId, EndpointId, Refusal, RefusalReason, RouteId, VmId, ZoneId,
 };
--- a/crates/decide/src/shares/borrowing.rs
+++ b/crates/decide/src/shares/borrowing.rs
@@ -8,11 +8,11 @@
     DRY_MAX_MS, GATHER_PAUSE_MS, OWNER_ASK_WAIT_MS, RECALL_WAIT_MS, RETRY_AFTER_MAX_MS,
     SHARE_IDLE_MS, SHARE_LEASE_MS, ZONE_ASK_WAIT_MS, held_ms,
 };
-use crate::rendezvous;
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{
     ShareAnswer, ShareAsk, ShareRecall, ShareRenew, ShareRenewed, ShareReturn,
 };
+use gypsumchute_units::rendezvous;
 use gypsumchute_units::{BootMs, CustomerId, NanoTokens, RequestRate, VmId, ZoneId};
 use std::collections::VecDeque;
 
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -1,8 +1,8 @@
 //! A set of VMs that act together, and its name.
 
 use crate::limits::view_lease_ms;
-use crate::rendezvous;
 use gypsumchute_units::VmId;
+use gypsumchute_units::rendezvous;
 use std::collections::BTreeMap;
 
 /// Names a view in messages; 0 means none.
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -5,7 +5,8 @@
 //! In a large one a VM keeps in touch with its zone, and two gateways a zone with those of the
 //! other zones, so that a VM's traffic grows with its zone and not with the fleet.
 
-use gypsumchute_units::{BootMs, VmId, ZoneId};
+use gypsumchute_units::rendezvous::ranked;
+use gypsumchute_units::{BootMs, EndpointId, VmId, ZoneId};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +16,9 @@
 const FULL_MESH_VMS: usize = 16;
 /// VMs of each zone that speak to other zones, in a larger fleet.
 const GATEWAYS_PER_ZONE: usize = 2;
+/// VMs that share an endpoint in a larger fleet: enough for each VM to have a choice of endpoints
+/// whose load it knows, few enough that telling each other costs little.
+const SHARERS: usize = 4;
 /// VMs of each zone that read the platform. The other zones' readers are heard as well, and a VM
 /// that hears of no reader in its zone reads itself.
 const READERS_PER_ZONE: usize = 1;
@@ -58,6 +62,15 @@
     store_revision: u64,
 }
 
+/// The VMs that share an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sharers {
+    /// Whether this VM is one of them.
+    pub includes_me: bool,
+    /// Where the others are heard.
+    pub others: Vec<SocketAddrV4>,
+}
+
 /// What a heartbeat says of its sender.
 #[derive(Debug, Clone)]
 pub struct Heard {
@@ -202,6 +215,22 @@
         self.rank_in_zone(now) < READERS_PER_ZONE || readers.count() == 0
     }
 
+    /// Who sends to `endpoint` of the own zone before it sends to others: all VMs of a small fleet,
+    /// a few of a zone's VMs in a large one. They tell each other at once what they send there.
+    pub fn sharers(&self, now: BootMs, endpoint: &EndpointId) -> Sharers {
+        let alive = self.members.values().filter(|m| self.is_alive(now, &m.peer.vm));
+        if self.is_full_mesh() {
+            let others = alive.map(|member| member.peer.address).collect();
+            return Sharers { includes_me: true, others };
+        }
+        let in_zone = alive.filter(|member| member.peer.zone == self.me.zone);
+        let vms: Vec<&VmId> = in_zone.map(|member| &member.peer.vm).chain([&self.me.vm]).collect();
+        let first = ranked(endpoint.as_str(), vms.into_iter()).into_iter().take(SHARERS);
+        let (own, others): (Vec<_>, Vec<_>) = first.partition(|vm| **vm == self.me.vm);
+        let others = others.into_iter().map(|vm| self.members[vm].peer.address).collect();
+        Sharers { includes_me: !own.is_empty(), others }
+    }
+
     /// Zones whose VMs all fell silent although this VM keeps in touch with them: it is likely to
     /// be cut off from their endpoints as well.
     pub fn silent_zones(&self, now: BootMs) -> BTreeSet<ZoneId> {
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -151,7 +151,7 @@
     let mut net = Net::of(5, 1);
     net.run(3_000);
     let first = peer(0, 1).address;
-    (1..5).for_each(|vm| drop(net.dead.insert(peer(vm, 1).address)));
+    net.dead.extend((1..5).map(|vm| peer(vm, 1).address));
     net.run(30_000);
     assert_eq!(net.vms[&first].all_vms().len(), 5);
     net.run(40_000);
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -97,6 +97,19 @@
         self.peers.insert(vm.clone(), PeerLoads { heard_ms: now, by_endpoint });
     }
 
+    /// Replaces what `vm` told of one endpoint.
+    pub fn set_peer_at(&mut self, now: BootMs, vm: &VmId, endpoint: EndpointId, load: Load) {
+        let peer = self
+            .peers
+            .entry(vm.clone())
+            .or_insert_with(|| PeerLoads { heard_ms: now, by_endpoint: BTreeMap::new() });
+        peer.heard_ms = now;
+        match load.is_none() {
+            true => drop(peer.by_endpoint.remove(&endpoint)),
+            false => drop(peer.by_endpoint.insert(endpoint, load)),
+        }
+    }
+
     /// Forgets VMs that fell silent.
     pub fn expire(&mut self, now: BootMs) {
         self.peers.retain(|_, peer| now.since(peer.heard_ms) < PEER_LOAD_TTL_MS);
@@ -107,6 +120,11 @@
         self.own.iter()
     }
 
+    /// This VM's own requests at `endpoint`.
+    pub fn own_at(&self, endpoint: &EndpointId) -> Load {
+        self.own.get(endpoint).copied().unwrap_or_default()
+    }
+
     /// All that is known to run at `endpoint`.
     pub fn at(&self, endpoint: &EndpointId) -> Load {
         let mut sum = self.own.get(endpoint).copied().unwrap_or_default();
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which endpoint gets a request, and which one keeps a copy of a generation's memory.
 //!
-//! Answers the patterns "several long prompts meet at one engine", "long generations of unknown length fill an engine's memory in the middle
+//! Answers the patterns "many VMs choose before they hear of each other", "several long prompts meet at one engine", "long generations of unknown length fill an engine's memory in the middle
 //! of their output" and "a zone's link to the others breaks": memory is counted as it will be
 //! needed at the end, and a request stays in its own zone while that has room.
 
@@ -24,6 +24,8 @@
 const LONG_OUTPUT_TOKENS: u64 = 128;
 /// Cost of leaving the own zone, as a part of an endpoint's load.
 const OTHER_ZONE_COST: f64 = 0.20;
+/// Cost of an endpoint whose load is heard late: about that of a prompt that may have come since.
+const HEARD_LATE_COST: f64 = 0.25;
 /// Cost of a zone that seems cut off: its endpoints come after all others.
 const SILENT_ZONE_COST: f64 = 4.0;
 /// Cost of prompts that an engine has yet to read, against that of memory that is taken: a prompt
@@ -53,6 +55,8 @@
     pub sees_all_zones: bool,
     /// Zones that this VM seems to be cut off from.
     pub silent_zones: &'a BTreeSet<ZoneId>,
+    /// Endpoints whose load this VM hears of with some delay only; others send there first.
+    pub heard_late: &'a BTreeSet<EndpointId>,
 }
 
 impl Fleet<'_> {
@@ -210,12 +214,16 @@
         true => SILENT_ZONE_COST,
         false => 0.0,
     };
+    let late_cost = match fleet.heard_late.contains(id) {
+        true => HEARD_LATE_COST,
+        false => 0.0,
+    };
     let cold_cost = match endpoint.cold_until_ms > now {
         true => COLD_COST,
         false => 0.0,
     };
     let suspicion = SUSPICION_COST * fleet.outcomes.suspicion(now, id);
-    full + zone_cost + silent_cost + cold_cost + suspicion + spread(demand.draw, id)
+    full + zone_cost + late_cost + silent_cost + cold_cost + suspicion + spread(demand.draw, id)
 }
 
 /// The mean part of memory that is taken at the endpoints whose load is seen.
--- a/crates/routing/src/warmup.rs
+++ b/crates/routing/src/warmup.rs
@@ -4,6 +4,7 @@
 //! endpoint takes a rate that is divided over VMs without asking anybody. In a large fleet only
 //! the VMs that rank first for an endpoint send to it while it is cold.
 
+use gypsumchute_units::rendezvous::ranked;
 use gypsumchute_units::{BootMs, EndpointId, VmId};
 use std::collections::BTreeMap;
 
@@ -34,8 +35,7 @@
         vms: &[VmId],
     ) -> bool {
         let sharers = ((cold_per_s / MIN_PART_PER_S) as usize).clamp(1, vms.len().max(1));
-        let before_me = vms.iter().filter(|vm| rank(endpoint, vm) < rank(endpoint, me)).count();
-        if before_me >= sharers {
+        if !ranked(endpoint.as_str(), vms.iter()).into_iter().take(sharers).any(|vm| vm == me) {
             return false;
         }
         let rate_per_ms = cold_per_s / sharers as f64 / 1_000.0;
@@ -58,11 +58,3 @@
         self.buckets.retain(|endpoint, _| is_cold(endpoint));
     }
 }
-
-fn rank(endpoint: &EndpointId, vm: &VmId) -> (u64, VmId) {
-    let bytes = endpoint.as_str().bytes().chain(vm.as_str().bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    (hash, vm.clone())
-}
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -190,3 +190,15 @@
     known.avoid.extend([endpoint_id("near"), endpoint_id("far")]);
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("cut"));
 }
+
+#[test]
+fn endpoints_whose_load_is_heard_late_come_after_those_that_are_known() {
+    let mut known = Knowledge::of(&[("own", "a"), ("late", "a")]);
+    known.heard_late.insert(endpoint_id("late"));
+    known.loads.add(&endpoint_id("own"), run_of(6_000));
+    let service = engine_service();
+    let load = run_of(3_000);
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("own"));
+    known.loads.add(&endpoint_id("own"), run_of(4_000));
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("late"));
+}
--- a/crates/routing/tests/testsuite/support.rs
+++ b/crates/routing/tests/testsuite/support.rs
@@ -58,6 +58,7 @@
     pub avoid: BTreeSet<EndpointId>,
     pub sees_all_zones: bool,
     pub silent_zones: BTreeSet<ZoneId>,
+    pub heard_late: BTreeSet<EndpointId>,
 }
 
 impl Knowledge {
@@ -71,6 +72,7 @@
             avoid: BTreeSet::new(),
             sees_all_zones: true,
             silent_zones: BTreeSet::new(),
+            heard_late: BTreeSet::new(),
         };
         for (name, zone) in endpoints {
             known.endpoints.upsert(NOW, entry(name, zone));
@@ -86,6 +88,7 @@
             home: &self.home,
             sees_all_zones: self.sees_all_zones,
             silent_zones: &self.silent_zones,
+            heard_late: &self.heard_late,
         }
     }
 
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ids;
 pub mod rate;
 pub mod refusal;
+pub mod rendezvous;
 pub mod time;
 
 pub use ids::{
--- a/crates/decide/src/rendezvous.rs
+++ b/crates/units/src/rendezvous.rs
@@ -4,18 +4,18 @@
 use sha2::{Digest, Sha256};
 
 /// A stable 64-bit hash of `parts`, the same on every VM.
-pub fn hash64(parts: &[&str]) -> u64 {
+pub fn hash64<T: AsRef<[u8]>>(parts: &[T]) -> u64 {
     let mut hasher = Sha256::new();
     for part in parts {
-        hasher.update((part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
+        hasher.update((part.as_ref().len() as u64).to_le_bytes());
+        hasher.update(part.as_ref());
     }
     let digest: [u8; 32] = hasher.finalize().into();
     u64::from_le_bytes(digest[..8].try_into().expect("a digest has 32 bytes"))
 }
 
 /// The first 32 bits of [`hash64`], for compact messages.
-pub fn hash32(parts: &[&str]) -> u32 {
+pub fn hash32<T: AsRef<[u8]>>(parts: &[T]) -> u32 {
     (hash64(parts) >> 32) as u32
 }
 
