--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -338,6 +338,11 @@
         value: item.value.map(Bytes::from),
     });
     let items = items.collect();
+    context.with(|state| {
+        if state.members.reads_platform(&peer.vm) {
+            state.store_heard_ms = Some(boot_now());
+        }
+    });
     match reply.whole {
         true => take_listing(context, Source::Peer, reply.revision, items),
         false => take_changes(context, Source::Peer, reply.revision, items),
--- /dev/null
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -0,0 +1,119 @@
+//! What VMs know together: changes reach all of them, whoever the store serves.
+
+use crate::support::{
+    Daemon, KEY, configuration, eventually, generation, register, store, whole_stream,
+};
+use gypsumchute_platform_standin::{Behaviour, Caller, Endpoint, Mode, Store, World};
+use std::time::{Duration, Instant};
+
+fn read(daemon: &Daemon, key: &str) -> u16 {
+    Caller::new("GET /reads/x", "r", key).call(daemon.address()).status
+}
+
+/// Two VMs of a zone, the second of which has a store that is away; and a service.
+fn one_served_and_one_turned_away() -> (Store, Store, Vec<Daemon>, Endpoint) {
+    let (served, away) = (store(), Store::start());
+    away.set_mode(Mode::Busy);
+    let service = Endpoint::start(&World::default(), "book-1", Behaviour::Answers);
+    register(&served, &service, "books", "a", "ready");
+    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
+    let seeds = [first.settings.peers_listen];
+    let second = Daemon::start(away.address(), "vm-2", "a", &seeds);
+    first.wait_ready(true);
+    second.wait_ready(true);
+    (served, away, vec![first, second], service)
+}
+
+#[test]
+fn a_vm_that_the_store_turns_away_hears_of_changes_from_others() {
+    let (served, _away, daemons, _service) = one_served_and_one_turned_away();
+    assert_eq!(read(&daemons[1], KEY), 200);
+    served.put("op/config", &configuration(9, &["another-key"]));
+    let begun = Instant::now();
+    for daemon in &daemons {
+        eventually("the withdrawal", || read(daemon, KEY) == 401);
+        assert_eq!(read(daemon, "another-key"), 200);
+    }
+    assert!(begun.elapsed() < Duration::from_millis(1_500), "{:?}", begun.elapsed());
+    served.put("op/evacuate/a", &serde_json::json!({}));
+    eventually("the zone to be out", || read(&daemons[1], "another-key") == 503);
+    served.delete("op/evacuate/a");
+    eventually("the zone to be back", || read(&daemons[1], "another-key") == 200);
+}
+
+#[test]
+fn an_older_configuration_and_a_broken_one_change_nothing() {
+    let (served, _away, daemons, _service) = one_served_and_one_turned_away();
+    served.put("op/config", &configuration(6, &["older-key"]));
+    served.put_bytes("op/config", b"{ not json");
+    served.put("op/evacuate/b", &serde_json::json!({}));
+    std::thread::sleep(Duration::from_millis(500));
+    for daemon in &daemons {
+        assert_eq!((read(daemon, KEY), read(daemon, "older-key")), (200, 401));
+    }
+}
+
+#[test]
+fn a_vm_without_word_from_the_store_does_not_call_a_key_wrong() {
+    let (served, _away, daemons, _service) = one_served_and_one_turned_away();
+    assert_eq!(read(&daemons[0], "new-key"), 401);
+    served.set_mode(Mode::Silent);
+    for daemon in &daemons {
+        eventually("doubt", || read(daemon, "new-key") == 503);
+        assert_eq!(read(daemon, KEY), 200, "it serves what it knows");
+    }
+    served.set_mode(Mode::Up);
+    eventually("trust", || read(&daemons[1], "new-key") == 401);
+}
+
+#[test]
+fn a_vm_that_knows_no_configuration_is_not_ready_and_promises_that_nothing_ran() {
+    let away = Store::start();
+    away.set_mode(Mode::Reset);
+    let daemon = Daemon::start(away.address(), "vm-1", "a", &[]);
+    daemon.wait_ready(false);
+    let reply = Caller::new("GET /reads/x", "r", KEY).call(daemon.address());
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(reply.body.contains("no_configuration"), "{}", reply.body);
+}
+
+#[test]
+fn two_vms_do_not_choose_the_same_engine_at_once() {
+    let (served, world) = (store(), World::default());
+    let slow = Behaviour::Streams { events: 20, pace_ms: 30 };
+    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, slow));
+    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
+    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
+    let second = Daemon::start(served.address(), "vm-2", "a", &[first.settings.peers_listen]);
+    first.wait_ready(true);
+    second.wait_ready(true);
+    eventually("membership", || first.metrics().contains("gypsumchute_peer_messages_total"));
+    std::thread::sleep(Duration::from_millis(500));
+    for round in 0..3 {
+        let ids = [format!("a{round}"), format!("b{round}")];
+        let one = generation("surveys", &ids[0]).open(first.address());
+        let other = generation("surveys", &ids[1]).open(second.address());
+        assert_eq!(one.finish().body, whole_stream(20));
+        assert_eq!(other.finish().body, whole_stream(20));
+        let arrivals = world.arrivals();
+        let at = |id: &String| {
+            let found = arrivals.iter().find(|a| a.header("x-attempt-id") == id);
+            found.expect("an arrival").endpoint.clone()
+        };
+        assert_ne!(at(&ids[0]), at(&ids[1]), "round {round}");
+    }
+}
+
+#[test]
+fn refusals_and_retries_are_counted_by_reason() {
+    let (_served, _away, daemons, service) = one_served_and_one_turned_away();
+    assert_eq!(read(&daemons[0], "wrong"), 401);
+    service.set(Behaviour::Rejects);
+    assert_eq!(read(&daemons[0], KEY), 503);
+    let metrics = daemons[0].metrics();
+    let count = |name: &str| metrics.lines().filter(|line| line.starts_with(name)).count();
+    assert_eq!(count(r#"gypsumchute_refusals_total{reason="unknown_key",verdict="not_run"} 1"#), 1);
+    assert_eq!(count(r#"gypsumchute_retries_total{reason="not_run"}"#), 1, "{metrics}");
+    assert!(count("gypsumchute_request_ms_bucket") > 0);
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests by feature: daemons with a store and endpoints that misbehave as they are told.
 
 mod events;
+mod fleet;
 mod generations;
 mod plain;
 mod reading;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -243,6 +243,11 @@
         silent.map(|(zone, _)| zone.clone()).collect()
     }
 
+    /// Whether `vm` reads the platform itself, as it last said.
+    pub fn reads_platform(&self, vm: &VmId) -> bool {
+        self.members.get(vm).is_some_and(|member| member.reads_platform)
+    }
+
     /// A live VM that knows more than `revision`, those of the own zone first.
     pub fn ahead_of(&self, now: BootMs, revision: u64) -> Option<PeerAddress> {
         let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
