--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -130,7 +130,7 @@
             warmups: Warmups::default(),
             poison: Poison::new(MAX_CRASHES),
             waiting: WaitingRoom::default(),
-            members: Members::new(me, seeds.collect()),
+            members: Members::new(boot_now(), me, seeds.collect()),
             silent_zones: BTreeSet::new(),
             heard_late: BTreeSet::new(),
             copy: StoreCopy::default(),
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -17,6 +17,8 @@
 const WATCH_MS: u64 = 1_000;
 /// How often a VM that does not read looks whether it should, in ms.
 const LOOK_MS: u64 = 150;
+/// How long a VM that starts waits for the answers of its seeds before it reads, in ms.
+const FIRST_READ_AFTER_MS: u64 = 60;
 /// Shortest and longest pause after a failed read, in ms.
 const PAUSE_MS: (u64, u64) = (60, 600);
 /// Reads in a row that need not wait: a change after a quiet time is known at once.
@@ -27,6 +29,10 @@
 
 /// Reads for as long as the process lives.
 pub async fn run(context: Rc<Context>) {
+    // The seeds' answers tell which VMs there are, so that not all of a fleet that starts read.
+    if !context.settings.seeds.is_empty() {
+        sleep(Duration::from_millis(FIRST_READ_AFTER_MS)).await;
+    }
     let mut failures = 0u32;
     let mut pace = ReadPace::new(boot_now());
     loop {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -22,6 +22,9 @@
 /// VMs of each zone that read the platform. The other zones' readers are heard as well, and a VM
 /// that hears of no reader in its zone reads itself.
 const READERS_PER_ZONE: usize = 1;
+/// How long a VM that does not rank first waits for a reader of its zone before it reads itself:
+/// two heartbeats, and less than what is left of 2 s once a reader was missed.
+const READER_GRACE_MS: u64 = 700;
 /// Shortest time between two heartbeats.
 pub const MIN_HEARTBEAT_MS: u64 = 300;
 /// Longest time between two heartbeats: what a VM learns must be known within 2 s.
@@ -90,13 +93,22 @@
     members: BTreeMap<VmId, Member>,
     heartbeat_ms: u64,
     beats: u64,
+    /// When another reader of the own zone was last heard; at the start, when this VM started.
+    reader_heard_ms: BootMs,
 }
 
 impl Members {
-    /// Knows nobody but the seeds.
-    pub fn new(me: PeerAddress, seeds: Vec<SocketAddrV4>) -> Self {
+    /// Knows nobody but the seeds at `now`, when it starts.
+    pub fn new(now: BootMs, me: PeerAddress, seeds: Vec<SocketAddrV4>) -> Self {
         let seeds = seeds.into_iter().filter(|seed| *seed != me.address).collect();
-        Members { me, seeds, members: BTreeMap::new(), heartbeat_ms: MIN_HEARTBEAT_MS, beats: 0 }
+        Members {
+            me,
+            seeds,
+            members: BTreeMap::new(),
+            heartbeat_ms: MIN_HEARTBEAT_MS,
+            beats: 0,
+            reader_heard_ms: now,
+        }
     }
 
     /// This VM.
@@ -207,12 +219,17 @@
         MEMBERS_PER_HEARTBEAT
     }
 
-    /// Whether this VM reads the platform: it ranks first in its zone, or nobody else there does.
-    pub fn should_read(&self, now: BootMs) -> bool {
-        let readers = self
-            .in_zone(&self.me.zone)
-            .filter(|member| member.reads_platform && self.is_alive(now, &member.peer.vm));
-        self.rank_in_zone(now) < READERS_PER_ZONE || readers.count() == 0
+    /// Whether this VM reads the platform: it ranks first in its zone, or nobody else there has
+    /// read it for [`READER_GRACE_MS`].
+    pub fn should_read(&mut self, now: BootMs) -> bool {
+        let mut readers = self.in_zone(&self.me.zone).filter(|member| member.reads_platform);
+        let has_reader = readers.any(|member| self.is_alive(now, &member.peer.vm));
+        drop(readers);
+        if has_reader {
+            self.reader_heard_ms = now;
+        }
+        let has_waited = now.since(self.reader_heard_ms) >= READER_GRACE_MS;
+        self.rank_in_zone(now) < READERS_PER_ZONE || has_waited
     }
 
     /// Who sends to `endpoint` of the own zone before it sends to others: all VMs of a small fleet,
@@ -266,9 +283,15 @@
         self.members.values().filter(move |member| member.peer.zone == *zone)
     }
 
+    /// VMs of the own zone that come before this one. One that was just named counts until it had
+    /// the time to be heard.
     fn rank_in_zone(&self, now: BootMs) -> usize {
-        let alive = self.in_zone(&self.me.zone).filter(|m| self.is_alive(now, &m.peer.vm));
-        alive.filter(|member| member.peer.vm < self.me.vm).count()
+        let counts = |member: &&Member| match member.heard_ms {
+            Some(_) => self.is_alive(now, &member.peer.vm),
+            None => now.since(member.learnt_ms) < READER_GRACE_MS,
+        };
+        let before_me = self.in_zone(&self.me.zone).filter(|m| m.peer.vm < self.me.vm);
+        before_me.filter(counts).count()
     }
 
     /// Whether all VMs keep in touch with all.
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const STEP_MS: u64 = 100;
+const START: BootMs = BootMs(1_000_000);
 
 fn peer(vm: usize, zones: usize) -> PeerAddress {
     let zone: ZoneId = format!("zone-{}", vm % zones).parse().expect("an id");
@@ -33,14 +34,14 @@
         let seeds: Vec<_> = (0..3).map(|vm| peer(vm, zones).address).collect();
         let vms = (0..count).map(|vm| {
             let me = peer(vm, zones);
-            (me.address, Members::new(me, seeds.clone()))
+            (me.address, Members::new(START, me, seeds.clone()))
         });
         Net {
             vms: vms.collect(),
             next_ms: BTreeMap::new(),
             dead: BTreeSet::new(),
             cut_zone: None,
-            now: BootMs(1_000_000),
+            now: START,
             rng: StdRng::seed_from_u64(7),
             datagrams: 0,
         }
@@ -52,7 +53,8 @@
     }
 
     fn send(&mut self, from: &PeerAddress, targets: &[SocketAddrV4], named: &[PeerAddress]) {
-        let reads_platform = self.vms[&from.address].should_read(self.now);
+        let sender = self.vms.get_mut(&from.address).expect("a VM");
+        let reads_platform = sender.should_read(self.now);
         for target in targets {
             self.datagrams += 1;
             let Some(to) = self.vms.get(target).map(|vm| vm.me().clone()) else { continue };
@@ -92,12 +94,13 @@
     }
 
     /// Live VMs that read the platform, by zone.
-    fn readers(&self) -> BTreeMap<String, usize> {
+    fn readers(&mut self) -> BTreeMap<String, usize> {
         let mut readers: BTreeMap<String, usize> = BTreeMap::new();
-        let alive = self.vms.iter().filter(|(address, _)| !self.dead.contains(address));
+        let alive = self.vms.iter_mut().filter(|(address, _)| !self.dead.contains(address));
         for (_, vm) in alive {
+            let reads = vm.should_read(self.now);
             let count = readers.entry(vm.me().zone.to_string()).or_default();
-            *count += usize::from(vm.should_read(self.now));
+            *count += usize::from(reads);
         }
         readers
     }
@@ -123,10 +126,25 @@
 fn one_vm_a_zone_reads_and_another_takes_its_place_within_two_seconds() {
     let mut net = Net::of(12, 4);
     net.run(5_000);
-    assert!(net.readers().values().all(|count| *count == 1), "{:?}", net.readers());
+    let readers = net.readers();
+    assert!(readers.values().all(|count| *count == 1), "{readers:?}");
     net.dead.insert(peer(0, 4).address);
     net.run(2_000);
-    assert!(net.readers().values().all(|count| *count >= 1), "{:?}", net.readers());
+    let readers = net.readers();
+    assert!(readers.values().all(|count| *count >= 1), "{readers:?}");
+}
+
+#[test]
+fn few_vms_read_while_a_fleet_starts() {
+    let mut net = Net::of(90, 4);
+    let mut most: usize = 0;
+    for _ in 0..30 {
+        net.run(STEP_MS);
+        most = most.max(net.readers().values().sum());
+    }
+    assert!(most <= 90 / 3, "{most} VMs read at once");
+    let readers = net.readers();
+    assert!(readers.values().all(|count| *count == 1), "{readers:?}");
 }
 
 #[test]
@@ -138,7 +156,8 @@
     let silent = net.vms[&peer(0, 3).address].silent_zones(net.now);
     assert_eq!(silent, [peer(1, 3).zone].into());
     net.run(4_400);
-    assert!(net.readers().values().all(|count| *count >= 1), "{:?}", net.readers());
+    let readers = net.readers();
+    assert!(readers.values().all(|count| *count >= 1), "{readers:?}");
     net.cut_zone = None;
     net.run(3_000);
     let vm = &net.vms[&peer(0, 3).address];
