--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -43,7 +43,6 @@
 
 /// Sends heartbeats for as long as the process lives.
 pub async fn send_heartbeats(context: Rc<Context>, socket: Rc<UdpSocket>) {
-    let mut next_at = Instant::now();
     loop {
         let targets = context.with(|state| state.members.next_targets(boot_now()));
         let heartbeat = heartbeat(&context, context.with(|s| s.members.members_per_heartbeat()));
@@ -51,10 +50,8 @@
         let regular_ms = context.with(|state| state.members.heartbeat_ms());
         let gap_ms = (URGENT_GAP_MS_PER_TARGET * targets.len() as u64).min(regular_ms);
         let sent_at = Instant::now();
-        next_at = next_at.max(sent_at - Duration::from_millis(regular_ms))
-            + Duration::from_millis(regular_ms);
         tokio::select! {
-            () = sleep_until(next_at) => {}
+            () = sleep_until(sent_at + Duration::from_millis(regular_ms)) => {}
             () = context.heartbeat_due.notified() => {
                 sleep_until(sent_at + Duration::from_millis(gap_ms)).await;
             }
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -17,8 +17,11 @@
 const WATCH_MS: u64 = 1_000;
 /// How often a VM that does not read looks whether it should, in ms.
 const LOOK_MS: u64 = 150;
-/// How long a VM that starts waits for the answers of its seeds before it reads, in ms.
-const FIRST_READ_AFTER_MS: u64 = 60;
+/// How long a VM that starts waits for its seeds before it reads, in ms: a fleet's VMs start within
+/// 0.3 s of each other.
+const ALONE_MS: u64 = 350;
+/// How long a VM that heard of others waits for those that they name, in ms.
+const NAMED_MS: u64 = 100;
 /// Shortest and longest pause after a failed read, in ms.
 const PAUSE_MS: (u64, u64) = (60, 600);
 /// Reads in a row that need not wait: a change after a quiet time is known at once.
@@ -29,14 +32,16 @@
 
 /// Reads for as long as the process lives.
 pub async fn run(context: Rc<Context>) {
-    // The seeds' answers tell which VMs there are, so that not all of a fleet that starts read.
-    if !context.settings.seeds.is_empty() {
-        sleep(Duration::from_millis(FIRST_READ_AFTER_MS)).await;
-    }
+    wait_for_company(&context).await;
     let mut failures = 0u32;
     let mut pace = ReadPace::new(boot_now());
+    let mut read_before = false;
     loop {
         let reads = context.with(|state| state.members.should_read(boot_now()));
+        if reads != read_before {
+            info!(reads; "this VM reads the store, or leaves it to another one");
+            read_before = reads;
+        }
         if !reads {
             context.with(|state| state.reads_store = false);
             sleep(Duration::from_millis(LOOK_MS)).await;
@@ -72,6 +77,21 @@
     }
 }
 
+/// Waits until the seeds have told which VMs there are, so that not all of a fleet that starts read.
+async fn wait_for_company(context: &Context) {
+    if context.settings.seeds.is_empty() {
+        return;
+    }
+    let until_ms = boot_now() + ALONE_MS;
+    while boot_now() < until_ms {
+        if context.with(|state| state.members.has_company(boot_now())) {
+            sleep(Duration::from_millis(NAMED_MS)).await;
+            return;
+        }
+        sleep(Duration::from_millis(NAMED_MS / 4)).await;
+    }
+}
+
 /// Spaces reads: some at once after a quiet time, then one at a time.
 #[derive(Debug)]
 pub struct ReadPace {
--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -117,3 +117,24 @@
     assert_eq!(count(r#"gypsumchute_retries_total{reason="not_run"}"#), 1, "{metrics}");
     assert!(count("gypsumchute_request_ms_bucket") > 0);
 }
+
+#[test]
+fn a_burst_of_changes_does_not_silence_the_heartbeats_after_it() {
+    let (_served, _away, daemons, service) = one_served_and_one_turned_away();
+    service.set(Behaviour::Loses);
+    // Each order that is lost is told to the other VM at once.
+    for order in 0..150 {
+        let caller = Caller::new("POST /orders/new", &format!("r{order}"), KEY);
+        caller.body(&format!("order {order}")).call(daemons[0].address());
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let sent = |daemon: &Daemon| {
+        let metrics = daemon.metrics();
+        let line = metrics.lines().find_map(|l| l.strip_prefix("gypsumchute_peer_messages_total "));
+        line.and_then(|count| count.parse::<u64>().ok()).unwrap_or(0)
+    };
+    let before = sent(&daemons[0]);
+    std::thread::sleep(Duration::from_millis(2_000));
+    let heartbeats = sent(&daemons[0]) - before;
+    assert!(heartbeats >= 5, "{heartbeats} heartbeats in 2 s, one each 300 ms is due");
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -27,6 +27,8 @@
 const READER_GRACE_MS: u64 = 700;
 /// Shortest time between two heartbeats.
 pub const MIN_HEARTBEAT_MS: u64 = 300;
+/// Time between two heartbeats of a VM that has heard nobody yet. They go to its seeds only.
+const ALONE_HEARTBEAT_MS: u64 = 100;
 /// Longest time between two heartbeats: what a VM learns must be known within 2 s.
 const MAX_HEARTBEAT_MS: u64 = 600;
 /// Estimated size of a heartbeat, in bytes.
@@ -176,7 +178,9 @@
     /// Whether `vm` was heard lately.
     pub fn is_alive(&self, now: BootMs, vm: &VmId) -> bool {
         let heard_ms = self.members.get(vm).and_then(|member| member.heard_ms);
-        heard_ms.is_some_and(|heard| now.since(heard) < self.heartbeat_ms * MISSED_HEARTBEATS)
+        heard_ms.is_some_and(|heard| {
+            now.since(heard) < self.heartbeat_ms.max(MIN_HEARTBEAT_MS) * MISSED_HEARTBEATS
+        })
     }
 
     /// Whether any other VM was heard lately.
@@ -204,7 +208,7 @@
             let known: BTreeSet<_> = self.members.values().map(|m| m.peer.address).collect();
             targets.extend(self.seeds.iter().filter(|seed| alone || !known.contains(seed)));
         }
-        self.heartbeat_ms = heartbeat_ms;
+        self.heartbeat_ms = if alone { ALONE_HEARTBEAT_MS } else { heartbeat_ms };
         targets.into_iter().collect()
     }
 
