"Not run" is said only of requests that ran nowhere

Found by reading: a generation that was sent and got no answer until its deadline was refused 503 no_room, not_run; a read that was lost and found no second endpoint likewise. A send counts as a possible run from before it is made until the endpoint says otherwise.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -231,12 +231,13 @@
                     };
                 };
                 let found = state.endpoints.get(endpoint);
-                let cold = found.is_some_and(|found| found.cold_until_ms > now);
-                let vms = state.members.all_vms();
+                let is_cold = found.is_some_and(|found| found.cold_until_ms > now);
                 let per_s = self.service.cold_per_s;
-                let me = &self.context.settings.vm;
-                let bears = per_s <= 0.0 || state.warmups.take(now, endpoint, per_s, me, &vms);
-                if !cold || bears {
+                if !is_cold || per_s <= 0.0 {
+                    return placement;
+                }
+                let vms = state.members.all_vms();
+                if state.warmups.take(now, endpoint, per_s, &self.context.settings.vm, &vms) {
                     return placement;
                 }
                 avoid.insert(endpoint.clone());
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -76,7 +76,7 @@
     endpoint: EndpointId,
     address: SocketAddr,
     source: RunSource,
-    _occupied: Occupied,
+    occupied: Occupied,
 }
 
 /// A run at an engine.
@@ -291,6 +291,10 @@
         );
     }
 
+    fn is_leaving(&self, endpoint: &EndpointId) -> bool {
+        self.call.context.with(|state| state.endpoints.is_leaving(endpoint))
+    }
+
     fn takes_work(&self, endpoint: &EndpointId) -> bool {
         self.call.context.with(|state| state.endpoints.takes_work(endpoint))
     }
@@ -310,9 +314,9 @@
                     return Attempt::NotRun;
                 };
                 let occupied = self.call.context.occupy(&backup.endpoint, self.call.load());
-                let Backup { endpoint, address, source, _occupied } = backup;
+                let Backup { endpoint, address, source, occupied: copy } = backup;
                 let placed = Placed { endpoint, address, connection, occupied };
-                (placed, Some(source), Some(_occupied))
+                (placed, Some(source), Some(copy))
             }
         };
         let backup = self.choose_backup(&placed.endpoint);
@@ -322,6 +326,8 @@
             last_event: self.sequence.last(),
         };
         self.sends += 1;
+        // Until the endpoint says otherwise it may have run there, also if time runs out meanwhile.
+        self.endpoints_used += 1;
         let Placed { endpoint, address, connection, occupied } = placed;
         self.last_endpoint = Some(endpoint.clone());
         let sent = self.call.send(connection, &endpoint, plan).await;
@@ -331,7 +337,6 @@
             Err(err) => {
                 info!(request = self.call.id(), endpoint = endpoint.as_str(), error:% = err;
                     "engine gave no answer");
-                self.endpoints_used += 1;
                 self.on_break(&endpoint);
                 return Attempt::Lost(backup);
             }
@@ -342,28 +347,28 @@
             elapsed_ms = boot_now().since(self.call.arrived_ms);
             "engine answered");
         match kind {
-            AnswerKind::Success => {
-                self.endpoints_used += 1;
-                Attempt::Running(Box::new(Run {
-                    endpoint,
-                    address,
-                    answer,
-                    events: EventReader::default(),
-                    backup,
-                    heard_at: Instant::now(),
-                    noticed: false,
-                    occupied,
-                }))
-            }
+            AnswerKind::Success => Attempt::Running(Box::new(Run {
+                endpoint,
+                address,
+                answer,
+                events: EventReader::default(),
+                backup,
+                heard_at: Instant::now(),
+                noticed: false,
+                occupied,
+            })),
             // It has no such copy, but it may still take the generation anew.
-            AnswerKind::NotRun if source.is_some() => Attempt::NotRun,
+            AnswerKind::NotRun if source.is_some() => {
+                self.endpoints_used -= 1;
+                Attempt::NotRun
+            }
             AnswerKind::NotRun | AnswerKind::WrongEndpoint => {
+                self.endpoints_used -= 1;
                 self.call.context.observe(&endpoint, Outcome::Rejected);
                 self.avoid.insert(endpoint);
                 Attempt::NotRun
             }
             AnswerKind::Failure => {
-                self.endpoints_used += 1;
                 self.call.context.observe(&endpoint, Outcome::Error);
                 match answer.read_all(MAX_FAILURE_BYTES).await {
                     Ok(body) if !self.call.may_repeat() => Attempt::Failed(pass_on(&answer, body)),
@@ -377,7 +382,6 @@
                 }
             }
             AnswerKind::Foreign => {
-                self.endpoints_used += 1;
                 self.on_break(&endpoint);
                 Attempt::Lost(backup)
             }
@@ -421,7 +425,7 @@
         })?;
         let source = RunSource { address, name: request_id.to_string() };
         let occupied = context.occupy(&endpoint, self.backup_load());
-        Some(Backup { endpoint, address, source, _occupied: occupied })
+        Some(Backup { endpoint, address, source, occupied })
     }
 
     /// Passes events on until the run is complete or lost.
@@ -458,7 +462,7 @@
                             let source = RunSource { address: run.address, name: copy.handle };
                             let CopyTarget { endpoint, address, occupied } = target;
                             run.backup =
-                                Some(Backup { endpoint, address, source, _occupied: occupied });
+                                Some(Backup { endpoint, address, source, occupied });
                             run.noticed = false;
                         }
                         Err(error) => {
@@ -479,7 +483,7 @@
                     return Pumped::Lost(Loss::Silent, run.backup);
                 }
             }
-            if run.noticed || !self.must_leave(&run) || copying.is_some() {
+            if run.noticed || !self.is_leaving(&run.endpoint) || copying.is_some() {
                 continue;
             }
             run.noticed = true;
@@ -524,21 +528,6 @@
         }
     }
 
-    /// Whether the engine announced that it leaves, or its entry is gone.
-    fn must_leave(&self, run: &Run) -> bool {
-        self.call.context.with(|state| {
-            let zone_out = |endpoint: &gypsumchute_routing::endpoints::Endpoint| {
-                state.endpoints.zone_is_out(&endpoint.entry.zone)
-            };
-            match state.endpoints.get(&run.endpoint) {
-                // An engine in a zone that is taken out may finish what it has.
-                Some(endpoint) if zone_out(endpoint) => endpoint.entry.leaving,
-                Some(_) => !state.endpoints.takes_work(&run.endpoint),
-                None => true,
-            }
-        })
-    }
-
     fn start_copy(&self, run: &Run) -> Option<Copying> {
         let context = &self.call.context;
         let request_id: RequestId = self.call.caller.request_id.clone()?;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -59,7 +59,7 @@
         loop {
             let placed = match self.call.find_endpoint(&self.avoid).await {
                 Ok(placed) => placed,
-                Err(refusal) => return failure.unwrap_or_else(|| self.refuse(refusal)),
+                Err(refusal) => return failure.unwrap_or_else(|| self.give_up(refusal)),
             };
             let endpoint = placed.endpoint.clone();
             self.last = Some(endpoint.clone());
@@ -76,17 +76,14 @@
                 Sent::NotRun => {
                     let typical_ms = self.call.route.target_ms;
                     let refusal = self.call.refuse_until(RefusalReason::NoRoom, typical_ms);
-                    return failure.unwrap_or_else(|| self.refuse(refusal));
+                    return failure.unwrap_or_else(|| self.give_up(refusal));
                 }
                 Sent::Lost(reason) if !self.may_run_again() => return self.lost(reason),
                 Sent::Lost(reason) => reason.into(),
             };
             if !self.call.context.take_retry(&self.call.service.id, retry_reason) {
                 let refusal = self.call.refuse_until(RefusalReason::NoRoom, 1_000);
-                return failure.unwrap_or_else(|| match self.runs {
-                    0 => self.refuse(refusal),
-                    _ => self.lost(RefusalReason::EndpointLost),
-                });
+                return failure.unwrap_or_else(|| self.give_up(refusal));
             }
             info!(request = self.call.id(), endpoint = self.last.as_ref().map_or("-", EndpointId::as_str),
                 reason = retry_reason, left_ms = self.call.left_ms(); "request is sent once more");
@@ -139,6 +136,14 @@
         sent
     }
 
+    /// Ends a request for which no endpoint is left: with `refusal` only if it has run nowhere.
+    fn give_up(&self, refusal: Refusal) -> Reply {
+        match self.runs {
+            0 => self.refuse(refusal),
+            _ => self.lost(RefusalReason::EndpointLost),
+        }
+    }
+
     fn refuse(&self, refusal: Refusal) -> Reply {
         self.call.context.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
         reply::refuse(refusal)
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -161,3 +161,13 @@
     let reply = stream.finish();
     assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(60)));
 }
+
+#[test]
+fn a_generation_that_was_sent_and_got_no_answer_is_not_said_not_to_have_run() {
+    let (set, engines) = Set::start(two_engines);
+    engines.iter().for_each(|engine| engine.set(Behaviour::Hangs));
+    let caller = generation("surveys", "r1").header("X-Deadline-Ms", "600");
+    let reply = caller.call(set.daemon.address());
+    assert_eq!((reply.status, set.world.arrivals().len()), (504, 1));
+    assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+}
--- a/crates/daemon/tests/testsuite/plain.rs
+++ b/crates/daemon/tests/testsuite/plain.rs
@@ -131,3 +131,15 @@
     assert_eq!(order("r4").body(&large).call(address).status, 413);
     assert_eq!(runs(&set), 0);
 }
+
+#[test]
+fn a_read_that_was_lost_is_not_said_not_to_have_run_when_nothing_else_is_left() {
+    let (set, endpoints) = Set::start(services([Behaviour::Loses; 2]));
+    set.store.delete(&format!("servers/{}", endpoints[1].id));
+    eventually("one endpoint to be left", || {
+        let reply = read("r1").call(set.daemon.address());
+        let alone = set.world.arrivals().iter().rev().take(2).all(|a| a.endpoint == "book-1");
+        assert_eq!(reply.status, 502, "{}", reply.body);
+        alone
+    });
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -5,7 +5,8 @@
 //! connection stops the endpoint's work. It costs one round trip within an availability zone.
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -64,6 +65,11 @@
             from()
             display("the connection failed: {}", err)
         }
+        /// It is no proper request: nothing was sent.
+        Request(err: http::Error) {
+            from()
+            display("no proper request: {}", err)
+        }
         /// The time for it is over.
         TimedOut {
             display("no answer in time")
@@ -184,6 +190,22 @@
     }
 }
 
+/// A request of the system's own to `address`.
+///
+/// # Errors
+///
+/// `path` can't stand in a request.
+pub fn own_request(
+    method: Method,
+    path: &str,
+    address: SocketAddr,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, ExchangeError> {
+    let host = address.to_string();
+    let request = Request::builder().method(method).uri(path).header(HOST, host);
+    Ok(request.header(CONTENT_TYPE, "application/json").body(Full::new(body))?)
+}
+
 /// Sends `request` to `address` and reads the whole answer, all within `limit_ms`.
 ///
 /// # Errors
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -137,6 +137,11 @@
         })
     }
 
+    /// Whether `id` ends soon or is gone. What runs in a zone that is taken out may stay there.
+    pub fn is_leaving(&self, id: &EndpointId) -> bool {
+        self.by_id.get(id).is_none_or(|endpoint| endpoint.state == EndpointState::Leaving)
+    }
+
     /// Endpoints of `service` that may get new requests. Those in doubt are among them only if
     /// there are no others.
     pub fn candidates(&self, service: &ServiceId) -> Vec<&Endpoint> {
