--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -141,6 +141,12 @@
         (self.shutdown_grace_s * 1_000.0) as u64
     }
 
+    /// The seeds with the port on which all daemons hear each other.
+    pub fn peer_seeds(&self) -> Vec<SocketAddrV4> {
+        let port = self.peers_listen.port();
+        self.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect()
+    }
+
     /// Length of the window in which retries are counted, in ms.
     pub fn retry_window_ms(&self) -> u64 {
         (self.retry_window_s * 1_000.0) as u64
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -115,12 +115,6 @@
             zone: settings.zone.clone(),
             address: settings.peers_listen,
         };
-        let port = settings.peers_listen.port();
-        let seeds = settings.seeds.iter().map(|seed| {
-            let mut seed = *seed;
-            seed.set_port(port);
-            seed
-        });
         let state = State {
             table: None,
             endpoints: Endpoints::default(),
@@ -130,7 +124,7 @@
             warmups: Warmups::default(),
             poison: Poison::new(MAX_CRASHES),
             waiting: WaitingRoom::default(),
-            members: Members::new(boot_now(), me, seeds.collect()),
+            members: Members::new(boot_now(), me, settings.peer_seeds()),
             silent_zones: BTreeSet::new(),
             heard_late: BTreeSet::new(),
             copy: StoreCopy::default(),
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -3,34 +3,30 @@
 //! Each one is a task of its own, which ends when the caller has gone. What reaches the caller is
 //! one stream with the headers of its first run, whichever engines it went on at.
 
+mod pump;
+mod run;
+
+use self::run::{Attempt, Backup, End, Outlet, Pumped, Run, Step};
 use crate::call::{Call, Placed, SendPlan};
-use crate::context::Occupied;
 use crate::events::{EventError, EventReader, Sequence, Turn};
 use crate::plain::pass_on;
 use crate::reply::{self, BrokenOff, Reply, ReplyBody};
-use bytes::Bytes;
-use gypsumchute_exchange::{Answer, Connection, Patience};
-use gypsumchute_platform::endpoints::{CopyError, RunCopy, copy_run};
+use gypsumchute_exchange::{Connection, Patience};
 use gypsumchute_platform::{AnswerKind, RunSource, endpoints};
 use gypsumchute_routing::continuity::{Loss, Next, RunState, next_step};
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Outcome;
-use gypsumchute_routing::placement::{
-    Demand, Placement, deserves_backup, place_backup, place_copy,
-};
+use gypsumchute_routing::placement::{Demand, deserves_backup, place_backup};
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, Refusal, RefusalReason, RequestId};
+use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use http::Response;
-use http::response::Parts;
 use log::info;
 use std::collections::BTreeSet;
-use std::future::{Future, pending};
-use std::net::SocketAddr;
-use std::pin::Pin;
+use std::future::pending;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Events that may wait for a caller who reads slowly.
 const EVENTS_AHEAD: usize = 256;
@@ -38,19 +34,8 @@
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 /// Longest time to connect to an engine that holds a copy, in ms.
 const CONNECT_TO_COPY_MS: u64 = 250;
-/// Longest wait for an engine to go on from a copy while the old run still works, in ms. Two runs
-/// at once must end well before 400 ms.
-const OVERLAP_MS: u64 = 250;
-/// Longest time in which a run's memory is copied, in ms: engines leave within seconds.
-const COPY_MS: u64 = 4_000;
-/// A stream that pauses so many times its route's longest good pause has lost its engine.
-const SILENT_PAUSES: u64 = 4;
-/// What is added to a route's target before an engine that has sent no event counts as silent.
-const FIRST_EVENT_SLACK_MS: u64 = 700;
 /// Sends that engines may turn down before a generation is refused.
 const MAX_REJECTIONS: u32 = 3;
-/// Engines that may be asked to take a run in before it stays where it is.
-const MAX_COPY_TRIES: u32 = 3;
 
 /// Takes `call` to an engine and returns the caller's answer, whose body is still to come.
 pub async fn answer(call: Call) -> Reply {
@@ -65,77 +50,6 @@
     }
 }
 
-/// The way to the caller.
-struct Outlet {
-    head: Option<oneshot::Sender<Result<Parts, Reply>>>,
-    events: mpsc::Sender<Result<Bytes, BrokenOff>>,
-}
-
-/// A copy of a run's memory from which it can go on.
-struct Backup {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    source: RunSource,
-    occupied: Occupied,
-}
-
-/// A run at an engine.
-struct Run {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    answer: Answer,
-    events: EventReader,
-    backup: Option<Backup>,
-    heard_at: Instant,
-    noticed: bool,
-    occupied: Occupied,
-}
-
-/// How to begin or go on.
-enum Step {
-    /// At an engine with room, reading the prompt.
-    Place,
-    /// At the engine that holds a copy.
-    FromBackup(Backup),
-}
-
-/// What came of a [`Step`].
-enum Attempt {
-    Running(Box<Run>),
-    /// The engine turned it down.
-    NotRun,
-    /// It may have begun there.
-    Lost(Option<Backup>),
-    /// It looked for an engine in vain.
-    Refused(Refusal),
-    /// The engine answered with a failure of its own.
-    Failed(Reply),
-}
-
-/// How a generation ended.
-enum End {
-    Complete,
-    CallerLeft,
-    TimedOut,
-    Refused(Refusal),
-    Failed(Reply),
-}
-
-/// Why a run is not pumped any further.
-enum Pumped {
-    Complete,
-    Lost(Loss, Option<Backup>),
-}
-
-type Copying = Pin<Box<dyn Future<Output = (CopyTarget, Result<RunCopy, CopyError>)>>>;
-
-/// The engine that takes a run in.
-struct CopyTarget {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    occupied: Occupied,
-}
-
 struct Generation {
     call: Call,
     outlet: Outlet,
@@ -428,138 +342,6 @@
         Some(Backup { endpoint, address, source, occupied })
     }
 
-    /// Passes events on until the run is complete or lost.
-    async fn pump(&mut self, mut run: Run) -> Pumped {
-        let mut registry = self.call.context.registry_changes();
-        let mut copying: Option<Copying> = None;
-        let mut copy_tries = 0;
-        loop {
-            let silent_at = self.silent_at(&run);
-            tokio::select! {
-                piece = run.answer.next_piece() => {
-                    let piece = piece.map_err(|err| err.to_string());
-                    let delivered = match piece {
-                        Ok(Some(piece)) => self.deliver(&mut run, &piece).await,
-                        Ok(None) if run.events.has_rest() => Err("an event without its end".into()),
-                        Ok(None) => {
-                            self.call.context.observe(&run.endpoint, Outcome::Answered);
-                            return Pumped::Complete;
-                        }
-                        Err(err) => Err(err),
-                    };
-                    if let Err(error) = delivered {
-                        info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
-                            error = error.as_str(), events = self.delivered; "stream broke off");
-                        self.on_break(&run.endpoint);
-                        return Pumped::Lost(Loss::Broken, run.backup);
-                    }
-                }
-                _ = registry.changed(), if !run.noticed => {}
-                (target, result) = in_progress(&mut copying) => {
-                    copying = None;
-                    match result {
-                        Ok(copy) => {
-                            let source = RunSource { address: run.address, name: copy.handle };
-                            let CopyTarget { endpoint, address, occupied } = target;
-                            run.backup =
-                                Some(Backup { endpoint, address, source, occupied });
-                            run.noticed = false;
-                        }
-                        Err(error) => {
-                            info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
-                                to = target.endpoint.as_str(), error:% = error; "run was not copied");
-                            self.avoid.insert(target.endpoint);
-                            run.noticed = copy_tries >= MAX_COPY_TRIES;
-                        }
-                    }
-                }
-                () = at(silent_at) => {
-                    // The place to go on may have gone at the same moment.
-                    if self.silent_at(&run).is_none() {
-                        continue;
-                    }
-                    self.call.context.observe(&run.endpoint, Outcome::Silent);
-                    self.avoid.insert(run.endpoint.clone());
-                    return Pumped::Lost(Loss::Silent, run.backup);
-                }
-            }
-            if run.noticed || !self.is_leaving(&run.endpoint) || copying.is_some() {
-                continue;
-            }
-            run.noticed = true;
-            let backup = run.backup.take().filter(|backup| self.takes_work(&backup.endpoint));
-            let next = next_step(Loss::Leaving, self.run_state(backup.is_some()));
-            self.log_next(Loss::Leaving, next);
-            match (next, backup) {
-                (Next::FromBackup, Some(backup)) => match self.hand_over(run, backup).await {
-                    Ok(next_run) => run = *next_run,
-                    Err(pumped) => return pumped,
-                },
-                (Next::Move, _) if copy_tries < MAX_COPY_TRIES => {
-                    copy_tries += 1;
-                    copying = self.start_copy(&run);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Goes on from `backup`. The old run is kept until the new one has begun, unless that takes
-    /// so long that both might work.
-    async fn hand_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, Pumped> {
-        let mut attempt = Box::pin(self.attempt(Step::FromBackup(backup)));
-        let in_time = timeout(Duration::from_millis(OVERLAP_MS), attempt.as_mut()).await;
-        let (attempt, old) = match in_time {
-            Ok(attempt) => (attempt, Some(run)),
-            Err(_) => {
-                drop(run);
-                (attempt.await, None)
-            }
-        };
-        match (attempt, old) {
-            (Attempt::Running(next_run), _) => Ok(next_run),
-            // It goes on where it is; its memory may still be copied.
-            (_, Some(mut run)) => {
-                run.noticed = false;
-                Ok(Box::new(run))
-            }
-            (Attempt::Lost(backup), None) => Err(Pumped::Lost(Loss::Broken, backup)),
-            (_, None) => Err(Pumped::Lost(Loss::Broken, None)),
-        }
-    }
-
-    fn start_copy(&self, run: &Run) -> Option<Copying> {
-        let context = &self.call.context;
-        let request_id: RequestId = self.call.caller.request_id.clone()?;
-        let placement = context.with(|state| {
-            let fleet = state.fleet(&context.settings);
-            place_copy(boot_now(), fleet, self.demand(), &run.endpoint)
-        });
-        let Placement::At(endpoint) = placement else { return None };
-        let address =
-            context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address))?;
-        let occupied = context.occupy(&endpoint, self.backup_load());
-        let target = CopyTarget { endpoint, address, occupied };
-        let from = run.address;
-        Some(Box::pin(async move {
-            let result = copy_run(from, target.address, &request_id, false, COPY_MS).await;
-            (target, result)
-        }))
-    }
-
-    /// When the run counts as silent, if it can go on elsewhere now.
-    fn silent_at(&self, run: &Run) -> Option<Instant> {
-        let backup = run.backup.as_ref();
-        let has_backup = backup.is_some_and(|backup| self.takes_work(&backup.endpoint));
-        let next = next_step(Loss::Silent, self.run_state(has_backup));
-        let limit_ms = match (next, self.delivered) {
-            (Next::Stay | Next::GiveUp | Next::Move, _) => return None,
-            (_, 0) => self.call.route.target_ms + FIRST_EVENT_SLACK_MS,
-            _ => self.call.route.pause_target_ms * SILENT_PAUSES,
-        };
-        Some(run.heard_at + Duration::from_millis(limit_ms))
-    }
-
     async fn deliver(&mut self, run: &mut Run, piece: &[u8]) -> Result<(), String> {
         run.events.push(piece);
         while let Some(event) = run.events.next_event().map_err(|err| err.to_string())? {
@@ -593,17 +375,3 @@
         drop(head.send(Ok(parts)));
     }
 }
-
-async fn in_progress(copying: &mut Option<Copying>) -> (CopyTarget, Result<RunCopy, CopyError>) {
-    match copying {
-        Some(copying) => copying.await,
-        None => pending().await,
-    }
-}
-
-async fn at(time: Option<Instant>) {
-    match time {
-        Some(time) => sleep_until(time).await,
-        None => pending().await,
-    }
-}
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,45 +1,28 @@
-//! What daemons of different VMs tell each other: heartbeats over UDP, and over TCP what a VM
-//! missed of the platform's changes.
+//! Datagrams between daemons of different VMs: heartbeats, and notes of loads that changed.
 
 use crate::context::{CRASH_KEEP_MS, Context};
-use crate::knowledge::{Source, take_changes, take_listing};
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
-use gypsumchute_exchange::{Patience, bound_silence};
+use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
 use gypsumchute_fleet::messages::{
-    Crash, Datagram, EndpointLoad, Heartbeat, Item, LoadNote, Member, PullReply, PullRequest,
-    datagram::Body,
+    Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
 };
-use gypsumchute_fleet::{PeerAddress, StoreItem};
 use gypsumchute_routing::load::Load;
 use gypsumchute_units::EndpointId;
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
 use prost::Message;
-use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
-/// Largest frame over TCP, in bytes: a configuration of 1 MB and a registry of thousands.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Pause after a datagram could not be received, in ms.
+const RECEIVE_PAUSE_MS: u64 = 40;
 /// Shortest time between two heartbeats that go out before their time, for each VM they go to.
 const URGENT_GAP_MS_PER_TARGET: u64 = 12;
-/// Longest time to fetch changes from another VM, in ms.
-const PULL_MS: u64 = 1_000;
-/// How often a VM looks whether another one knows more, in ms.
-const PULL_LOOK_MS: u64 = 40;
-/// How often silent VMs and old loads are forgotten, in ms.
-const EXPIRE_MS: u64 = 500;
-
-type Channel = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Sends heartbeats for as long as the process lives.
 pub async fn send_heartbeats(context: Rc<Context>, socket: Rc<UdpSocket>) {
@@ -68,7 +51,7 @@
             Err(err) => {
                 // Some systems report here that an earlier datagram found no listener.
                 warn!(error:% = err; "no datagram could be received");
-                sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+                sleep(Duration::from_millis(RECEIVE_PAUSE_MS)).await;
                 continue;
             }
         };
@@ -255,151 +238,3 @@
         send_all(context, socket, answer, &[peer.address]).await;
     }
 }
-
-/// Fetches what other VMs know and this one missed, for as long as the process lives.
-pub async fn pull_changes(context: Rc<Context>) {
-    let mut expire_at = Instant::now();
-    loop {
-        sleep(Duration::from_millis(PULL_LOOK_MS)).await;
-        let now = boot_now();
-        watch_zones(&context);
-        if expire_at <= Instant::now() {
-            expire_at = Instant::now() + Duration::from_millis(EXPIRE_MS);
-            expire(&context);
-        }
-        let revision = context.with(|state| state.copy.revision());
-        let ahead = context.with(|state| state.members.ahead_of(now, revision));
-        let Some(peer) = ahead else { continue };
-        match timeout(Duration::from_millis(PULL_MS), pull(&peer, revision)).await {
-            Ok(Ok(reply)) => take_reply(&context, &peer, reply),
-            Ok(Err(err)) => {
-                info!(vm = peer.vm.as_str(), error:% = err; "changes could not be fetched");
-            }
-            Err(_) => info!(vm = peer.vm.as_str(); "changes could not be fetched in time"),
-        }
-    }
-}
-
-/// Notes which zones fell silent or are heard again.
-fn watch_zones(context: &Context) {
-    let now = boot_now();
-    let (before, silent) = context.with(|state| {
-        let silent = state.members.silent_zones(now);
-        (std::mem::replace(&mut state.silent_zones, silent.clone()), silent)
-    });
-    for zone in silent.difference(&before) {
-        info!(zone = zone.as_str(); "zone fell silent");
-    }
-    for zone in before.difference(&silent) {
-        info!(zone = zone.as_str(); "zone is heard again");
-    }
-}
-
-/// Notes whose load is heard late. Once each half second is enough: it follows from who is there.
-fn note_heard_late(context: &Context) {
-    let now = boot_now();
-    context.with(|state| {
-        let home = &context.settings.zone;
-        let near = state.endpoints.iter().filter(|endpoint| endpoint.entry.zone == *home);
-        let late = near.filter(|e| !state.members.sharers(now, &e.entry.id).includes_me);
-        state.heard_late = late.map(|endpoint| endpoint.entry.id.clone()).collect();
-    });
-}
-
-fn expire(context: &Rc<Context>) {
-    let now = boot_now();
-    note_heard_late(context);
-    let gone = context.with(|state| {
-        state.members.expire(now);
-        state.loads.expire(now);
-        state.poison.on_tick(now);
-        state.retries.expire(now, context.settings.retry_window_ms());
-        let endpoints = &state.endpoints;
-        state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
-        state.endpoints.expire(now)
-    });
-    for endpoint in &gone {
-        info!(endpoint = endpoint.as_str(); "endpoint in doubt is taken for gone");
-    }
-    if !gone.is_empty() {
-        context.notify_published();
-    }
-}
-
-fn take_reply(context: &Rc<Context>, peer: &PeerAddress, reply: PullReply) {
-    info!(vm = peer.vm.as_str(), revision = reply.revision, whole = reply.whole,
-        items = reply.items.len(); "changes fetched from another VM");
-    let items = reply.items.into_iter().map(|item| StoreItem {
-        key: item.key,
-        revision: item.revision,
-        value: item.value.map(Bytes::from),
-    });
-    let items = items.collect();
-    context.with(|state| {
-        if state.members.reads_platform(&peer.vm) {
-            state.store_heard_ms = Some(boot_now());
-        }
-    });
-    match reply.whole {
-        true => take_listing(context, Source::Peer, reply.revision, items),
-        false => take_changes(context, Source::Peer, reply.revision, items),
-    }
-}
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
-}
-
-async fn write_message(framed: &mut Channel, message: &impl Message) -> io::Result<()> {
-    framed.send(Bytes::from(message.encode_to_vec())).await
-}
-
-async fn read_message<M: Message + Default>(framed: &mut Channel) -> io::Result<M> {
-    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    M::decode(frame).map_err(io::Error::other)
-}
-
-async fn pull(peer: &PeerAddress, after_revision: u64) -> io::Result<PullReply> {
-    let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
-    bound_silence(&stream, Patience::Short)?;
-    let mut framed = Framed::new(stream, codec());
-    write_message(&mut framed, &PullRequest { after_revision }).await?;
-    read_message(&mut framed).await
-}
-
-/// Answers other VMs that fetch changes, for as long as the process lives.
-pub async fn serve_pulls(context: Rc<Context>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let context = context.clone();
-                spawn_local(async move {
-                    let answered = timeout(Duration::from_millis(PULL_MS), serve(context, stream));
-                    match answered.await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(err)) => info!(error:% = err; "a VM could not fetch changes"),
-                        Err(_) => info!("a VM fetched changes too slowly"),
-                    }
-                });
-            }
-            Err(err) => {
-                warn!(error:% = err; "a VM's connection could not be accepted");
-                sleep(Duration::from_millis(PULL_LOOK_MS)).await;
-            }
-        }
-    }
-}
-
-async fn serve(context: Rc<Context>, stream: TcpStream) -> io::Result<()> {
-    bound_silence(&stream, Patience::Short)?;
-    let mut framed = Framed::new(stream, codec());
-    let request: PullRequest = read_message(&mut framed).await?;
-    let delta = context.with(|state| state.copy.delta(request.after_revision));
-    let items = delta.items.into_iter().map(|item| Item {
-        key: item.key,
-        revision: item.revision,
-        value: item.value.map(|value| value.to_vec()),
-    });
-    let reply = PullReply { revision: delta.revision, whole: delta.whole, items: items.collect() };
-    write_message(&mut framed, &reply).await
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,8 +6,10 @@
 //! - [`front`] takes callers' connections, [`call`] is one request of theirs;
 //! - [`plain`] and [`generation`] take it to endpoints;
 //! - [`knowledge`] takes in what the platform published, which [`store_reader`] reads and
-//!   [`gossip`] passes on between VMs, and what [`notices`] hears from endpoints themselves;
-//! - [`http_service`] shows readiness and metrics, [`process`] starts and ends it all.
+//!   [`pulls`] passes on between VMs, and what [`notices`] hears from endpoints themselves;
+//! - [`gossip`] tells other VMs what runs where; [`upkeep`] forgets what is old;
+//! - [`http_service`] shows readiness and metrics, [`process`] starts and ends it all,
+//!   [`reload`] takes in changed settings.
 
 pub mod call;
 pub mod context;
@@ -20,5 +22,8 @@
 pub mod notices;
 pub mod plain;
 pub mod process;
+pub mod pulls;
+pub mod reload;
 pub mod reply;
 pub mod store_reader;
+pub mod upkeep;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon's tasks and ends them without cutting requests.
 
 use crate::context::Context;
-use crate::{front, gossip, http_service, notices, store_reader};
+use crate::{front, gossip, http_service, notices, pulls, reload, store_reader, upkeep};
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_platform::READINESS_PATH;
 use gypsumchute_units::time::boot_now;
@@ -10,6 +10,7 @@
 use quick_error::quick_error;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
@@ -49,11 +50,13 @@
 /// # Errors
 ///
 /// It could not start.
-pub fn run(settings: DaemonSettings) -> Result<(), StartError> {
+pub fn run(path: &Path, settings: DaemonSettings) -> Result<(), StartError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let terminated = terminated()?;
-        serve(settings, terminated).await
+        let context = Context::new(settings);
+        spawn_local(reload::run(context.clone(), path.to_owned(), signal(SignalKind::hangup())?));
+        serve(context, terminated).await
     })
 }
 
@@ -67,26 +70,17 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, stop))
+    LocalSet::new().block_on(&runtime, async { serve(Context::new(settings), stop).await })
 }
 
 fn terminated() -> io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
     Ok(async move {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => return,
-                _ = reload.recv() => {
-                    info!("settings reloaded; addresses and names stay until a restart");
-                }
-            }
-        }
+        terminate.recv().await;
     })
 }
 
-async fn serve(settings: DaemonSettings, stop: impl Future<Output = ()>) -> Result<(), StartError> {
-    let context = Context::new(settings);
+async fn serve(context: Rc<Context>, stop: impl Future<Output = ()>) -> Result<(), StartError> {
     let settings = &context.settings;
     let callers = bind("callers", settings.callers_listen).await?;
     let readiness = bind("readiness", settings.readiness_listen).await?;
@@ -103,8 +97,9 @@
     spawn_local(gossip::send_heartbeats(context.clone(), datagrams.clone()));
     spawn_local(gossip::send_notes(context.clone(), datagrams.clone()));
     spawn_local(gossip::hear_heartbeats(context.clone(), datagrams.clone()));
-    spawn_local(gossip::pull_changes(context.clone()));
-    spawn_local(gossip::serve_pulls(context.clone(), peers));
+    spawn_local(pulls::pull_changes(context.clone()));
+    spawn_local(pulls::serve_pulls(context.clone(), peers));
+    spawn_local(upkeep::run(context.clone()));
     spawn_local(notices::run(context.clone()));
     spawn_local(front::serve(context.clone(), callers));
     let shown = context.clone();
--- /dev/null
+++ b/crates/daemon/src/pulls.rs
@@ -0,0 +1,125 @@
+//! What a VM missed of the platform's changes, fetched from another VM over TCP.
+
+use crate::context::Context;
+use crate::knowledge::{Source, take_changes, take_listing};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use gypsumchute_exchange::{Patience, bound_silence};
+use gypsumchute_fleet::messages::{Item, PullReply, PullRequest};
+use gypsumchute_fleet::{PeerAddress, StoreItem};
+use gypsumchute_units::time::boot_now;
+use log::{info, warn};
+use prost::Message;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Largest frame over TCP, in bytes: a configuration of 1 MB and a registry of thousands.
+const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Longest time to fetch changes from another VM, in ms.
+const PULL_MS: u64 = 1_000;
+/// How often a VM looks whether another one knows more, in ms.
+const PULL_LOOK_MS: u64 = 40;
+
+type Channel = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Fetches what other VMs know and this one missed, for as long as the process lives.
+pub async fn pull_changes(context: Rc<Context>) {
+    loop {
+        sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+        let now = boot_now();
+        let revision = context.with(|state| state.copy.revision());
+        let ahead = context.with(|state| state.members.ahead_of(now, revision));
+        let Some(peer) = ahead else { continue };
+        match timeout(Duration::from_millis(PULL_MS), pull(&peer, revision)).await {
+            Ok(Ok(reply)) => take_reply(&context, &peer, reply),
+            Ok(Err(err)) => {
+                info!(vm = peer.vm.as_str(), error:% = err; "changes could not be fetched");
+            }
+            Err(_) => info!(vm = peer.vm.as_str(); "changes could not be fetched in time"),
+        }
+    }
+}
+
+fn take_reply(context: &Rc<Context>, peer: &PeerAddress, reply: PullReply) {
+    info!(vm = peer.vm.as_str(), revision = reply.revision, whole = reply.whole,
+        items = reply.items.len(); "changes fetched from another VM");
+    let items = reply.items.into_iter().map(|item| StoreItem {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.map(Bytes::from),
+    });
+    let items = items.collect();
+    context.with(|state| {
+        if state.members.reads_platform(&peer.vm) {
+            state.store_heard_ms = Some(boot_now());
+        }
+    });
+    match reply.whole {
+        true => take_listing(context, Source::Peer, reply.revision, items),
+        false => take_changes(context, Source::Peer, reply.revision, items),
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+async fn write_message(framed: &mut Channel, message: &impl Message) -> io::Result<()> {
+    framed.send(Bytes::from(message.encode_to_vec())).await
+}
+
+async fn read_message<M: Message + Default>(framed: &mut Channel) -> io::Result<M> {
+    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    M::decode(frame).map_err(io::Error::other)
+}
+
+async fn pull(peer: &PeerAddress, after_revision: u64) -> io::Result<PullReply> {
+    let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
+    bound_silence(&stream, Patience::Short)?;
+    let mut framed = Framed::new(stream, codec());
+    write_message(&mut framed, &PullRequest { after_revision }).await?;
+    read_message(&mut framed).await
+}
+
+/// Answers other VMs that fetch changes, for as long as the process lives.
+pub async fn serve_pulls(context: Rc<Context>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                spawn_local(async move {
+                    let answered = timeout(Duration::from_millis(PULL_MS), serve(context, stream));
+                    match answered.await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(err)) => info!(error:% = err; "a VM could not fetch changes"),
+                        Err(_) => info!("a VM fetched changes too slowly"),
+                    }
+                });
+            }
+            Err(err) => {
+                warn!(error:% = err; "a VM's connection could not be accepted");
+                sleep(Duration::from_millis(PULL_LOOK_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve(context: Rc<Context>, stream: TcpStream) -> io::Result<()> {
+    bound_silence(&stream, Patience::Short)?;
+    let mut framed = Framed::new(stream, codec());
+    let request: PullRequest = read_message(&mut framed).await?;
+    let delta = context.with(|state| state.copy.delta(request.after_revision));
+    let items = delta.items.into_iter().map(|item| Item {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.map(|value| value.to_vec()),
+    });
+    let reply = PullReply { revision: delta.revision, whole: delta.whole, items: items.collect() };
+    write_message(&mut framed, &reply).await
+}
--- /dev/null
+++ b/crates/daemon/src/upkeep.rs
@@ -0,0 +1,72 @@
+//! What has to be looked at from time to time: who fell silent, and what may be forgotten.
+
+use crate::context::Context;
+use gypsumchute_units::time::boot_now;
+use log::info;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often zones are looked at, in ms.
+const LOOK_MS: u64 = 50;
+/// How often silent VMs and old loads are forgotten, in ms.
+const EXPIRE_MS: u64 = 500;
+
+/// Looks for as long as the process lives.
+pub async fn run(context: Rc<Context>) {
+    let mut expire_ms = boot_now();
+    loop {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+        watch_zones(&context);
+        if expire_ms <= boot_now() {
+            expire_ms = boot_now() + EXPIRE_MS;
+            note_heard_late(&context);
+            expire(&context);
+        }
+    }
+}
+
+/// Notes which zones fell silent or are heard again.
+fn watch_zones(context: &Context) {
+    let now = boot_now();
+    let (before, silent) = context.with(|state| {
+        let silent = state.members.silent_zones(now);
+        (std::mem::replace(&mut state.silent_zones, silent.clone()), silent)
+    });
+    for zone in silent.difference(&before) {
+        info!(zone = zone.as_str(); "zone fell silent");
+    }
+    for zone in before.difference(&silent) {
+        info!(zone = zone.as_str(); "zone is heard again");
+    }
+}
+
+/// Notes whose load is heard late. Once each half second is enough: it follows from who is there.
+fn note_heard_late(context: &Context) {
+    let now = boot_now();
+    context.with(|state| {
+        let home = &context.settings.zone;
+        let near = state.endpoints.iter().filter(|endpoint| endpoint.entry.zone == *home);
+        let late = near.filter(|e| !state.members.sharers(now, &e.entry.id).includes_me);
+        state.heard_late = late.map(|endpoint| endpoint.entry.id.clone()).collect();
+    });
+}
+
+fn expire(context: &Rc<Context>) {
+    let now = boot_now();
+    let gone = context.with(|state| {
+        state.members.expire(now);
+        state.loads.expire(now);
+        state.poison.on_tick(now);
+        state.retries.expire(now, context.settings.retry_window_ms());
+        let endpoints = &state.endpoints;
+        state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
+        state.endpoints.expire(now)
+    });
+    for endpoint in &gone {
+        info!(endpoint = endpoint.as_str(); "endpoint in doubt is taken for gone");
+    }
+    if !gone.is_empty() {
+        context.notify_published();
+    }
+}
--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -28,25 +28,25 @@
 fn a_vm_that_the_store_turns_away_hears_of_changes_from_others() {
     let (served, _away, daemons, _service) = one_served_and_one_turned_away();
     assert_eq!(read(&daemons[1], KEY), 200);
-    served.put("op/config", &configuration(9, &["another-key"]));
+    served.configure(&configuration(9, &["another-key"]));
     let begun = Instant::now();
     for daemon in &daemons {
         eventually("the withdrawal", || read(daemon, KEY) == 401);
         assert_eq!(read(daemon, "another-key"), 200);
     }
     assert!(begun.elapsed() < Duration::from_millis(1_500), "{:?}", begun.elapsed());
-    served.put("op/evacuate/a", &serde_json::json!({}));
+    served.set_zone_out("a", true);
     eventually("the zone to be out", || read(&daemons[1], "another-key") == 503);
-    served.delete("op/evacuate/a");
+    served.set_zone_out("a", false);
     eventually("the zone to be back", || read(&daemons[1], "another-key") == 200);
 }
 
 #[test]
 fn an_older_configuration_and_a_broken_one_change_nothing() {
     let (served, _away, daemons, _service) = one_served_and_one_turned_away();
-    served.put("op/config", &configuration(6, &["older-key"]));
-    served.put_bytes("op/config", b"{ not json");
-    served.put("op/evacuate/b", &serde_json::json!({}));
+    served.configure(&configuration(6, &["older-key"]));
+    served.configure(&"not a configuration".into());
+    served.set_zone_out("b", true);
     std::thread::sleep(Duration::from_millis(500));
     for daemon in &daemons {
         assert_eq!((read(daemon, KEY), read(daemon, "older-key")), (200, 401));
@@ -98,7 +98,7 @@
         assert_eq!(other.finish().body, whole_stream(20));
         let arrivals = world.arrivals();
         let at = |id: &String| {
-            let found = arrivals.iter().find(|a| a.header("x-attempt-id") == id);
+            let found = arrivals.iter().find(|a| a.request_id() == id);
             found.expect("an arrival").endpoint.clone()
         };
         assert_ne!(at(&ids[0]), at(&ids[1]), "round {round}");
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -28,10 +28,10 @@
     let arrivals = set.world.arrivals();
     let arrival = &arrivals[0];
     assert_eq!(arrival.line, "POST /surveys/write");
-    assert_eq!(arrival.header("x-tenant"), "acme");
-    assert_eq!(arrival.header("authorization"), "");
-    assert_eq!(arrival.header("x-token-usage"), "1000,400");
-    assert_eq!(arrival.header("x-expect-replica"), arrival.endpoint);
+    assert_eq!(arrival.customer(), "acme");
+    assert!(!arrival.carries_key());
+    assert_eq!(arrival.token_sizes(), "1000,400");
+    assert_eq!(arrival.expected_endpoint(), arrival.endpoint);
     assert_eq!(reply.headers["x-response-signature"], format!("signed-by-{}", arrival.endpoint));
 }
 
@@ -137,7 +137,7 @@
     let first = stream.next_chunk().expect("a stream").expect("an event");
     let runner = set.ran_at("r1");
     let other = engines.iter().find(|engine| engine.id != runner).expect("another engine");
-    set.store.delete(&format!("servers/{}", other.id));
+    set.store.unregister(&other.id);
     let reply = stream.finish();
     assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(20)));
     assert_eq!(set.ran_at("r1"), runner);
@@ -148,14 +148,14 @@
     let (set, engines) = Set::start(two_engines);
     let slow = Behaviour::Streams { events: 60, pace_ms: 100 };
     engines.iter().for_each(|engine| engine.set(slow));
-    let caller = generation("surveys", "r1").header("X-Deadline-Ms", "20000");
+    let caller = generation("surveys", "r1").patience_ms(20000);
     let mut stream = caller.open(set.daemon.address());
     let first = stream.next_chunk().expect("a stream").expect("an event");
     let runner = set.ran_at("r1");
     assert_eq!(set.world.report_calls(), 0, "nobody is asked while the registry tells");
     set.store_mode(Mode::Busy);
     let away = std::time::Instant::now();
-    set.world.set_report(&runner, serde_json::json!({ "state": "draining", "leaves_ms": 1_500 }));
+    set.world.announce_end(&runner);
     eventually("the move", || set.ran_at("r1") != runner);
     assert!(away.elapsed().as_millis() < 1_500, "engines leave 1.5 s after their notice");
     let reply = stream.finish();
@@ -166,7 +166,7 @@
 fn a_generation_that_was_sent_and_got_no_answer_is_not_said_not_to_have_run() {
     let (set, engines) = Set::start(two_engines);
     engines.iter().for_each(|engine| engine.set(Behaviour::Hangs));
-    let caller = generation("surveys", "r1").header("X-Deadline-Ms", "600");
+    let caller = generation("surveys", "r1").patience_ms(600);
     let reply = caller.call(set.daemon.address());
     assert_eq!((reply.status, set.world.arrivals().len()), (504, 1));
     assert!(reply.body.contains("may_have_run"), "{}", reply.body);
--- a/crates/daemon/tests/testsuite/plain.rs
+++ b/crates/daemon/tests/testsuite/plain.rs
@@ -33,7 +33,7 @@
     assert_eq!((reply.status, reply.whole), (200, true));
     assert_eq!(reply.body, format!("answer of {}", arrival.endpoint));
     assert_eq!(arrival.body, "an order");
-    assert!(arrival.header("x-deadline-ms").parse::<u64>().expect("a number") <= 1_000);
+    assert!(arrival.left_ms().expect("a number") <= 1_000);
 }
 
 #[test]
@@ -90,21 +90,13 @@
 #[test]
 fn what_only_the_system_may_set_is_not_taken_from_callers() {
     let (set, _endpoints) = Set::start(services([Behaviour::Answers; 2]));
-    let caller = read("r1")
-        .header("X-Tenant", "another")
-        .header("X-Hold", "h")
-        .header("X-Pin-Ms", "1")
-        .header("Kv-From", "10.0.0.1:1/x")
-        .header("X-Kv-Backup", "10.0.0.1:1")
-        .header("X-Expect-Replica", "book-9");
+    let caller = read("r1").forge_system_headers();
     assert_eq!(caller.call(set.daemon.address()).status, 200);
     let arrivals = set.world.arrivals();
     let arrival = &arrivals[0];
-    assert_eq!(arrival.header("x-tenant"), "acme");
+    assert_eq!(arrival.customer(), "acme");
     assert_eq!(arrival.line, "GET /reads/week?day=3");
-    for name in ["x-hold", "x-pin-ms", "kv-from", "x-kv-backup", "authorization"] {
-        assert_eq!(arrival.header(name), "", "{name}");
-    }
+    assert!(arrival.forbidden_headers().is_empty(), "{:?}", arrival.forbidden_headers());
 }
 
 #[test]
@@ -135,7 +127,7 @@
 #[test]
 fn a_read_that_was_lost_is_not_said_not_to_have_run_when_nothing_else_is_left() {
     let (set, endpoints) = Set::start(services([Behaviour::Loses; 2]));
-    set.store.delete(&format!("servers/{}", endpoints[1].id));
+    set.store.unregister(&endpoints[1].id);
     eventually("one endpoint to be left", || {
         let reply = read("r1").call(set.daemon.address());
         let alone = set.world.arrivals().iter().rev().take(2).all(|a| a.endpoint == "book-1");
--- a/crates/daemon/tests/testsuite/shutdown.rs
+++ b/crates/daemon/tests/testsuite/shutdown.rs
@@ -10,7 +10,7 @@
         let behaviour = Behaviour::Streams { events: EVENTS, pace_ms: 100 };
         vec![(Endpoint::start(world, "engine-1", behaviour), "engines", "a")]
     });
-    let caller = generation("surveys", "r1").header("X-Deadline-Ms", "20000");
+    let caller = generation("surveys", "r1").patience_ms(20000);
     let mut stream = caller.open(set.daemon.address());
     let first = stream.next_chunk().expect("a stream").expect("an event");
     set.daemon.stop();
@@ -28,14 +28,12 @@
     });
     set.daemon.stop();
     set.daemon.wait_ready(false);
-    let long = generation("surveys", "r1")
-        .header("X-Token-Usage", "1000,2000")
-        .header("X-Length-Hint", "900");
+    let long = generation("surveys", "r1").output_tokens(2_000, 900);
     let refused = long.call(set.daemon.address());
     assert_eq!(refused.status, 503);
     let after_s: f64 = refused.headers["retry-after"].parse().expect("a number");
     assert!(after_s <= 0.2);
-    let short = generation("surveys", "r2").header("X-Length-Hint", "20");
+    let short = generation("surveys", "r2").output_tokens(400, 20);
     assert_eq!(short.call(set.daemon.address()).status, 200);
     assert_eq!(set.world.arrivals().len(), 1);
 }
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -2,16 +2,14 @@
 
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_daemon::process::run_until;
+pub use gypsumchute_platform_standin::fixtures::{KEY, configuration, generation, register};
 use gypsumchute_platform_standin::{Caller, Endpoint, Mode, Store, World};
-use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
-/// The key of the only customer.
-pub const KEY: &str = "key-of-acme";
 /// Longest time that a test waits for something to come true.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -65,7 +63,7 @@
         let address = self.settings.readiness_listen;
         eventually("readiness", || {
             let listens = std::net::TcpStream::connect(address).is_ok();
-            listens && Caller::new("GET /api/readyz", "r", "").call(address).status == status
+            listens && Caller::readiness().call(address).status == status
         });
     }
 
@@ -114,55 +112,10 @@
 /// A store with a configuration.
 pub fn store() -> Store {
     let store = Store::start();
-    store.put("op/config", &configuration(7, &[KEY]));
+    store.configure(&configuration(7, &[KEY]));
     store
 }
 
-/// A configuration with one route of each kind.
-pub fn configuration(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, timeout_ms: u64| {
-        json!({ "name": name, "hostname": "models.example", "pathPrefix": format!("/{name}/"),
-            "type": kind, "timeoutMs": timeout_ms, "targetLatencyMs": 400, "targetGapMs": 150,
-            "priority": 1, "backend": service, "maxAttempts": attempts, "public": false,
-            "streamResume": name == "briefs" })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("surveys", "streaming", "engines", 1, 20_000),
-            route("briefs", "streaming", "engines", 2, 5_000),
-            route("orders", "unsafe", "books", 1, 1_000),
-            route("reads", "safe", "books", 2, 1_000),
-        ],
-        "backends": [
-            { "name": "engines", "healthPath": "/healthz", "maxConnections": 50,
-              "warmupS": 1.0, "warmupPerS": 20.0,
-              "runtime": { "slots": 8, "kvCapacity": 30_000, "stride": 4, "moves": true,
-                           "backups": true } },
-            { "name": "books", "healthPath": "/healthz", "maxConnections": 50,
-              "warmupS": 0.0, "warmupPerS": 0.0 },
-        ],
-        "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000 },
-        "tenants": [{ "name": "acme", "apiKeys": keys, "priority": 1 }],
-    })
-}
-
-/// Registers `endpoint`.
-pub fn register(store: &Store, endpoint: &Endpoint, service: &str, zone: &str, state: &str) {
-    store.put(&format!("servers/{}", endpoint.id), &endpoint.entry(service, zone, state));
-}
-
-/// A caller's generation request.
-pub fn generation(route: &str, request_id: &str) -> Caller {
-    Caller::new(&format!("POST /{route}/write"), request_id, KEY)
-        .header("X-Model", "m")
-        .header("X-Token-Usage", "1000,400")
-        .header("X-Length-Hint", "200")
-        .header("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:200")
-        .body("a prompt")
-}
-
 /// What a stream of `events` events looks like when it is whole.
 pub fn whole_stream(events: u64) -> String {
     (1..=events).map(|id| format!("id: {id}\ndata: token {id}\n\n")).collect()
@@ -195,7 +148,7 @@
     pub fn ran_at(&self, request_id: &str) -> String {
         let arrivals = self.world.arrivals();
         let mut runs = arrivals.iter().rev().filter(|a| a.ran);
-        let found = runs.find(|arrival| arrival.header("x-attempt-id") == request_id);
+        let found = runs.find(|arrival| arrival.request_id() == request_id);
         found.map(|arrival| arrival.endpoint.clone()).unwrap_or_default()
     }
 
--- a/src/bin/gypsumchute-daemon/main.rs
+++ b/src/bin/gypsumchute-daemon/main.rs
@@ -23,7 +23,7 @@
         eprintln!("error: there will be no log lines: {err}");
     }
     let started = read_settings::<DaemonSettings>(&path).map_err(|err| err.to_string()).and_then(
-        |settings| gypsumchute_daemon::process::run(settings).map_err(|err| err.to_string()),
+        |settings| gypsumchute_daemon::process::run(&path, settings).map_err(|err| err.to_string()),
     );
     match started {
         Ok(()) => ExitCode::SUCCESS,
