--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,7 +10,7 @@
 use gypsumchute_routing::placement::{Demand, Placement, place};
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId};
+use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId, ZoneId};
 use http::{HeaderMap, Method, Uri};
 use log::info;
 use std::collections::BTreeSet;
@@ -47,6 +47,8 @@
     pub route: Route,
     /// The service it goes to.
     pub service: Service,
+    /// Zones in which it may run; none named means all.
+    pub zones: BTreeSet<ZoneId>,
     /// Whose key came with it.
     pub customer: Option<Customer>,
     /// When its head was read.
@@ -221,6 +223,7 @@
                     service: &self.service,
                     load: self.load(),
                     avoid: &avoid,
+                    zones: &self.zones,
                     draw: self.draw,
                 };
                 let placement = place(now, state.fleet(&self.context.settings), demand);
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -195,6 +195,7 @@
         headers: head.headers,
         body,
         deadline_ms: arrived_ms + wait_ms.min(route.answer_timeout_ms),
+        zones: route.zones(&context.settings.zone_regions),
         route,
         service,
         customer,
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -317,6 +317,7 @@
             service: &self.call.service,
             load: self.call.load(),
             avoid: &self.avoid,
+            zones: &self.call.zones,
             draw: self.call.draw,
         }
     }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -75,10 +75,20 @@
     pub load: Load,
     /// Endpoints that it must not go to.
     pub avoid: &'a BTreeSet<EndpointId>,
+    /// Zones in which it may run; none named means all.
+    pub zones: &'a BTreeSet<ZoneId>,
     /// A number that differs between requests, to spread those that are alike.
     pub draw: u64,
 }
 
+impl Demand<'_> {
+    /// Whether it may go to `endpoint` at all.
+    fn allows(&self, endpoint: &Endpoint) -> bool {
+        let zone_fits = self.zones.is_empty() || self.zones.contains(&endpoint.entry.zone);
+        zone_fits && !self.avoid.contains(&endpoint.entry.id)
+    }
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Placement {
@@ -93,8 +103,7 @@
 /// Chooses an endpoint.
 pub fn place(now: BootMs, fleet: Fleet<'_>, demand: Demand<'_>) -> Placement {
     let candidates = fleet.endpoints.candidates(&demand.service.id);
-    let open: Vec<_> =
-        candidates.into_iter().filter(|e| !demand.avoid.contains(&e.entry.id)).collect();
+    let open: Vec<_> = candidates.into_iter().filter(|e| demand.allows(e)).collect();
     if open.is_empty() {
         return Placement::Nowhere;
     }
@@ -164,7 +173,7 @@
         .filter(|endpoint| endpoint.entry.id != *run_at)
         .filter(|endpoint| fleet.sees(endpoint))
         .filter(|endpoint| !fleet.silent_zones.contains(&endpoint.entry.zone))
-        .filter(|endpoint| !demand.avoid.contains(&endpoint.entry.id));
+        .filter(|endpoint| demand.allows(endpoint));
     let costs = others.filter(spare).map(|endpoint| {
         let zone_cost = match Some(&endpoint.entry.zone) == run_zone {
             true => 0.0,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,9 +1,13 @@
 //! Routes by host and longest path prefix, the services behind them, and whose key is whose.
 
 use gypsumchute_config::KeyHash;
-use gypsumchute_units::{CustomerId, RegionId, RouteId, ServiceId};
+use gypsumchute_units::{CustomerId, RegionId, RouteId, ServiceId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::str::FromStr;
+
+/// A zone that no endpoint is in.
+const NO_ZONE: &str = "-none-";
 
 /// The number of a configuration; only ever grows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -74,6 +78,18 @@
 }
 
 impl Route {
+    /// The zones in which its requests may run; none means all.
+    ///
+    /// A route whose regions have no zone here gets one that no endpoint is in, rather than all.
+    pub fn zones(&self, regions: &BTreeMap<ZoneId, RegionId>) -> BTreeSet<ZoneId> {
+        let inside = regions.iter().filter(|(_, region)| self.regions.contains(*region));
+        let zones: BTreeSet<ZoneId> = inside.map(|(zone, _)| zone.clone()).collect();
+        match zones.is_empty() && !self.regions.is_empty() {
+            true => ZoneId::from_str(NO_ZONE).into_iter().collect(),
+            false => zones,
+        }
+    }
+
     /// The service for a request; `draw` is a number that is spread evenly over requests.
     pub fn service_for(&self, draw: u64) -> Option<&ServiceId> {
         let total: u64 = self.services.iter().map(|part| u64::from(part.weight)).sum();
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -202,3 +202,19 @@
     known.loads.add(&endpoint_id("own"), run_of(4_000));
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("late"));
 }
+
+#[test]
+fn a_request_with_homes_runs_and_is_backed_up_there_only() {
+    let mut known = Knowledge::of(&[("near", "a"), ("home-1", "b"), ("home-2", "b")]);
+    known.zones.insert("b".parse().expect("an id"));
+    let service = engine_service();
+    let load = run_of(3_000);
+    let demand = known.demand(&service, load, 1);
+    let Placement::At(first) = place(NOW, known.fleet(), demand) else { panic!("a place") };
+    let backup = place_backup(NOW, known.fleet(), demand, &first).expect("a backup");
+    let homes = [endpoint_id("home-1"), endpoint_id("home-2")];
+    assert!(first != backup && homes.contains(&first) && homes.contains(&backup));
+    known.zones = ["c".parse().expect("an id")].into();
+    let demand = known.demand(&service, load, 1);
+    assert_eq!(place(NOW, known.fleet(), demand), Placement::Nowhere);
+}
--- a/crates/routing/tests/testsuite/table.rs
+++ b/crates/routing/tests/testsuite/table.rs
@@ -54,3 +54,17 @@
     assert_eq!(table.holder("k2"), Some(&customer));
     assert_eq!(table.holder("k3"), None);
 }
+
+#[test]
+fn a_route_with_homes_allows_their_zones_only() {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")]
+        .map(|(zone, region)| (zone.parse().expect("an id"), region.parse().expect("an id")));
+    let zones = |homes: &[&str]| {
+        let homes = homes.iter().map(|home| home.parse().expect("an id")).collect();
+        let route = Route { regions: homes, ..route("r") };
+        route.zones(&regions.clone().into()).iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(zones(&[]), [""; 0]);
+    assert_eq!(zones(&["north"]), ["a", "b"]);
+    assert_eq!(zones(&["elsewhere"]), ["-none-"], "no home here must not mean everywhere");
+}
