A VM that the store turns away trusts what other VMs read

Reads that fail here while another VM's succeed are no trouble of the store. Engines in doubt that run something are asked whether they leave. A test that holds the move under 1 s, red before.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -64,7 +64,7 @@
     pub copy: StoreCopy,
     /// Whether this VM's own reads of the store succeed.
     pub reads_store: bool,
-    /// When this VM's last read of the store failed.
+    /// When a read of the store last failed and no other VM's reads succeeded.
     pub store_trouble_ms: Option<BootMs>,
     /// When the store, or a VM that reads it, was last heard.
     pub store_heard_ms: Option<BootMs>,
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -25,21 +25,19 @@
 pub async fn run(context: Rc<Context>) {
     loop {
         sleep(Duration::from_millis(ASK_EVERY_MS)).await;
-        let now = boot_now();
-        if !context.with(|state| state.registry_is_silent(now)) {
-            continue;
-        }
         for (endpoint, address) in engines_in_use(&context) {
             spawn_local(ask(context.clone(), endpoint, address));
         }
     }
 }
 
-/// Engines that run this VM's generations and are not known to leave.
+/// Engines that run this VM's generations and of which the registry can't tell whether they leave.
 fn engines_in_use(context: &Context) -> Vec<(EndpointId, SocketAddr)> {
     context.with(|state| {
+        let is_silent = state.registry_is_silent(boot_now());
         let used = state.loads.own().filter(|(_, load)| load.requests > 0 && load.tokens > 0);
-        let staying = used.filter(|(id, _)| state.endpoints.takes_work(id));
+        let staying = used.filter(|(id, _)| !state.endpoints.is_leaving(id));
+        let staying = staying.filter(|(id, _)| is_silent || state.endpoints.is_in_doubt(id));
         let found = staying.filter_map(|(id, _)| state.endpoints.get(id));
         found.map(|endpoint| (endpoint.entry.id.clone(), endpoint.entry.address)).collect()
     })
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -65,7 +65,11 @@
                     warn!(error:% = err; "store does not answer");
                 }
                 let told = context.with(|state| {
-                    state.store_trouble_ms = Some(boot_now());
+                    let now = boot_now();
+                    // A store that turns this VM away and serves others loses no entries.
+                    if !state.members.has_reader(now) {
+                        state.store_trouble_ms = Some(now);
+                    }
                     std::mem::replace(&mut state.reads_store, false)
                 });
                 if told {
--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -41,6 +41,32 @@
     eventually("the zone to be back", || read(&daemons[1], "another-key") == 200);
 }
 
+#[test]
+fn a_vm_that_the_store_turns_away_leaves_an_engine_whose_entry_vanished() {
+    let (served, world) = (store(), World::default());
+    let slow = Behaviour::Streams { events: 60, pace_ms: 50 };
+    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, slow));
+    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
+    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
+    first.wait_ready(true);
+    let away = Store::start();
+    away.set_mode(Mode::Busy);
+    // It ranks before the other one, so that it goes on trying to read.
+    let turned_away = Daemon::start(away.address(), "vm-0", "a", &[first.settings.peers_listen]);
+    turned_away.wait_ready(true);
+    std::thread::sleep(Duration::from_millis(1_500));
+    let mut stream = generation("surveys", "r1").open(turned_away.address());
+    let begun = stream.next_chunk().expect("a stream").expect("an event");
+    let at = |index: usize| world.arrivals()[index].endpoint.clone();
+    served.unregister(&at(0));
+    let vanished = Instant::now();
+    eventually("the move", || world.arrivals().len() == 2);
+    assert!(vanished.elapsed() < Duration::from_millis(1_000), "it ends soon after");
+    assert_ne!(at(0), at(1));
+    let reply = stream.finish();
+    assert_eq!((reply.whole, begun + &reply.body), (true, whole_stream(60)));
+}
+
 #[test]
 fn an_older_configuration_and_a_broken_one_change_nothing() {
     let (served, _away, daemons, _service) = one_served_and_one_turned_away();
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -137,6 +137,12 @@
         })
     }
 
+    /// Whether the entry of `id` vanished and may only have lapsed.
+    pub fn is_in_doubt(&self, id: &EndpointId) -> bool {
+        let state = self.by_id.get(id).map(|endpoint| endpoint.state);
+        matches!(state, Some(EndpointState::InDoubt { .. }))
+    }
+
     /// Whether `id` ends soon or is gone. What runs in a zone that is taken out may stay there.
     pub fn is_leaving(&self, id: &EndpointId) -> bool {
         self.by_id.get(id).is_none_or(|endpoint| endpoint.state == EndpointState::Leaving)
