--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -164,3 +164,25 @@
     let heartbeats = sent(&daemons[0]) - before;
     assert!(heartbeats >= 5, "{heartbeats} heartbeats in 2 s, one each 300 ms is due");
 }
+
+#[test]
+fn datagrams_of_any_bytes_change_nothing() {
+    let (_served, _away, daemons, _service) = one_served_and_one_turned_away();
+    let peers = daemons[0].settings.peers_listen;
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut state = 0x9e37_79b9_7f4a_7c15u64;
+    for length in (0..400).chain([1_400, 7_000, 9_000]) {
+        let bytes: Vec<u8> = (0..length)
+            .map(|_| {
+                state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                (state >> 56) as u8
+            })
+            .collect();
+        socket.send_to(&bytes, peers).expect("a datagram that leaves");
+    }
+    // A connection that sends no proper frame is closed or times out; others are served meanwhile.
+    let mut stream = std::net::TcpStream::connect(peers).expect("a daemon that listens");
+    std::io::Write::write_all(&mut stream, &[0xff; 64]).expect("bytes that leave");
+    assert_eq!(read(&daemons[0], KEY), 200);
+    daemons[0].wait_ready(true);
+}
