The bound on readers at a start comes from the target, and is known red

Cause: the test landed with a bound of 90 / 3, put there after it had measured 25 against a first guess of 12: a bound fitted to the figure. Ruled out: that the daemon's wait of 100 ms, which the test left out, brings it down; it still measures 25. The target (a tenth of the calls of a fleet in which 90 VMs read twice a second) allows 18. No product code changed.

--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -136,13 +136,17 @@
 
 #[test]
 fn few_vms_read_while_a_fleet_starts() {
+    // A tenth of the calls of a fleet in which each of 90 VMs reads twice a second.
+    const MAX_READERS: usize = 18;
     let mut net = Net::of(90, 4);
     let mut most: usize = 0;
+    // A daemon reads 100 ms after it first heard of others.
+    net.run(STEP_MS);
     for _ in 0..30 {
         net.run(STEP_MS);
         most = most.max(net.readers().values().sum());
     }
-    assert!(most <= 90 / 3, "{most} VMs read at once");
+    assert!(most <= MAX_READERS, "{most} VMs read at once");
     let readers = net.readers();
     assert!(readers.values().all(|count| *count == 1), "{readers:?}");
 }
