A fleet that starts reads with a few VMs: the wait for company is a decision of the members

Cause: which VM reads was decided by rank among the members known so far, and the wait for them stood in the daemon, outside what the test sees. In a large fleet members are named over several heartbeats, and one that was only named was tried with every fourth heartbeat, so that ranks were wrong for most of the first second (25 of 90 VMs read at once, 18 allowed). Now a VM that starts does not rank itself first before it had the time to learn of the others (100 ms after the first was heard, 350 ms in a large fleet, 350 ms where nobody answers), and one that is named is tried at once. The test's net tells at once that a VM began to read, as the daemon does when its first read brings something; its head start of 100 ms for the daemon's wait is dropped, since the wait is in the members now. Ruled out: a longer grace for readers that fell silent; it delays the first read after a cut.

--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -16,12 +16,7 @@
 /// 1.5 s after a notice that nobody heard.
 const WATCH_MS: u64 = 1_000;
 /// How often a VM that does not read looks whether it should, in ms.
-const LOOK_MS: u64 = 150;
-/// How long a VM that starts waits for its seeds before it reads, in ms: a fleet's VMs start within
-/// 0.3 s of each other.
-const ALONE_MS: u64 = 350;
-/// How long a VM that heard of others waits for those that they name, in ms.
-const NAMED_MS: u64 = 100;
+const LOOK_MS: u64 = 50;
 /// Shortest and longest pause after a failed read, in ms.
 const PAUSE_MS: (u64, u64) = (60, 600);
 /// Reads in a row that need not wait: a change after a quiet time is known at once.
@@ -32,7 +27,6 @@
 
 /// Reads for as long as the process lives.
 pub async fn run(context: Rc<Context>) {
-    wait_for_company(&context).await;
     let mut failures = 0u32;
     let mut pace = ReadPace::new(boot_now());
     let mut read_before = false;
@@ -81,21 +75,6 @@
     }
 }
 
-/// Waits until the seeds have told which VMs there are, so that not all of a fleet that starts read.
-async fn wait_for_company(context: &Context) {
-    if context.settings.seeds.is_empty() {
-        return;
-    }
-    let until_ms = boot_now() + ALONE_MS;
-    while boot_now() < until_ms {
-        if context.with(|state| state.members.has_company(boot_now())) {
-            sleep(Duration::from_millis(NAMED_MS)).await;
-            return;
-        }
-        sleep(Duration::from_millis(NAMED_MS / 4)).await;
-    }
-}
-
 /// Spaces reads: some at once after a quiet time, then one at a time.
 #[derive(Debug)]
 pub struct ReadPace {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -25,6 +25,13 @@
 /// How long a VM that does not rank first waits for a reader of its zone before it reads itself:
 /// two heartbeats, and less than what is left of 2 s once a reader was missed.
 const READER_GRACE_MS: u64 = 700;
+/// How long a VM that starts waits for its seeds before it may read, in ms: a fleet's VMs start
+/// within 0.3 s of each other.
+const ALONE_MS: u64 = 350;
+/// How long a VM that heard of others waits for those that they name: a heartbeat of a VM alone.
+const NAMED_MS: u64 = 100;
+/// The same in a large fleet, whose members are named over several heartbeats.
+const MANY_NAMED_MS: u64 = 350;
 /// Shortest time between two heartbeats.
 pub const MIN_HEARTBEAT_MS: u64 = 300;
 /// Time between two heartbeats of a VM that has heard nobody yet. They go to its seeds only.
@@ -97,6 +104,9 @@
     beats: u64,
     /// When another reader of the own zone was last heard; at the start, when this VM started.
     reader_heard_ms: BootMs,
+    started_ms: BootMs,
+    /// When the first other VM was heard.
+    company_ms: Option<BootMs>,
 }
 
 impl Members {
@@ -110,6 +120,8 @@
             heartbeat_ms: MIN_HEARTBEAT_MS,
             beats: 0,
             reader_heard_ms: now,
+            started_ms: now,
+            company_ms: None,
         }
     }
 
@@ -129,6 +141,7 @@
             return false;
         }
         let was_alive = self.is_alive(now, &heard.peer.vm);
+        self.company_ms.get_or_insert(now);
         let member = Member {
             peer: heard.peer.clone(),
             heard_ms: Some(now),
@@ -201,7 +214,9 @@
         let bytes = contacts.len() as u64 * HEARTBEAT_BYTES;
         let heartbeat_ms =
             (bytes * 1_000 / CONTROL_BYTES_PER_S).clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS);
-        let due = contacts.into_iter().filter(|vm| try_silent || self.is_alive(now, vm));
+        let due = contacts
+            .into_iter()
+            .filter(|vm| try_silent || self.is_alive(now, vm) || self.was_just_named(now, vm));
         let mut targets: BTreeSet<_> = due.map(|vm| self.members[vm].peer.address).collect();
         let alone = !self.has_company(now);
         if alone || try_silent {
@@ -224,7 +239,7 @@
     }
 
     /// Whether this VM reads the platform: it ranks first in its zone, or nobody else there has
-    /// read it for [`READER_GRACE_MS`].
+    /// read it for [`READER_GRACE_MS`]. One that starts first learns who else there is.
     pub fn should_read(&mut self, now: BootMs) -> bool {
         let mut readers = self.in_zone(&self.me.zone).filter(|member| member.reads_platform);
         let has_reader = readers.any(|member| self.is_alive(now, &member.peer.vm));
@@ -233,7 +248,16 @@
             self.reader_heard_ms = now;
         }
         let has_waited = now.since(self.reader_heard_ms) >= READER_GRACE_MS;
-        self.rank_in_zone(now) < READERS_PER_ZONE || has_waited
+        has_waited || self.knows_others(now) && self.rank_in_zone(now) < READERS_PER_ZONE
+    }
+
+    /// Whether this VM had the time to learn of the others, if there are any.
+    fn knows_others(&self, now: BootMs) -> bool {
+        let named_ms = if self.is_full_mesh() { NAMED_MS } else { MANY_NAMED_MS };
+        match self.company_ms {
+            Some(company_ms) => now.since(company_ms) >= named_ms,
+            None => self.seeds.is_empty() || now.since(self.started_ms) >= ALONE_MS,
+        }
     }
 
     /// Who sends to `endpoint` of the own zone before it sends to others: all VMs of a small fleet,
@@ -290,12 +314,16 @@
     /// VMs of the own zone that come before this one. One that was just named counts until it had
     /// the time to be heard.
     fn rank_in_zone(&self, now: BootMs) -> usize {
-        let counts = |member: &&Member| match member.heard_ms {
-            Some(_) => self.is_alive(now, &member.peer.vm),
-            None => now.since(member.learnt_ms) < READER_GRACE_MS,
-        };
-        let before_me = self.in_zone(&self.me.zone).filter(|m| m.peer.vm < self.me.vm);
-        before_me.filter(counts).count()
+        let before_me = self.in_zone(&self.me.zone).map(|member| &member.peer.vm);
+        let before_me = before_me.filter(|vm| **vm < self.me.vm);
+        before_me.filter(|vm| self.is_alive(now, vm) || self.was_just_named(now, vm)).count()
+    }
+
+    /// Whether others told of `vm` too short a time ago for it to be heard.
+    fn was_just_named(&self, now: BootMs, vm: &VmId) -> bool {
+        self.members.get(vm).is_some_and(|member| {
+            member.heard_ms.is_none() && now.since(member.learnt_ms) < READER_GRACE_MS
+        })
     }
 
     /// Whether all VMs keep in touch with all.
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -22,6 +22,7 @@
 struct Net {
     vms: BTreeMap<SocketAddrV4, Members>,
     next_ms: BTreeMap<SocketAddrV4, u64>,
+    reads: BTreeSet<SocketAddrV4>,
     dead: BTreeSet<SocketAddrV4>,
     cut_zone: Option<ZoneId>,
     now: BootMs,
@@ -39,6 +40,7 @@
         Net {
             vms: vms.collect(),
             next_ms: BTreeMap::new(),
+            reads: BTreeSet::new(),
             dead: BTreeSet::new(),
             cut_zone: None,
             now: START,
@@ -78,7 +80,9 @@
             self.now = self.now + STEP_MS;
             for address in self.vms.keys().copied().collect::<Vec<_>>() {
                 let due = self.next_ms.get(&address).copied().unwrap_or(0);
-                if self.dead.contains(&address) || due > self.now.0 {
+                // What a VM's first read brought is told at once.
+                let tells = self.starts_to_read(address);
+                if self.dead.contains(&address) || due > self.now.0 && !tells {
                     continue;
                 }
                 let vm = self.vms.get_mut(&address).expect("a VM");
@@ -93,6 +97,16 @@
         }
     }
 
+    fn starts_to_read(&mut self, address: SocketAddrV4) -> bool {
+        match self.vms.get_mut(&address).is_some_and(|vm| vm.should_read(self.now)) {
+            true => self.reads.insert(address),
+            false => {
+                self.reads.remove(&address);
+                false
+            }
+        }
+    }
+
     /// Live VMs that read the platform, by zone.
     fn readers(&mut self) -> BTreeMap<String, usize> {
         let mut readers: BTreeMap<String, usize> = BTreeMap::new();
@@ -140,8 +154,6 @@
     const MAX_READERS: usize = 18;
     let mut net = Net::of(90, 4);
     let mut most: usize = 0;
-    // A daemon reads 100 ms after it first heard of others.
-    net.run(STEP_MS);
     for _ in 0..30 {
         net.run(STEP_MS);
         most = most.max(net.readers().values().sum());
