--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -32,8 +32,8 @@
 const EVENTS_AHEAD: usize = 256;
 /// Largest body of a failure that is passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
-/// Longest time to connect to an engine that holds a copy, in ms.
-const CONNECT_TO_COPY_MS: u64 = 250;
+/// Longest time to connect to an engine that holds a copy, in ms: shorter than the old run is kept.
+const CONNECT_TO_COPY_MS: u64 = 200;
 /// Sends that engines may turn down before a generation is refused.
 const MAX_REJECTIONS: u32 = 3;
 
--- a/crates/daemon/src/generation/pump.rs
+++ b/crates/daemon/src/generation/pump.rs
@@ -70,7 +70,10 @@
                     }
                     self.call.context.observe(&run.endpoint, Outcome::Silent);
                     self.avoid.insert(run.endpoint.clone());
-                    return Pumped::Lost(Loss::Silent, run.backup);
+                    match self.leave_silent(run).await {
+                        Ok(next_run) => run = *next_run,
+                        Err(pumped) => return pumped,
+                    }
                 }
             }
             if run.noticed || !self.is_leaving(&run.endpoint) || copying.is_some() {
@@ -111,6 +114,19 @@
         }
     }
 
+    /// Goes on from the backup of a run that fell silent. Where that can't be reached either, the
+    /// run is kept: a cut may hold up what it makes, and lets it through later.
+    async fn leave_silent(&mut self, mut run: Run) -> Result<Box<Run>, Pumped> {
+        let backup = run.backup.take().filter(|backup| self.takes_work(&backup.endpoint));
+        match backup {
+            Some(backup) => {
+                self.log_next(Loss::Silent, Next::FromBackup);
+                self.hand_over(run, backup).await
+            }
+            None => Err(Pumped::Lost(Loss::Silent, None)),
+        }
+    }
+
     /// Goes on from `backup`. The old run is kept until the new one has begun, unless that takes
     /// so long that both might work.
     async fn hand_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, Pumped> {
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -143,6 +143,20 @@
     assert_eq!(set.ran_at("r1"), runner);
 }
 
+#[test]
+fn a_stream_that_falls_silent_stays_where_it_is_when_its_backup_cannot_be_reached() {
+    let (set, mut engines) = Set::start(two_engines);
+    engines.iter().for_each(|engine| engine.set(Behaviour::Pauses { pause_ms: 1_500 }));
+    let mut stream = generation("surveys", "r1").open(set.daemon.address());
+    let first = stream.next_chunk().expect("a stream").expect("an event");
+    let runner = set.ran_at("r1");
+    // Its entry stays: a zone that is cut off looks like this.
+    engines.iter_mut().filter(|engine| engine.id != runner).for_each(Endpoint::kill);
+    let reply = stream.finish();
+    assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(20)));
+    assert_eq!(set.ran_at("r1"), runner);
+}
+
 #[test]
 fn a_stream_leaves_an_engine_that_says_so_itself_while_the_store_is_away() {
     let (set, engines) = Set::start(two_engines);
