The daemon serves a folder in the project's own configuration format

Services, routes by host and longest path prefix, kinds, weighted parts, deadlines, targets, priorities, regions and callers' limits are part of the project's own format, with checks that name file, line and fix; `check` and `show` know them. A daemon takes its configuration from the platform's store or from a folder (setting `configuration`). VMs hand a folder's configuration on to each other as they do with what the store says: the largest `fleet.version` is in force everywhere, none goes back. Tests: folder:: (3), routing compile::, config services_and_routes_by_path.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -4,9 +4,10 @@
 use crate::keys::KeyHash;
 use crate::merge::{Item, Merged, merge};
 use crate::schema::{
-    AppRoute, Customer, Endpoint, EndpointState, Fleet, ModelRoute, Zone, ZoneState,
+    AppRoute, Carries, Customer, Endpoint, EndpointState, Fleet, ModelRoute, PathRoute, Service,
+    Zone, ZoneState,
 };
-use gypsumchute_units::{CustomerId, EndpointId, KeyId, RouteId, ZoneId};
+use gypsumchute_units::{CustomerId, EndpointId, KeyId, RouteId, ServiceId, ZoneId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
@@ -56,9 +57,9 @@
 }
 
 /// One accepted version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
 pub struct FleetConfig {
-    /// The platform's number of this version.
+    /// The number of this version.
     pub version: u64,
     /// Settings of the whole fleet.
     pub fleet: Fleet,
@@ -66,8 +67,12 @@
     pub zones: BTreeMap<ZoneId, Zone>,
     /// Customers.
     pub customers: BTreeMap<CustomerId, Customer>,
-    /// Routes of both kinds.
+    /// Model and application routes.
     pub routes: BTreeMap<RouteId, Route>,
+    /// Services.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Routes by host and path.
+    pub path_routes: BTreeMap<RouteId, PathRoute>,
     /// Endpoints.
     pub endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Whose each key is.
@@ -98,6 +103,17 @@
         }
     }
 
+    /// Merges, types and checks `files`, which tell their version themselves.
+    ///
+    /// # Errors
+    ///
+    /// As [`FleetConfig::from_files`].
+    pub fn from_folder_files(files: &BTreeMap<String, String>) -> Result<Self, ConfigErrors> {
+        let mut config = FleetConfig::from_files(0, files)?;
+        config.version = config.fleet.version;
+        Ok(config)
+    }
+
     /// The holder of `key`, if a customer holds it.
     pub fn holder(&self, key: &str) -> Option<&KeyHolder> {
         self.keys.get(&KeyHash::of(&self.fleet.key_salt, key))
@@ -120,6 +136,7 @@
 struct Builder {
     errors: Vec<ConfigError>,
     addresses: BTreeMap<SocketAddr, EndpointId>,
+    paths: BTreeMap<(String, String), RouteId>,
 }
 
 impl Builder {
@@ -160,6 +177,14 @@
             };
             self.add_route(&mut config, id, route, item);
         }
+        for (service, item) in self.section::<Service>(merged, "services") {
+            self.check_service(&service, item);
+            config.services.insert(service.id.clone(), service);
+        }
+        for (route, item) in self.section::<PathRoute>(merged, "routes") {
+            self.check_path_route(&config, &route, item);
+            config.path_routes.insert(route.id.clone(), route);
+        }
         for (endpoint, item) in self.section::<Endpoint>(merged, "endpoints") {
             self.check_endpoint(&config, &endpoint, item);
             config.endpoints.insert(endpoint.id.clone(), endpoint);
@@ -231,6 +256,70 @@
         }
     }
 
+    fn check_service(&mut self, service: &Service, item: &Item) {
+        if !service.cold_per_s.is_finite() || service.cold_per_s < 0.0 {
+            let problem = format!("{} is no rate of requests", service.cold_per_s);
+            self.report(item.place_of("cold_per_s"), problem, "write 0 or more");
+        }
+        let memory_tokens = service.engine.map(|engine| engine.memory_tokens);
+        if memory_tokens == Some(0) {
+            let place = item.place_of("engine.memory_tokens");
+            self.report(place, "an engine without memory serves nothing", "write 1 or more");
+        }
+    }
+
+    fn check_path_route(&mut self, config: &FleetConfig, route: &PathRoute, item: &Item) {
+        let host_is_good = !route.host.is_empty() && !route.host.contains([':', '/', ' ']);
+        if !host_is_good {
+            let problem = format!("{:?} is no host name", route.host);
+            self.report(item.place_of("host"), problem, "write a name without port or scheme");
+        }
+        let prefix = &route.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let problem = format!("{prefix:?} does not begin and end with a slash");
+            self.report(item.place_of("path_prefix"), problem, "write it as \"/surveys/\"");
+        }
+        let path = (route.host.to_ascii_lowercase(), prefix.clone());
+        if let Some(other) = self.paths.insert(path, route.id.clone()) {
+            let problem = format!("route `{other}` has this host and path already");
+            self.report(item.place_of("path_prefix"), problem, "give each route its own path");
+        }
+        if route.services.iter().all(|part| part.weight == 0) {
+            let problem = "no service gets any of its requests";
+            self.report(item.place_of("services"), problem, "name one with a weight above 0");
+        }
+        let streams = match route.carries {
+            Carries::Generations | Carries::ResumableGenerations => true,
+            Carries::Idempotent | Carries::NonIdempotent => false,
+        };
+        for (index, part) in route.services.iter().enumerate() {
+            let place = item.place_of(&format!("services[{index}].service"));
+            match config.services.get(&part.service) {
+                None => {
+                    let problem = format!("no service is called `{}`", part.service);
+                    self.report(place, problem, "name one of `services`");
+                }
+                Some(service) if streams && service.engine.is_none() => {
+                    let problem = format!("`{}` has no engines for generations", part.service);
+                    self.report(place, problem, "give the service an `engine`");
+                }
+                Some(_) => {}
+            }
+        }
+        if route.max_endpoints == 0 {
+            let problem = "0 endpoints never run a request";
+            self.report(item.place_of("max_endpoints"), problem, "write 1 or more");
+        }
+        for (index, region) in route.regions.iter().enumerate() {
+            let mut zones = config.zones.values();
+            if !zones.any(|zone| zone.region.as_ref() == Some(region)) {
+                let place = item.place_of(&format!("regions[{index}]"));
+                let problem = format!("no zone lies in region `{region}`");
+                self.report(place, problem, "name the `region` of one of `zones`");
+            }
+        }
+    }
+
     fn check_endpoint(&mut self, config: &FleetConfig, endpoint: &Endpoint, item: &Item) {
         if !config.zones.contains_key(&endpoint.zone) {
             let problem = format!("no zone is called `{}`", endpoint.zone);
@@ -243,6 +332,11 @@
                 self.report(place, problem, "name one of `model_routes` or `app_routes`");
             }
         }
+        let service = endpoint.service.as_ref();
+        if let Some(service) = service.filter(|service| !config.services.contains_key(service)) {
+            let problem = format!("no service is called `{service}`");
+            self.report(item.place_of("service"), problem, "name one of `services`");
+        }
         let limits = [("cold_limit", endpoint.cold_limit), ("warm_limit", endpoint.warm_limit)];
         for (field, limit) in limits {
             if limit == 0 {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,7 +26,9 @@
 pub use fleet::{FleetConfig, Route, RouteKind};
 pub use keys::KeyHash;
 pub use schema::{
-    AppRoute, Customer, CutOff, Endpoint, EndpointState, Fleet, KeyWithdrawal, ModelRoute, Zone,
-    ZoneState,
+    AppRoute, CallerLimits, Carries, Customer, CutOff, Endpoint, EndpointState, Engine, Fleet,
+    KeyWithdrawal, ModelRoute, PathRoute, Service, ServicePart, Zone, ZoneState,
+};
+pub use settings::{
+    ConfigurationSource, ControlSettings, DaemonSettings, EntrySettings, SeedPeer, read_settings,
 };
-pub use settings::{ControlSettings, DaemonSettings, EntrySettings, SeedPeer, read_settings};
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -1,9 +1,9 @@
 //! Merges the files in the order of their names and keeps the place of every item.
 //!
 //! Each file is an object with the sections `fleet` (an object) and `zones`, `customers`,
-//! `model_routes`, `app_routes` and `endpoints` (lists of objects with an `id`). Lists add up. An
-//! id that stands twice is an error, unless the later item says `"override": true`: then its
-//! fields replace those of the earlier one.
+//! `services`, `routes`, `model_routes`, `app_routes` and `endpoints` (lists of objects with an
+//! `id`). Lists add up. An id that stands twice is an error, unless the later item says
+//! `"override": true`: then its fields replace those of the earlier one.
 
 use crate::error::{ConfigError, Place};
 use jsonc_parser::ast::{Object, Value as AstValue};
@@ -16,8 +16,16 @@
 const FLEET_SECTION: &str = "fleet";
 const OVERRIDE_FIELD: &str = "override";
 const ID_FIELD: &str = "id";
-const SECTIONS: [&str; 6] =
-    ["fleet", "zones", "customers", "model_routes", "app_routes", "endpoints"];
+const SECTIONS: [&str; 8] = [
+    "fleet",
+    "zones",
+    "customers",
+    "services",
+    "routes",
+    "model_routes",
+    "app_routes",
+    "endpoints",
+];
 
 /// JSON with comments and trailing commas, and none of JSON5's other liberties.
 const PARSE_OPTIONS: ParseOptions = ParseOptions {
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -4,7 +4,9 @@
 //! a default, unknown fields are errors, and a field's unit is its suffix.
 
 use crate::keys::KeyHash;
-use gypsumchute_units::{CustomerId, EndpointId, KeyId, NanoTokens, RequestRate, RouteId, ZoneId};
+use gypsumchute_units::{
+    CustomerId, EndpointId, KeyId, NanoTokens, RegionId, RequestRate, RouteId, ServiceId, ZoneId,
+};
 use serde::{Deserialize, Serialize};
 use serde_with::{TryFromInto, serde_as};
 use std::net::SocketAddr;
@@ -42,6 +44,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fleet {
+    /// The number of this configuration. It grows with each change: of two folders that VMs hold,
+    /// the one with the larger number is in force everywhere.
+    pub version: u64,
+    /// What callers may send.
+    pub callers: CallerLimits,
     /// Mixed into every key hash.
     pub key_salt: String,
     /// What happens to requests under way when their key is withdrawn.
@@ -59,6 +66,8 @@
 impl Default for Fleet {
     fn default() -> Self {
         Fleet {
+            version: 1,
+            callers: CallerLimits::default(),
             key_salt: String::new(),
             key_withdrawal: KeyWithdrawal::Cut,
             cut_off: CutOff::Serve,
@@ -69,6 +78,31 @@
     }
 }
 
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Largest request head.
+    pub max_head_bytes: usize,
+    /// Largest request body.
+    pub max_body_bytes: usize,
+    /// Longest time for a request head.
+    pub head_timeout_ms: u64,
+    /// Longest time that a connection stays open unused.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        CallerLimits {
+            max_head_bytes: 16 << 10,
+            max_body_bytes: 4 << 20,
+            head_timeout_ms: 10_000,
+            idle_timeout_ms: 30_000,
+        }
+    }
+}
+
 /// Whether an availability zone receives new work.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, Display, EnumString,
@@ -95,6 +129,9 @@
     /// Its part of every customer's rate and burst, against those of the other zones.
     #[serde(default = "one")]
     pub share_weight: u32,
+    /// The region it lies in.
+    #[serde(default)]
+    pub region: Option<RegionId>,
 }
 
 /// One key of a customer.
@@ -126,6 +163,107 @@
     /// Its fair share against the other customers where endpoints are crowded.
     #[serde(default = "one")]
     pub weight: u32,
+    /// Urgency of all its requests, in place of their routes'; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: Option<u8>,
+}
+
+/// A service: endpoints that are copies of each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its id.
+    pub id: ServiceId,
+    /// Requests a second that one of its endpoints bears in cold start; 0 if it has none.
+    #[serde(default)]
+    pub cold_per_s: f64,
+    /// How its engines are built; none for a plain service.
+    #[serde(default)]
+    pub engine: Option<Engine>,
+}
+
+/// How the engines of a service are built.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Memory for running generations and cached prompts, in tokens.
+    pub memory_tokens: u64,
+    /// Tokens that one event of a stream holds.
+    #[serde(default = "one")]
+    pub tokens_per_event: u32,
+    /// Whether a run's memory can be copied to another engine.
+    #[serde(default)]
+    pub copies_runs: bool,
+    /// Whether a run's memory can be sent to another engine as it grows.
+    #[serde(default)]
+    pub keeps_backups: bool,
+}
+
+/// What a route carries and what of it may be repeated.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Carries {
+    /// Plain requests that may run any number of times.
+    Idempotent,
+    /// Plain requests that may run once.
+    #[default]
+    NonIdempotent,
+    /// Generations whose events are streamed; each runs once.
+    Generations,
+    /// Generations that another run may go on with where the first one ended.
+    ResumableGenerations,
+}
+
+/// A service and its part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServicePart {
+    /// The service.
+    pub service: ServiceId,
+    /// Its part, against the other services of the route.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// A route by host and path.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PathRoute {
+    /// Its id.
+    pub id: RouteId,
+    /// The host that callers name.
+    pub host: String,
+    /// How its paths begin: from a slash to a slash. The longest one that fits counts.
+    pub path_prefix: String,
+    /// What it carries.
+    #[serde(default)]
+    pub carries: Carries,
+    /// Where its requests go.
+    pub services: Vec<ServicePart>,
+    /// How long a caller may be kept waiting for the end of an answer.
+    #[serde(default = "default_answer_ms")]
+    pub answer_timeout_ms: u64,
+    /// Within which time an answer, or the first event of a stream, is of full use.
+    #[serde(default = "default_target_ms")]
+    pub target_ms: u64,
+    /// Longest pause between events that is of full use.
+    #[serde(default = "default_pause_target_ms")]
+    pub pause_target_ms: u64,
+    /// Urgency, where the customer has none of its own; 0 is the most urgent.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// Endpoints that may run one request.
+    #[serde(default = "one")]
+    pub max_endpoints: u32,
+    /// Open to callers without a key.
+    #[serde(default)]
+    pub open: bool,
+    /// Regions in which its requests may run; none named means all.
+    #[serde(default)]
+    pub regions: Vec<RegionId>,
 }
 
 /// A route to model engines.
@@ -210,8 +348,12 @@
     pub zone: ZoneId,
     /// Where it listens, by IP number.
     pub address: SocketAddr,
-    /// The routes it serves.
+    /// The model and application routes it serves.
+    #[serde(default)]
     pub routes: Vec<RouteId>,
+    /// The service it is a copy of, for routes by path.
+    #[serde(default)]
+    pub service: Option<ServiceId>,
     /// Whether it receives new work.
     #[serde(default)]
     pub state: EndpointState,
@@ -253,6 +395,18 @@
     30_000
 }
 
+fn default_target_ms() -> u64 {
+    1_000
+}
+
+fn default_pause_target_ms() -> u64 {
+    200
+}
+
+fn default_priority() -> u8 {
+    5
+}
+
 fn default_warm_limit() -> u32 {
     16
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -6,9 +6,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::fs;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// A control process to ask for the configuration while the platform can't be reached.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,7 +102,26 @@
     })
 }
 
-/// Settings of a daemon: one process a VM that serves callers on the users' platform.
+/// Where a daemon's configuration comes from.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigurationSource {
+    /// The platform's store, in the platform's format.
+    Store(SocketAddr),
+    /// A folder of this VM, in the project's own format.
+    Folder(PathBuf),
+}
+
+impl fmt::Display for ConfigurationSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigurationSource::Store(address) => write!(f, "store {address}"),
+            ConfigurationSource::Folder(folder) => write!(f, "folder {}", folder.display()),
+        }
+    }
+}
+
+/// Settings of a daemon: one process a VM that serves callers.
 ///
 /// Fields that are not listed here are ignored, since the platform adds some over time.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -123,8 +143,8 @@
     /// Some VMs to begin with. Only the IP numbers count: all daemons use the same port.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
-    /// The platform's store.
-    pub store: SocketAddr,
+    /// Where the configuration comes from.
+    pub configuration: ConfigurationSource,
     /// Time between SIGTERM and SIGKILL.
     pub shutdown_grace_s: f64,
     /// Retries that the fleet may make for each request, over `retry_window_s`.
--- a/crates/config/tests/testsuite/errors.rs
+++ b/crates/config/tests/testsuite/errors.rs
@@ -41,7 +41,7 @@
     insta::assert_snapshot!(all.join("\n"), @r#"
     a.json:1:14: Unexpected close brace; write JSON with comments
     a.json:1:1: the file is not an object; write { … }
-    a.json:1:3: unknown section `zoness`; write one of fleet, zones, customers, model_routes, app_routes, endpoints
+    a.json:1:3: unknown section `zoness`; write one of fleet, zones, customers, services, routes, model_routes, app_routes, endpoints
     a.json:1:12: section `zones` has the wrong type; write `fleet` as an object, every other section as a list of objects
     a.json:1:13: this item is not an object; write { "id": … }
     a.json:1:13: this item has no `id`; add "id": "a-name"
@@ -70,7 +70,7 @@
         in_one_file(r#"{ "fleet": { "cut_off": "maybe" } }"#),
     ];
     insta::assert_snapshot!(all.join("\n"), @r#"
-    a.json:2:45: unknown field `ratte`, expected one of `id`, `keys`, `rate_per_s`, `burst`, `weight`; remove it or write one of the fields named here
+    a.json:2:45: unknown field `ratte`, expected one of `id`, `keys`, `rate_per_s`, `burst`, `weight`, `priority`; remove it or write one of the fields named here
     a.json:2:16: 0.0 is not above 0 and at most 1000000; write a number such as 20; correct `rate_per_s`
     a.json:2:16: 1e300 is not above 0 and at most 1000000; write a number such as 20; correct `rate_per_s`
     a.json:2:33: a burst of 0.5 admits no request; write 1 or more
@@ -129,3 +129,46 @@
     a.json:1:13: no zone has a share of the customers' rates; give at least one zone a `share_weight` above 0
     "#);
 }
+
+#[test]
+fn services_and_routes_by_path() {
+    let route = |fields: &str| {
+        in_one_file(&format!(
+            "{{ \"services\": [{{ \"id\": \"s\" }}], \"routes\": [\n  {{ \"id\": \"r\", {fields} }}\n] }}"
+        ))
+    };
+    let good = r#""host": "h", "path_prefix": "/", "services": [{ "service": "s" }]"#;
+    let all = [
+        route(good),
+        route(r#""host": "http://h", "path_prefix": "/", "services": [{ "service": "s" }]"#),
+        route(r#""host": "h", "path_prefix": "/a", "services": [{ "service": "s" }]"#),
+        route(r#""host": "h", "path_prefix": "/", "services": []"#),
+        route(r#""host": "h", "path_prefix": "/", "services": [{ "service": "t" }]"#),
+        route(&format!(r#"{good}, "carries": "generations""#)),
+        route(&format!(r#"{good}, "carries": "streams""#)),
+        route(&format!(r#"{good}, "max_endpoints": 0"#)),
+        route(&format!(r#"{good}, "regions": ["north"]"#)),
+        route(&format!(r#"{good} }}, {{ "id": "q", {good}"#)),
+        in_one_file(r#"{ "services": [{ "id": "s", "cold_per_s": -1 }] }"#),
+        in_one_file(r#"{ "services": [{ "id": "s", "engine": { "memory_tokens": 0 } }] }"#),
+        in_one_file(
+            r#"{ "zones": [{ "id": "n" }], "endpoints": [
+  { "id": "e", "zone": "n", "address": "127.0.0.1:1", "service": "s" }] }"#,
+        ),
+    ];
+    insta::assert_snapshot!(all.join("\n"), @r#"
+    good: 0 customers
+    a.json:2:16: "http://h" is no host name; write a name without port or scheme
+    a.json:2:29: "/a" does not begin and end with a slash; write it as "/surveys/"
+    a.json:2:49: no service gets any of its requests; name one with a weight above 0
+    a.json:2:64: no service is called `t`; name one of `services`
+    a.json:2:64: `s` has no engines for generations; give the service an `engine`
+    a.json:2:83: unknown variant `streams`, expected one of `idempotent`, `non_idempotent`, `generations`, `resumable_generations`; write one of the values named here
+    a.json:2:83: 0 endpoints never run a request; write 1 or more
+    a.json:2:95: no zone lies in region `north`; name the `region` of one of `zones`
+    a.json:2:111: route `r` has this host and path already; give each route its own path
+    a.json:1:29: -1 is no rate of requests; write 0 or more
+    a.json:1:41: an engine without memory serves nothing; write 1 or more
+    a.json:2:55: no service is called `s`; name one of `services`
+    "#);
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,7 +2,6 @@
 
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_fleet::{Members, PeerAddress, StoreCopy};
-use gypsumchute_platform::StoreClient;
 use gypsumchute_routing::admission::WaitingRoom;
 use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
 use gypsumchute_routing::load::{Load, Loads};
@@ -91,8 +90,6 @@
     pub settings: DaemonSettings,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// The platform's store.
-    pub store: StoreClient,
     /// Fires when a heartbeat should go out before its time.
     pub heartbeat_due: Notify,
     /// Fires when there are endpoints of which other VMs should hear at once.
@@ -135,7 +132,6 @@
             crashes: VecDeque::new(),
         };
         Rc::new(Context {
-            store: StoreClient::new(settings.store),
             settings,
             metrics: Metrics::new(),
             heartbeat_due: Notify::new(),
--- /dev/null
+++ b/crates/daemon/src/folder_reader.rs
@@ -0,0 +1,69 @@
+//! Reads the configuration from a folder of this VM, where no store publishes one.
+//!
+//! VMs hand configurations on to each other, so that one whose folder was changed first brings the
+//! change to all; each of them takes the one with the largest number.
+
+use crate::context::Context;
+use crate::knowledge::{FOLDER_KEY, Source, take_changes};
+use gypsumchute_config::folder::read_folder;
+use gypsumchute_config::{ConfigErrors, FleetConfig};
+use gypsumchute_fleet::StoreItem;
+use gypsumchute_units::time::boot_now;
+use log::{info, warn};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often the folder is looked at, in ms: changes are to be in force within seconds.
+const LOOK_MS: u64 = 1_000;
+
+type Files = BTreeMap<String, String>;
+
+/// Reads for as long as the process lives.
+pub async fn run(context: Rc<Context>, folder: PathBuf) {
+    let mut known: Option<Files> = None;
+    loop {
+        match read(&folder) {
+            Ok((files, _)) if known.as_ref() == Some(&files) => note_read(&context),
+            Ok((files, version)) => {
+                take(&context, &folder, &files, version);
+                known = Some(files);
+            }
+            Err(err) => {
+                warn!(folder:% = folder.display(), error:% = err;
+                    "folder refused; the configuration before it stays in force");
+                context.with(|state| state.reads_store = false);
+            }
+        }
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+fn read(folder: &Path) -> Result<(Files, u64), ConfigErrors> {
+    let files = read_folder(folder)?;
+    let version = FleetConfig::from_folder_files(&files)?.version;
+    Ok((files, version))
+}
+
+fn take(context: &Rc<Context>, folder: &Path, files: &Files, version: u64) {
+    let in_force = context.with(|state| state.copy.revision());
+    info!(folder:% = folder.display(), version, in_force; "folder read");
+    if version <= in_force {
+        warn!(folder:% = folder.display(), version, in_force;
+            "folder changes nothing: its `fleet.version` must be larger than the one in force");
+    }
+    // A map of texts always has a form in JSON.
+    let value = serde_json::to_vec(files).map(Into::into).ok();
+    let item = StoreItem { key: FOLDER_KEY.to_owned(), revision: version, value };
+    take_changes(context, Source::Folder, version, vec![item]);
+    note_read(context);
+}
+
+fn note_read(context: &Context) {
+    context.with(|state| {
+        state.reads_store = true;
+        state.store_heard_ms = Some(boot_now());
+    });
+}
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -185,6 +185,10 @@
     if let Some(after_ms) = refused_for_ms {
         return Err(reject(Refusal::not_run_until(RefusalReason::PoisonRequest, after_ms)));
     }
+    let zone_regions = match table.zone_regions.is_empty() {
+        true => &context.settings.zone_regions,
+        false => &table.zone_regions,
+    };
     let vm_left_ms = context.ends_ms().map(|ends| now.until(ends));
     let wait_ms = caller.patience_ms.unwrap_or(route.answer_timeout_ms);
     let call = Call {
@@ -195,7 +199,7 @@
         headers: head.headers,
         body,
         deadline_ms: arrived_ms + wait_ms.min(route.answer_timeout_ms),
-        zones: route.zones(&context.settings.zone_regions),
+        zones: route.zones(zone_regions),
         route,
         service,
         customer,
--- a/crates/daemon/src/knowledge.rs
+++ b/crates/daemon/src/knowledge.rs
@@ -1,13 +1,16 @@
-//! Takes in what the platform published, wherever it was learnt from.
+//! Takes in what the platform, or an operator's folder, says, wherever it was learnt from.
 
 use crate::context::{Context, State};
 use bytes::Bytes;
+use gypsumchute_config::FleetConfig;
 use gypsumchute_fleet::StoreItem;
 use gypsumchute_platform::items::{CONFIGURATION_KEY, ItemKind, ZONE_OUT_PREFIX};
 use gypsumchute_platform::{configuration, registry};
+use gypsumchute_routing::compile::compile;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId};
 use log::{info, warn};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// From whom a change was learnt.
@@ -18,8 +21,13 @@
     Store,
     /// Another VM.
     Peer,
+    /// The folder of this VM.
+    Folder,
 }
 
+/// The key under which VMs hand on a configuration in the project's own format.
+pub const FOLDER_KEY: &str = "folder";
+
 /// Takes in changes after which everything through `revision` is known.
 pub fn take_changes(context: &Rc<Context>, source: Source, revision: u64, items: Vec<StoreItem>) {
     let (before, changed) =
@@ -49,6 +57,9 @@
 
 /// Returns whether requests may be decided differently now.
 fn apply_key(state: &mut State, now: BootMs, source: Source, key: &str) -> bool {
+    if key == FOLDER_KEY {
+        return apply_folder(state, now, source);
+    }
     match ItemKind::of(key) {
         ItemKind::Configuration => apply_configuration(state, source),
         ItemKind::ZoneOut(zone) => {
@@ -116,3 +127,34 @@
         }
     }
 }
+
+/// Takes in a configuration in the project's own format, which holds the endpoints as well.
+fn apply_folder(state: &mut State, now: BootMs, source: Source) -> bool {
+    let Some(item) = state.copy.get(FOLDER_KEY).cloned() else { return false };
+    let value = item.value.unwrap_or_default();
+    let config = serde_json::from_slice(&value)
+        .map_err(|err| err.to_string())
+        .and_then(|files| FleetConfig::from_folder_files(&files).map_err(|err| err.to_string()));
+    let compiled = match config {
+        Ok(config) => compile(&config),
+        Err(error) => {
+            warn!(source:% = source, revision = item.revision, error = error.as_str();
+                "configuration refused; the one before it stays in force");
+            return false;
+        }
+    };
+    info!(source:% = source, version:% = compiled.table.version,
+        routes = compiled.table.route_count(), endpoints = compiled.endpoints.len(),
+        bytes = value.len(); "configuration in force");
+    state.table = Some(Rc::new(compiled.table));
+    state.endpoints.set_zones_out(compiled.zones_out);
+    let named: BTreeSet<_> = compiled.endpoints.iter().map(|entry| entry.id.clone()).collect();
+    let gone: Vec<_> = state.endpoints.iter().map(|endpoint| endpoint.entry.id.clone()).collect();
+    for id in gone.iter().filter(|id| !named.contains(*id)) {
+        state.endpoints.remove(now, id, false);
+    }
+    for entry in compiled.endpoints {
+        state.endpoints.upsert(now, entry);
+    }
+    true
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod context;
 pub mod events;
+pub mod folder_reader;
 pub mod front;
 pub mod generation;
 pub mod gossip;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,9 +1,11 @@
 //! Starts the daemon's tasks and ends them without cutting requests.
 
 use crate::context::Context;
-use crate::{front, gossip, http_service, notices, pulls, reload, store_reader, upkeep};
-use gypsumchute_config::DaemonSettings;
-use gypsumchute_platform::READINESS_PATH;
+use crate::{
+    folder_reader, front, gossip, http_service, notices, pulls, reload, store_reader, upkeep,
+};
+use gypsumchute_config::{ConfigurationSource, DaemonSettings};
+use gypsumchute_platform::{READINESS_PATH, StoreClient};
 use gypsumchute_units::time::boot_now;
 use http::StatusCode;
 use log::{info, warn};
@@ -91,9 +93,17 @@
     let datagrams = datagrams.map_err(|err| StartError::Bind("peers", peers_address, err))?;
     let datagrams = Rc::new(datagrams);
     info!(vm = settings.vm.as_str(), zone = settings.zone.as_str(), callers:% = settings.callers_listen,
-        peers:% = settings.peers_listen, store:% = settings.store; "daemon started");
+        peers:% = settings.peers_listen, configuration:% = settings.configuration; "daemon started");
 
-    spawn_local(store_reader::run(context.clone()));
+    match &settings.configuration {
+        ConfigurationSource::Store(address) => {
+            let store = StoreClient::new(*address);
+            spawn_local(store_reader::run(context.clone(), store));
+        }
+        ConfigurationSource::Folder(folder) => {
+            spawn_local(folder_reader::run(context.clone(), folder.clone()));
+        }
+    }
     spawn_local(gossip::send_heartbeats(context.clone(), datagrams.clone()));
     spawn_local(gossip::send_notes(context.clone(), datagrams.clone()));
     spawn_local(gossip::hear_heartbeats(context.clone(), datagrams.clone()));
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::knowledge::{Source, take_changes, take_listing};
 use gypsumchute_platform::items::ALL;
-use gypsumchute_platform::{Changes, StoreError};
+use gypsumchute_platform::{Changes, StoreClient, StoreError};
 use gypsumchute_units::BootMs;
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
@@ -26,7 +26,7 @@
 const READ_EVERY_MS: u64 = 400;
 
 /// Reads for as long as the process lives.
-pub async fn run(context: Rc<Context>) {
+pub async fn run(context: Rc<Context>, store: StoreClient) {
     let mut failures = 0u32;
     let mut pace = ReadPace::new(boot_now());
     let mut read_before = false;
@@ -42,7 +42,7 @@
             continue;
         }
         sleep(Duration::from_millis(pace.wait_ms(boot_now()))).await;
-        match read_once(&context).await {
+        match read_once(&context, &store).await {
             Ok(()) => {
                 if failures > 0 {
                     info!(failures; "store answers again");
@@ -95,26 +95,26 @@
     }
 }
 
-async fn read_once(context: &Rc<Context>) -> Result<(), StoreError> {
+async fn read_once(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
     let revision = context.with(|state| state.copy.revision());
     if revision == 0 {
-        return list(context).await;
+        return list(context, store).await;
     }
-    match context.store.watch(ALL, revision, WATCH_MS).await {
+    match store.watch(ALL, revision, WATCH_MS).await {
         Ok(Changes { revision, items }) => {
             take_changes(context, Source::Store, revision, items);
             Ok(())
         }
         Err(StoreError::HistoryGone) => {
             info!(revision; "store has forgotten its history; listing it");
-            list(context).await
+            list(context, store).await
         }
         Err(err) => Err(err),
     }
 }
 
-async fn list(context: &Rc<Context>) -> Result<(), StoreError> {
-    let Changes { revision, items } = context.store.list(ALL).await?;
+async fn list(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
+    let Changes { revision, items } = store.list(ALL).await?;
     take_listing(context, Source::Store, revision, items);
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/tests/testsuite/folder.rs
@@ -0,0 +1,123 @@
+//! Daemons that take their configuration from a folder in the project's own format.
+
+use crate::support::{Daemon, KEY, eventually, generation, whole_stream};
+use gypsumchute_config::{ConfigurationSource, KeyHash};
+use gypsumchute_platform_standin::{Behaviour, Caller, Endpoint, World};
+use serde_json::{Value, json};
+use std::fs;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const SALT: &str = "salt";
+
+/// A version of the configuration with one customer, a route of each kind, and `endpoints`.
+fn write(folder: &Path, version: u64, key: &str, endpoints: &[Value]) {
+    let fleet = json!({ "fleet": { "version": version, "key_salt": SALT } });
+    let customers = json!({ "customers": [{ "id": "acme", "rate_per_s": 100, "burst": 100,
+        "keys": [{ "id": "first", "sha256": KeyHash::of(SALT, key) }] }] });
+    let route = |id: &str, carries: &str, service: &str| {
+        json!({ "id": id, "host": "models.example", "path_prefix": format!("/{id}/"),
+            "carries": carries, "services": [{ "service": service }], "answer_timeout_ms": 5_000 })
+    };
+    let routes = json!({
+        "services": [
+            { "id": "engines", "engine": { "memory_tokens": 30_000, "copies_runs": true } },
+            { "id": "books" },
+        ],
+        "routes": [
+            route("surveys", "generations", "engines"),
+            route("orders", "non_idempotent", "books"),
+            route("reads", "idempotent", "books"),
+        ],
+    });
+    let zones = json!({ "zones": [{ "id": "a" }, { "id": "b" }] });
+    let files = [
+        ("00-fleet", fleet),
+        ("10-zones", zones),
+        ("20-customers", customers),
+        ("30-routes", routes),
+        ("90-endpoints", json!({ "endpoints": endpoints })),
+    ];
+    for (name, text) in files {
+        fs::write(folder.join(format!("{name}.json")), text.to_string()).expect("a file");
+    }
+}
+
+fn entry(endpoint: &Endpoint, service: &str, state: &str) -> Value {
+    json!({ "id": endpoint.id, "zone": "a", "address": endpoint.address(), "service": service,
+        "state": state })
+}
+
+fn daemon(folder: &TempDir, vm: &str, seeds: &[std::net::SocketAddrV4]) -> Daemon {
+    let source = ConfigurationSource::Folder(folder.path().to_owned());
+    let daemon = Daemon::start_with(source, vm, "a", seeds);
+    daemon.wait_ready(true);
+    daemon
+}
+
+fn read(daemon: &Daemon, key: &str) -> u16 {
+    Caller::new("GET /reads/x", "r", key).call(daemon.address()).status
+}
+
+#[test]
+fn routes_and_keys_of_a_folder_are_served() {
+    let world = World::default();
+    let engine = Endpoint::start(&world, "e-1", Behaviour::Streams { events: 5, pace_ms: 5 });
+    let books = Endpoint::start(&world, "b-1", Behaviour::Answers);
+    let folder = TempDir::new().expect("a folder");
+    let endpoints = [entry(&engine, "engines", "active"), entry(&books, "books", "active")];
+    write(folder.path(), 1, KEY, &endpoints);
+    let daemon = daemon(&folder, "vm-1", &[]);
+    let reply = generation("surveys", "r1").open(daemon.address()).finish();
+    assert_eq!((reply.whole, reply.body), (true, whole_stream(5)));
+    let order = Caller::new("POST /orders/new", "r2", KEY).body("one").call(daemon.address());
+    assert_eq!((order.status, order.body.as_str()), (200, "answer of b-1"));
+    let customers = world.arrivals();
+    assert!(customers.iter().all(|arrival| arrival.headers["x-tenant"] == "acme"));
+    assert_eq!(read(&daemon, "wrong"), 401);
+    let nowhere = Caller::new("GET /nowhere/x", "r3", KEY).call(daemon.address());
+    assert_eq!(nowhere.status, 404);
+}
+
+#[test]
+fn a_change_of_one_folder_is_in_force_everywhere_and_never_goes_back() {
+    let books = Endpoint::start(&World::default(), "b-1", Behaviour::Answers);
+    let folders = [TempDir::new().expect("a folder"), TempDir::new().expect("a folder")];
+    for folder in &folders {
+        write(folder.path(), 3, KEY, &[entry(&books, "books", "active")]);
+    }
+    let first = daemon(&folders[0], "vm-1", &[]);
+    let second = daemon(&folders[1], "vm-2", &[first.settings.peers_listen]);
+    assert_eq!((read(&first, KEY), read(&second, KEY)), (200, 200));
+    write(folders[0].path(), 4, "new-key", &[entry(&books, "books", "active")]);
+    let changed = Instant::now();
+    for daemon in [&first, &second] {
+        eventually("the change", || (read(daemon, "new-key"), read(daemon, KEY)) == (200, 401));
+    }
+    assert!(changed.elapsed() < Duration::from_secs(7));
+    // Neither a smaller number nor a broken file changes anything.
+    write(folders[0].path(), 2, "old-key", &[entry(&books, "books", "active")]);
+    fs::write(folders[1].path().join("40-broken.json"), "{ \"routes\": [ }").expect("a file");
+    std::thread::sleep(Duration::from_millis(2_500));
+    for daemon in [&first, &second] {
+        assert_eq!((read(daemon, "new-key"), read(daemon, "old-key")), (200, 401));
+    }
+}
+
+#[test]
+fn an_endpoint_that_leaves_or_is_named_no_more_gets_nothing_new() {
+    let world = World::default();
+    let books = ["b-1", "b-2", "b-3"].map(|id| Endpoint::start(&world, id, Behaviour::Answers));
+    let folder = TempDir::new().expect("a folder");
+    let all = books.each_ref().map(|endpoint| entry(endpoint, "books", "active"));
+    write(folder.path(), 1, KEY, &all);
+    let daemon = daemon(&folder, "vm-1", &[]);
+    assert_eq!(read(&daemon, KEY), 200);
+    write(folder.path(), 2, KEY, &[entry(&books[1], "books", "leaving"), all[2].clone()]);
+    std::thread::sleep(Duration::from_millis(2_000));
+    let before = world.arrivals().len();
+    (0..6).for_each(|_| assert_eq!(read(&daemon, KEY), 200));
+    let arrivals = world.arrivals();
+    assert!(arrivals[before..].iter().all(|arrival| arrival.endpoint == "b-3"));
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod events;
 mod fleet;
+mod folder;
 mod generations;
 mod plain;
 mod reading;
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -1,6 +1,6 @@
 //! Daemons on threads of this test process, with a store and endpoints beside them.
 
-use gypsumchute_config::DaemonSettings;
+use gypsumchute_config::{ConfigurationSource, DaemonSettings};
 use gypsumchute_daemon::process::run_until;
 pub use gypsumchute_platform_standin::fixtures::{KEY, configuration, generation, register};
 use gypsumchute_platform_standin::{Caller, Endpoint, Mode, Store, World};
@@ -23,6 +23,16 @@
 impl Daemon {
     /// Starts a daemon called `vm` in `zone`.
     pub fn start(store: SocketAddr, vm: &str, zone: &str, seeds: &[SocketAddrV4]) -> Self {
+        Daemon::start_with(ConfigurationSource::Store(store), vm, zone, seeds)
+    }
+
+    /// Starts a daemon that takes its configuration from `configuration`.
+    pub fn start_with(
+        configuration: ConfigurationSource,
+        vm: &str,
+        zone: &str,
+        seeds: &[SocketAddrV4],
+    ) -> Self {
         let settings = DaemonSettings {
             vm: vm.parse().expect("an id"),
             zone: zone.parse().expect("an id"),
@@ -33,7 +43,7 @@
             // All daemons use the same port, so that each needs an IP number of its own.
             peers_listen: SocketAddrV4::new(next_ip(vm), peers_port()),
             seeds: seeds.to_vec(),
-            store,
+            configuration,
             shutdown_grace_s: 8.0,
             retry_ratio: 0.2,
             retry_fixed: 50.0,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod compile;
 pub mod continuity;
 pub mod endpoints;
 pub mod load;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -161,6 +161,10 @@
     pub limits: Option<IngressLimits>,
     /// Whether callers must show a key on routes that are not open.
     pub needs_key: bool,
+    /// Mixed into every key hash.
+    pub key_salt: String,
+    /// The region of each zone, where the configuration says so.
+    pub zone_regions: BTreeMap<ZoneId, RegionId>,
     routes: BTreeMap<String, BTreeMap<String, Route>>,
     keys: BTreeMap<KeyHash, Customer>,
 }
@@ -172,9 +176,9 @@
         of_host.insert(prefix.to_owned(), route);
     }
 
-    /// Gives `customer` a key.
-    pub fn add_key(&mut self, key: &str, customer: Customer) {
-        self.keys.insert(KeyHash::of("", key), customer);
+    /// Gives `customer` the key with this hash.
+    pub fn add_key(&mut self, key: KeyHash, customer: Customer) {
+        self.keys.insert(key, customer);
     }
 
     /// The route of `host` whose prefix is the longest that begins `path`.
@@ -189,7 +193,7 @@
 
     /// Who holds `key`.
     pub fn holder(&self, key: &str) -> Option<&Customer> {
-        self.keys.get(&KeyHash::of("", key))
+        self.keys.get(&KeyHash::of(&self.key_salt, key))
     }
 
     /// How many routes there are.
--- /dev/null
+++ b/crates/routing/tests/testsuite/compile.rs
@@ -0,0 +1,65 @@
+//! The project's own configuration format says the same as a table that was built by hand.
+
+use gypsumchute_config::FleetConfig;
+use gypsumchute_routing::compile::compile;
+use std::collections::BTreeMap;
+
+const FILE: &str = r#"{
+  "fleet": { "version": 12, "callers": { "max_body_bytes": 1000 } },
+  "zones": [{ "id": "n-a", "region": "north" }, { "id": "s-a", "state": "out" }],
+  "customers": [{ "id": "acme", "rate_per_s": 1, "burst": 1, "priority": 2,
+    "keys": [{ "id": "k", "sha256": "KEY" }] }],
+  "services": [
+    { "id": "engines", "cold_per_s": 5,
+      "engine": { "memory_tokens": 9000, "tokens_per_event": 4, "keeps_backups": true } },
+    { "id": "books" },
+  ],
+  "routes": [
+    { "id": "surveys", "host": "Models.example", "path_prefix": "/surveys/",
+      "carries": "resumable_generations", "services": [{ "service": "engines" }],
+      "target_ms": 700, "max_endpoints": 3, "regions": ["north"] },
+    { "id": "all", "host": "models.example", "path_prefix": "/", "open": true,
+      "services": [{ "service": "books", "weight": 3 }, { "service": "engines", "weight": 1 }] },
+  ],
+  "endpoints": [
+    { "id": "e-1", "zone": "n-a", "address": "10.0.0.1:80", "service": "engines", "warm_limit": 8 },
+    { "id": "e-2", "zone": "s-a", "address": "10.0.0.2:80", "service": "books", "state": "leaving" },
+  ],
+}"#;
+
+#[test]
+fn what_a_folder_says_is_what_requests_are_matched_against() {
+    let hash = gypsumchute_config::KeyHash::of("", "the-key").to_string();
+    let files = BTreeMap::from([("a.json".to_owned(), FILE.replace("KEY", &hash))]);
+    let config = FleetConfig::from_folder_files(&files).expect("a good file");
+    let compiled = compile(&config);
+    let table = &compiled.table;
+    let route = table.route("models.example:443", "/surveys/x").expect("a route");
+    let other = table.route("models.example", "/surveys").expect("a route");
+    let shown = [
+        format!("version {}, {} routes", table.version, table.route_count()),
+        format!("{route:?}"),
+        format!("{:?} {:?} open {}", other.id, other.kind, other.open),
+        format!("{:?}", other.service_for(2)),
+        format!("{:?}", other.service_for(3)),
+        format!("{:?}", table.services),
+        format!("{:?}", table.holder("the-key")),
+        format!("{:?}", table.limits),
+        format!("{:?}", route.zones(&table.zone_regions)),
+        format!("{:?}", compiled.zones_out),
+        format!("{:?}", compiled.endpoints),
+    ];
+    insta::assert_snapshot!(shown.join("\n"), @r#"
+    version 12, 2 routes
+    Route { id: surveys, kind: Generation { resumable: true }, answer_timeout_ms: 30000, target_ms: 700, pause_target_ms: 200, priority: Priority(5), max_endpoints: 3, open: false, services: [WeightedService { service: engines, weight: 1 }], regions: {north} }
+    all NonIdempotent open true
+    Some(books)
+    Some(engines)
+    {books: Service { id: books, cold_per_s: 0.0, engine: None }, engines: Service { id: engines, cold_per_s: 5.0, engine: Some(EngineShape { memory_tokens: 9000, tokens_per_event: 4, copies_runs: false, keeps_backups: true }) }}
+    Some(Customer { id: acme, priority: Some(Priority(2)) })
+    Some(IngressLimits { head_bytes: 16384, body_bytes: 1000, head_timeout_ms: 10000, idle_timeout_ms: 30000 })
+    {n-a}
+    {s-a}
+    [EndpointEntry { id: e-1, service: engines, address: 10.0.0.1:80, zone: n-a, slots: 8, leaving: false, warmup_left_ms: 0, started_wall_ms: None }, EndpointEntry { id: e-2, service: books, address: 10.0.0.2:80, zone: s-a, slots: 16, leaving: true, warmup_left_ms: 0, started_wall_ms: None }]
+    "#);
+}
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod budget;
+mod compile;
 mod continuity;
 mod endpoints;
 mod outcomes;
--- a/crates/routing/tests/testsuite/table.rs
+++ b/crates/routing/tests/testsuite/table.rs
@@ -1,5 +1,6 @@
 //! Routes and keys.
 
+use gypsumchute_config::KeyHash;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, RoutingTable, WeightedService};
 
 fn route(id: &str) -> Route {
@@ -49,8 +50,8 @@
 fn a_customer_may_hold_several_keys() {
     let mut table = RoutingTable::default();
     let customer = Customer { id: "acme".parse().expect("an id"), priority: None };
-    table.add_key("k1", customer.clone());
-    table.add_key("k2", customer.clone());
+    table.add_key(KeyHash::of("", "k1"), customer.clone());
+    table.add_key(KeyHash::of("", "k2"), customer.clone());
     assert_eq!(table.holder("k2"), Some(&customer));
     assert_eq!(table.holder("k3"), None);
 }
