--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -284,15 +284,14 @@
             }
             AnswerKind::Failure => {
                 self.call.context.observe(&endpoint, Outcome::Error);
+                // A run that is still at its old engine goes on from a copy elsewhere.
+                self.avoid.insert(endpoint);
                 match answer.read_all(MAX_FAILURE_BYTES).await {
                     Ok(body) if !self.call.may_repeat() => Attempt::Failed(pass_on(&answer, body)),
                     Ok(body) if self.endpoints_used >= self.call.route.max_endpoints => {
                         Attempt::Failed(pass_on(&answer, body))
                     }
-                    _ => {
-                        self.avoid.insert(endpoint);
-                        Attempt::Lost(None)
-                    }
+                    _ => Attempt::Lost(None),
                 }
             }
             AnswerKind::Foreign => {
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -115,6 +115,33 @@
     eventually("the end of its work", || set.world.at_work("r1") == 0);
 }
 
+#[test]
+fn an_engine_that_fails_to_go_on_with_a_run_is_not_asked_again() {
+    let slow = Behaviour::Streams { events: 60, pace_ms: 20 };
+    let (set, engines) = Set::start(|world| {
+        let start = |id| (Endpoint::start(world, id, slow), "engines", "a");
+        ["engine-1", "engine-2", "engine-3"].map(start).into()
+    });
+    let mut stream = generation("surveys", "r1").open(set.daemon.address());
+    let first = stream.next_chunk().expect("a stream").expect("an event");
+    let mut other = generation("surveys", "r2").open(set.daemon.address());
+    other.next_chunk().expect("a stream").expect("an event");
+    // The emptiest engine fails all that it is asked.
+    let (busy, runner) = (set.ran_at("r2"), set.ran_at("r1"));
+    let fails = engines.iter().find(|e| e.id != busy && e.id != runner).expect("an empty engine");
+    fails.set(Behaviour::Fails);
+    // Without a backup its memory is copied, to the emptiest engine first.
+    set.world.drop_copies();
+    let leaves = engines.iter().find(|e| e.id == runner).expect("the runner");
+    register(&set.store, leaves, "engines", "a", "draining");
+    let reply = stream.finish();
+    assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(60)));
+    let arrivals = set.world.arrivals();
+    let asked = arrivals.iter().filter(|a| a.endpoint == fails.id && a.request_id() == "r1");
+    assert!(asked.count() <= 1, "it was asked again and again");
+    assert_eq!(set.ran_at("r1"), busy);
+}
+
 #[test]
 fn a_stream_that_falls_silent_goes_on_from_its_backup() {
     let (set, engines) = Set::start(two_engines);
