VMs tell each other whom they suspect, and an engine's own error is a whole failure

Suspicion from own failures goes out with heartbeats, and at once to the VMs that share the endpoint. VMs of other zones go by errors the endpoint made itself, since a cut looks like a failing endpoint. Errors of plain services double in weight while they come in a row.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -228,7 +228,10 @@
     /// Takes in what became of a request at `endpoint`.
     pub fn observe(&self, endpoint: &EndpointId, outcome: Outcome) {
         let now = boot_now();
-        self.with(|state| state.outcomes.observe(now, endpoint, outcome));
+        if self.with(|state| state.outcomes.observe(now, endpoint, outcome)) {
+            self.notes.borrow_mut().insert(endpoint.clone());
+            self.notes_due.notify_one();
+        }
     }
 
     /// Takes one retry for `service`, if this VM's part of the budget has one left.
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -283,7 +283,7 @@
                 Attempt::NotRun
             }
             AnswerKind::Failure => {
-                self.call.context.observe(&endpoint, Outcome::Error);
+                self.call.context.observe(&endpoint, Outcome::EngineError);
                 // A run that is still at its old engine goes on from a copy elsewhere.
                 self.avoid.insert(endpoint);
                 match answer.read_all(MAX_FAILURE_BYTES).await {
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,16 +1,18 @@
 //! Datagrams between daemons of different VMs: heartbeats, and notes of loads that changed.
 
-use crate::context::{CRASH_KEEP_MS, Context};
+use crate::context::{CRASH_KEEP_MS, Context, State};
 use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
 use gypsumchute_fleet::messages::{
     Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
 };
 use gypsumchute_routing::load::Load;
-use gypsumchute_units::EndpointId;
+use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{BootMs, EndpointId};
 use log::{info, warn};
 use prost::Message;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -100,8 +102,9 @@
     let now = boot_now();
     context.with(|state| {
         let me = state.members.me().clone();
-        let loads = state.loads.own().map(|(endpoint, load)| encode_load(endpoint, *load));
-        let loads = loads.collect();
+        let used = state.loads.own().map(|(endpoint, _)| endpoint);
+        let endpoints: BTreeSet<_> = used.chain(state.outcomes.told(now)).cloned().collect();
+        let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
         let members = state.members.some_members(now, member_count, &mut state.rng);
         let crashes = state.crashes_to_tell(now).map(|crash| Crash {
             fingerprint: crash.fingerprint,
@@ -126,20 +129,29 @@
     })
 }
 
-fn encode_load(endpoint: &EndpointId, load: Load) -> EndpointLoad {
+/// What this VM has at `endpoint`, and how suspect it finds it.
+fn encode_load(state: &State, now: BootMs, endpoint: &EndpointId) -> EndpointLoad {
+    let load = state.loads.own_at(endpoint);
+    let suspicion = state.outcomes.own_at(now, endpoint);
+    let milli = |level: f64| (level * 1_000.0) as u32;
     EndpointLoad {
         endpoint: endpoint.to_string(),
         requests: load.requests,
         tokens: load.tokens,
         backup_tokens: load.backup_tokens,
         unread_tokens: load.unread_tokens,
+        suspicion_milli: milli(suspicion.level),
+        own_faults_milli: milli(suspicion.own_faults),
     }
 }
 
-fn decode_load(load: &EndpointLoad) -> Option<(EndpointId, Load)> {
-    let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = load;
-    let endpoint = load.endpoint.parse().ok()?;
-    Some((endpoint, Load { requests, tokens, backup_tokens, unread_tokens }))
+fn decode_load(told: &EndpointLoad) -> Option<(EndpointId, Load, Suspicion)> {
+    let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = told;
+    let load = Load { requests, tokens, backup_tokens, unread_tokens };
+    let part = |milli: u32| f64::from(milli) / 1_000.0;
+    let level = part(told.suspicion_milli);
+    let suspicion = Suspicion { level, own_faults: part(told.own_faults_milli) };
+    Some((told.endpoint.parse().ok()?, load, suspicion))
 }
 
 /// Tells the VMs that share an endpoint at once what this VM has there, for as long as the process
@@ -150,12 +162,9 @@
         for endpoint in context.take_notes() {
             let now = boot_now();
             let (load, sharers) = context.with(|state| {
-                (state.loads.own_at(&endpoint), state.members.sharers(now, &endpoint))
+                (encode_load(state, now, &endpoint), state.members.sharers(now, &endpoint))
             });
-            let note = LoadNote {
-                vm: context.settings.vm.to_string(),
-                load: Some(encode_load(&endpoint, load)),
-            };
+            let note = LoadNote { vm: context.settings.vm.to_string(), load: Some(load) };
             send_datagram(&context, &socket, Body::Note(note), &sharers.others).await;
         }
     }
@@ -163,11 +172,16 @@
 
 fn take_note(context: &Context, note: &LoadNote) {
     let told = note.load.as_ref().and_then(decode_load);
-    let (Ok(vm), Some((endpoint, load))) = (note.vm.parse(), told) else {
+    let (Ok(vm), Some((endpoint, load, suspicion))) = (note.vm.parse(), told) else {
         warn!(vm = note.vm.as_str(); "note of a load can't be read");
         return;
     };
-    context.with(|state| state.loads.set_peer_at(boot_now(), &vm, endpoint, load));
+    let now = boot_now();
+    context.with(|state| {
+        let near = state.members.zone_of(&vm) == Some(&context.settings.zone);
+        state.outcomes.hear(now, endpoint.clone(), suspicion, near);
+        state.loads.set_peer_at(now, &vm, endpoint, load);
+    });
     context.notify_changed();
 }
 
@@ -217,7 +231,12 @@
         let named = heartbeat.members.iter();
         let named = named.filter_map(|m| peer_address(&m.vm, &m.zone, m.ip, m.port));
         named.for_each(|named| state.members.on_named(now, named));
-        state.loads.set_peer(now, &peer.vm, loads);
+        let near = peer.zone == context.settings.zone;
+        for (endpoint, _, suspicion) in &loads {
+            state.outcomes.hear(now, endpoint.clone(), *suspicion, near);
+        }
+        let loads = loads.into_iter().map(|(endpoint, load, _)| (endpoint, load));
+        state.loads.set_peer(now, &peer.vm, loads.filter(|(_, load)| !load.is_none()));
         if heartbeat.reads_platform && heartbeat.store_revision <= state.copy.revision() {
             state.store_heard_ms = Some(now);
         }
--- a/crates/daemon/src/upkeep.rs
+++ b/crates/daemon/src/upkeep.rs
@@ -57,6 +57,7 @@
     let gone = context.with(|state| {
         state.members.expire(now);
         state.loads.expire(now);
+        state.outcomes.expire(now);
         state.poison.on_tick(now);
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -288,6 +288,11 @@
         silent.map(|(zone, _)| zone.clone()).collect()
     }
 
+    /// The zone of `vm`, if it is known.
+    pub fn zone_of(&self, vm: &VmId) -> Option<&ZoneId> {
+        self.members.get(vm).map(|member| &member.peer.zone)
+    }
+
     /// Whether `vm` reads the platform itself, as it last said.
     pub fn reads_platform(&self, vm: &VmId) -> bool {
         self.members.get(vm).is_some_and(|member| member.reads_platform)
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -14,7 +14,8 @@
         Note(super::LoadNote),
     }
 }
-/// What the sender's requests take at one endpoint now, to the VMs that send there as well.
+/// What the sender's requests take at one endpoint now and how it behaves, to the VMs that send
+/// there as well.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LoadNote {
     #[prost(string, tag = "1")]
@@ -40,7 +41,7 @@
     /// Whether the sender reads the platform itself and its reads succeed.
     #[prost(bool, tag = "6")]
     pub reads_platform: bool,
-    /// All that the sender's requests take at endpoints.
+    /// All that the sender's requests take at endpoints, and the endpoints that it suspects.
     #[prost(message, repeated, tag = "7")]
     pub loads: ::prost::alloc::vec::Vec<EndpointLoad>,
     /// Some of the VMs that the sender knows.
@@ -79,6 +80,12 @@
     pub backup_tokens: u64,
     #[prost(uint64, tag = "5")]
     pub unread_tokens: u64,
+    /// How suspect it is by what the sender saw, in thousandths of one fresh failure.
+    #[prost(uint32, tag = "6")]
+    pub suspicion_milli: u32,
+    /// The part of it that the endpoint itself made.
+    #[prost(uint32, tag = "7")]
+    pub own_faults_milli: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crash {
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -1,4 +1,9 @@
 //! Endpoints that fail or hang while their health looks good, found from what became of requests.
+//!
+//! Answers the pattern "an endpoint says that it is well and fails all that it is asked": it stays
+//! the emptiest of all and would draw every request. VMs tell each other whom they suspect, so that
+//! not each of them has to lose requests there. What a VM sees may also be due to its own links, so
+//! that VMs of other zones go only by the errors that an endpoint made itself.
 
 use gypsumchute_units::{BootMs, EndpointId};
 use std::collections::BTreeMap;
@@ -11,14 +16,23 @@
 const MAX_SUSPICION: f64 = 4.0;
 /// What a success leaves of a suspicion.
 const SUCCESS_LEAVES: f64 = 0.6;
+/// What counts of a suspicion that another VM told of.
+const HEARD_PART: f64 = 0.9;
+/// Suspicion from here on is told to other VMs: more than one error of a plain service.
+const TOLD_FROM: f64 = 0.4;
+/// Each error in a row counts twice as much as the one before, so many times: a service that fails
+/// one request in seven by nature makes three in a row once in 300.
+const MAX_DOUBLINGS: u32 = 2;
 
 /// What became of a request at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
     /// A whole answer.
     Answered,
-    /// An error that the endpoint made itself. Some services have many by nature.
+    /// An error that a plain service made itself. Some have many by nature.
     Error,
+    /// An error that an engine made itself. They have none by nature.
+    EngineError,
     /// It was full.
     Rejected,
     /// No connection, a broken or a garbled answer.
@@ -28,55 +42,132 @@
 }
 
 impl Outcome {
-    /// How much more suspect an endpoint becomes by this.
-    fn weight(self) -> f64 {
+    /// How much more suspect an endpoint becomes by this, after `errors` in a row.
+    fn weight(self, errors: u32) -> f64 {
         match self {
             Outcome::Answered => 0.0,
-            Outcome::Error => 0.25,
+            Outcome::Error => 0.25 * f64::from(1u32 << errors.min(MAX_DOUBLINGS)),
+            Outcome::EngineError => 1.0,
             Outcome::Rejected => 0.5,
             Outcome::Broken => 1.0,
             Outcome::Silent => 1.5,
         }
     }
+
+    /// Whether the endpoint itself made the failure, rather than perhaps the way to it.
+    fn is_own_fault(self) -> bool {
+        match self {
+            Outcome::Error | Outcome::EngineError => true,
+            Outcome::Answered | Outcome::Rejected | Outcome::Broken | Outcome::Silent => false,
+        }
+    }
+}
+
+/// How suspect an endpoint is at a time: 0 for not at all, 1 for one fresh failure.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Suspicion {
+    /// By all failures.
+    pub level: f64,
+    /// By those that the endpoint itself made.
+    pub own_faults: f64,
 }
 
-#[derive(Debug)]
-struct Suspicion {
-    level: f64,
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    suspicion: Suspicion,
     as_of_ms: BootMs,
+    errors_in_a_row: u32,
 }
 
-impl Suspicion {
-    fn at(&self, now: BootMs) -> f64 {
-        self.level * (-(now.since(self.as_of_ms) as f64) / HALF_LIFE_MS).exp2()
+impl Record {
+    fn at(&self, now: BootMs) -> Suspicion {
+        let left = (-(now.since(self.as_of_ms) as f64) / HALF_LIFE_MS).exp2();
+        let Suspicion { level, own_faults } = self.suspicion;
+        Suspicion { level: level * left, own_faults: own_faults * left }
     }
 }
 
 /// How suspect each endpoint is.
 #[derive(Debug, Default)]
 pub struct Outcomes {
-    by_endpoint: BTreeMap<EndpointId, Suspicion>,
+    own: BTreeMap<EndpointId, Record>,
+    heard: BTreeMap<EndpointId, Record>,
 }
 
 impl Outcomes {
-    /// Takes in what became of a request.
-    pub fn observe(&mut self, now: BootMs, endpoint: &EndpointId, outcome: Outcome) {
-        let before = self.suspicion(now, endpoint);
-        let level = match outcome {
-            Outcome::Answered => before * SUCCESS_LEAVES,
-            failure => (before + failure.weight()).min(MAX_SUSPICION),
+    /// Takes in what became of a request; returns whether other VMs should hear of it at once.
+    pub fn observe(&mut self, now: BootMs, endpoint: &EndpointId, outcome: Outcome) -> bool {
+        let before = self.own.get(endpoint);
+        let errors = before.map_or(0, |record| record.errors_in_a_row);
+        let was = before.map(|record| record.at(now)).unwrap_or_default();
+        let (suspicion, errors_in_a_row) = match outcome {
+            Outcome::Answered => {
+                self.ease_heard(now, endpoint);
+                let Suspicion { level, own_faults } = was;
+                let level = level * SUCCESS_LEAVES;
+                (Suspicion { level, own_faults: own_faults * SUCCESS_LEAVES }, 0)
+            }
+            failure => {
+                let weight = failure.weight(errors);
+                let fault = if failure.is_own_fault() { weight } else { 0.0 };
+                let level = (was.level + weight).min(MAX_SUSPICION);
+                let own_faults = (was.own_faults + fault).min(MAX_SUSPICION);
+                let errors = if failure.is_own_fault() { errors + 1 } else { errors };
+                (Suspicion { level, own_faults }, errors)
+            }
         };
-        match level < FORGOTTEN {
-            true => drop(self.by_endpoint.remove(endpoint)),
+        match suspicion.level < FORGOTTEN {
+            true => drop(self.own.remove(endpoint)),
             false => {
-                let suspicion = Suspicion { level, as_of_ms: now };
-                self.by_endpoint.insert(endpoint.clone(), suspicion);
+                let record = Record { suspicion, as_of_ms: now, errors_in_a_row };
+                self.own.insert(endpoint.clone(), record);
             }
         }
+        outcome != Outcome::Answered && suspicion.level >= TOLD_FROM
+    }
+
+    /// Takes in whom another VM suspects, one of the own zone (`near`) or of another.
+    pub fn hear(&mut self, now: BootMs, endpoint: EndpointId, told: Suspicion, near: bool) {
+        let level = if near { told.level } else { told.own_faults };
+        let level = level.clamp(0.0, MAX_SUSPICION);
+        let known = self.heard.get(&endpoint).map_or(0.0, |record| record.at(now).level);
+        if level > known.max(FORGOTTEN) {
+            let suspicion = Suspicion { level, own_faults: 0.0 };
+            self.heard.insert(endpoint, Record { suspicion, as_of_ms: now, errors_in_a_row: 0 });
+        }
     }
 
-    /// How suspect `endpoint` is: 0 for not at all, 1 for one fresh failure.
+    /// A success here is worth more than what others saw before it.
+    fn ease_heard(&mut self, now: BootMs, endpoint: &EndpointId) {
+        if let Some(record) = self.heard.get_mut(endpoint) {
+            record.suspicion.level = record.at(now).level * SUCCESS_LEAVES;
+            record.as_of_ms = now;
+        }
+    }
+
+    /// How suspect `endpoint` is.
     pub fn suspicion(&self, now: BootMs, endpoint: &EndpointId) -> f64 {
-        self.by_endpoint.get(endpoint).map_or(0.0, |suspicion| suspicion.at(now))
+        let level = |records: &BTreeMap<EndpointId, Record>| {
+            records.get(endpoint).map_or(0.0, |record| record.at(now).level)
+        };
+        level(&self.own).max(level(&self.heard) * HEARD_PART)
+    }
+
+    /// What this VM itself saw of `endpoint`, for the other VMs.
+    pub fn own_at(&self, now: BootMs, endpoint: &EndpointId) -> Suspicion {
+        self.own.get(endpoint).map(|record| record.at(now)).unwrap_or_default()
+    }
+
+    /// The endpoints that this VM itself suspects so much that others should hear of it.
+    pub fn told(&self, now: BootMs) -> impl Iterator<Item = &EndpointId> {
+        let suspects = self.own.iter().filter(move |(_, r)| r.at(now).level >= TOLD_FROM);
+        suspects.map(|(endpoint, _)| endpoint)
+    }
+
+    /// Forgets what has faded.
+    pub fn expire(&mut self, now: BootMs) {
+        for records in [&mut self.own, &mut self.heard] {
+            records.retain(|_, record| record.at(now).level >= FORGOTTEN);
+        }
     }
 }
