What an engine tells one VM is told to all, and only an engine that knows its end leaves

Notices go to the other VMs with the next heartbeat, and at once to those that share the engine. Tests: fleet::what_an_engine_tells_…, generations::a_stream_stays_at_…. Also: VMs of a zone together ask a store that is away no more often than two would.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,7 +16,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
@@ -25,8 +25,9 @@
 const MAX_CRASHES: usize = 3;
 /// How long a crash is remembered.
 pub const CRASH_KEEP_MS: u64 = 60_000;
-/// For how long a crash is told to other VMs: several heartbeats.
-const CRASH_TELL_MS: u64 = 2_500;
+/// For how long a crash, or an endpoint's own notice that it leaves, is told to other VMs: several
+/// heartbeats.
+const TELL_MS: u64 = 2_500;
 /// A registry entry that vanishes so long after trouble with the store may have lapsed.
 const STORE_TROUBLE_MS: u64 = 4_000;
 /// Silence of the store and of all VMs that read it, after which endpoints are asked themselves.
@@ -70,6 +71,8 @@
     /// Source of randomness.
     pub rng: StdRng,
     crashes: VecDeque<Crash>,
+    /// Endpoints that told this VM that they leave, and when.
+    notices: BTreeMap<EndpointId, BootMs>,
 }
 
 /// A crash that this VM saw.
@@ -130,6 +133,7 @@
             store_heard_ms: None,
             rng: StdRng::from_rng(&mut rand::rng()),
             crashes: VecDeque::new(),
+            notices: BTreeMap::new(),
         };
         Rc::new(Context {
             settings,
@@ -252,6 +256,21 @@
         taken
     }
 
+    /// Notes that `endpoint` itself says that it leaves, and has other VMs hear of it.
+    pub fn note_notice(&self, endpoint: &EndpointId) {
+        let now = boot_now();
+        let is_news = self.with(|state| {
+            state.notices.insert(endpoint.clone(), now);
+            state.endpoints.note_leaving(endpoint)
+        });
+        if is_news {
+            self.notes.borrow_mut().insert(endpoint.clone());
+            self.notes_due.notify_one();
+            self.heartbeat_due.notify_one();
+            self.notify_published();
+        }
+    }
+
     /// Notes that `endpoint` broke while it ran the request with `fingerprint`.
     pub fn note_crash(&self, fingerprint: u64, endpoint: &EndpointId) {
         let now = boot_now();
@@ -298,9 +317,22 @@
         nobody_reads || heard_ms.is_none_or(|heard| now.since(heard) > REGISTRY_SILENT_MS)
     }
 
+    /// Whether other VMs should hear that `endpoint` itself says that it leaves.
+    pub fn tells_notice(&self, now: BootMs, endpoint: &EndpointId) -> bool {
+        self.notices.get(endpoint).is_some_and(|noticed| now.since(*noticed) <= TELL_MS)
+    }
+
+    /// The endpoints of which other VMs should hear: those in use, suspect ones, and those that
+    /// say that they leave.
+    pub fn endpoints_to_tell(&mut self, now: BootMs) -> BTreeSet<EndpointId> {
+        self.notices.retain(|_, noticed| now.since(*noticed) <= TELL_MS);
+        let used = self.loads.own().map(|(endpoint, _)| endpoint);
+        used.chain(self.outcomes.told(now)).chain(self.notices.keys()).cloned().collect()
+    }
+
     /// The crashes that other VMs should hear of.
     pub fn crashes_to_tell(&mut self, now: BootMs) -> impl Iterator<Item = &Crash> {
-        while self.crashes.front().is_some_and(|c| now.since(c.seen_ms) > CRASH_TELL_MS) {
+        while self.crashes.front().is_some_and(|c| now.since(c.seen_ms) > TELL_MS) {
             self.crashes.pop_front();
         }
         self.crashes.iter()
--- a/crates/daemon/src/generation/pump.rs
+++ b/crates/daemon/src/generation/pump.rs
@@ -24,8 +24,9 @@
 const SILENT_PAUSES: u64 = 4;
 /// What is added to a route's target before an engine that has sent no event counts as silent.
 const FIRST_EVENT_SLACK_MS: u64 = 700;
-/// Engines that may be asked to take a run in before it stays where it is.
-const MAX_COPY_TRIES: u32 = 3;
+/// Engines that may be asked to take a run in before it stays where it is. Most that can't say so
+/// within milliseconds.
+const MAX_COPY_TRIES: u32 = 8;
 /// Longest time for an engine to free a copy, in ms.
 const FREE_MS: u64 = 1_000;
 
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -12,7 +12,6 @@
 use gypsumchute_units::{BootMs, EndpointId};
 use log::{info, warn};
 use prost::Message;
-use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,8 +101,7 @@
     let now = boot_now();
     context.with(|state| {
         let me = state.members.me().clone();
-        let used = state.loads.own().map(|(endpoint, _)| endpoint);
-        let endpoints: BTreeSet<_> = used.chain(state.outcomes.told(now)).cloned().collect();
+        let endpoints = state.endpoints_to_tell(now);
         let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
         let members = state.members.some_members(now, member_count, &mut state.rng);
         let crashes = state.crashes_to_tell(now).map(|crash| Crash {
@@ -142,16 +140,39 @@
         unread_tokens: load.unread_tokens,
         suspicion_milli: milli(suspicion.level),
         own_faults_milli: milli(suspicion.own_faults),
+        leaving: state.tells_notice(now, endpoint),
     }
 }
 
-fn decode_load(told: &EndpointLoad) -> Option<(EndpointId, Load, Suspicion)> {
-    let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, .. } = told;
-    let load = Load { requests, tokens, backup_tokens, unread_tokens };
+/// What another VM tells of an endpoint.
+struct ToldEndpoint {
+    endpoint: EndpointId,
+    load: Load,
+    suspicion: Suspicion,
+    leaving: bool,
+}
+
+fn decode_told(told: &EndpointLoad) -> Option<ToldEndpoint> {
+    let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, leaving, .. } = told;
     let part = |milli: u32| f64::from(milli) / 1_000.0;
     let level = part(told.suspicion_milli);
-    let suspicion = Suspicion { level, own_faults: part(told.own_faults_milli) };
-    Some((told.endpoint.parse().ok()?, load, suspicion))
+    Some(ToldEndpoint {
+        endpoint: told.endpoint.parse().ok()?,
+        load: Load { requests, tokens, backup_tokens, unread_tokens },
+        suspicion: Suspicion { level, own_faults: part(told.own_faults_milli) },
+        leaving,
+    })
+}
+
+/// Takes in how an endpoint behaves, as a VM of the own zone (`near`) or of another tells.
+/// Returns whether requests there may have to leave.
+fn take_behaviour(state: &mut State, now: BootMs, told: &ToldEndpoint, near: bool) -> bool {
+    state.outcomes.hear(now, told.endpoint.clone(), told.suspicion, near);
+    let is_news = told.leaving && state.endpoints.note_leaving(&told.endpoint);
+    if is_news {
+        info!(endpoint = told.endpoint.as_str(); "endpoint told another VM that it leaves");
+    }
+    is_news
 }
 
 /// Tells the VMs that share an endpoint at once what this VM has there, for as long as the process
@@ -171,18 +192,26 @@
 }
 
 fn take_note(context: &Context, note: &LoadNote) {
-    let told = note.load.as_ref().and_then(decode_load);
-    let (Ok(vm), Some((endpoint, load, suspicion))) = (note.vm.parse(), told) else {
+    let told = note.load.as_ref().and_then(decode_told);
+    let (Ok(vm), Some(told)) = (note.vm.parse(), told) else {
         warn!(vm = note.vm.as_str(); "note of a load can't be read");
         return;
     };
     let now = boot_now();
-    context.with(|state| {
+    let leaves = context.with(|state| {
         let near = state.members.zone_of(&vm) == Some(&context.settings.zone);
-        state.outcomes.hear(now, endpoint.clone(), suspicion, near);
-        state.loads.set_peer_at(now, &vm, endpoint, load);
+        let leaves = take_behaviour(state, now, &told, near);
+        state.loads.set_peer_at(now, &vm, told.endpoint, told.load);
+        leaves
     });
-    context.notify_changed();
+    notify(context, leaves);
+}
+
+fn notify(context: &Context, endpoints_leave: bool) {
+    match endpoints_leave {
+        true => context.notify_published(),
+        false => context.notify_changed(),
+    }
 }
 
 fn member(peer: &PeerAddress) -> Member {
@@ -219,9 +248,9 @@
         });
         return;
     }
-    let loads = heartbeat.loads.iter().filter_map(decode_load);
-    let loads: Vec<_> = loads.collect();
-    let is_new = context.with(|state| {
+    let endpoints = heartbeat.loads.iter().filter_map(decode_told);
+    let endpoints: Vec<_> = endpoints.collect();
+    let (is_new, leave) = context.with(|state| {
         let heard = Heard {
             peer: peer.clone(),
             reads_platform: heartbeat.reads_platform,
@@ -232,11 +261,10 @@
         let named = named.filter_map(|m| peer_address(&m.vm, &m.zone, m.ip, m.port));
         named.for_each(|named| state.members.on_named(now, named));
         let near = peer.zone == context.settings.zone;
-        for (endpoint, _, suspicion) in &loads {
-            state.outcomes.hear(now, endpoint.clone(), *suspicion, near);
-        }
-        let loads = loads.into_iter().map(|(endpoint, load, _)| (endpoint, load));
-        state.loads.set_peer(now, &peer.vm, loads.filter(|(_, load)| !load.is_none()));
+        let leaving = endpoints.iter().filter(|told| take_behaviour(state, now, told, near));
+        let leave = leaving.count() > 0;
+        let used = endpoints.into_iter().filter(|told| !told.load.is_none());
+        state.loads.set_peer(now, &peer.vm, used.map(|told| (told.endpoint, told.load)));
         if heartbeat.reads_platform && heartbeat.store_revision <= state.copy.revision() {
             state.store_heard_ms = Some(now);
         }
@@ -245,9 +273,9 @@
             let seen = [(crash.number, endpoint)];
             state.poison.on_crashes(now, crash.fingerprint, seen, crash.keep_ms);
         }
-        is_new
+        (is_new, leave)
     });
-    context.notify_changed();
+    notify(context, leave);
     if is_new {
         info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
             "VM heard of");
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -2,10 +2,11 @@
 //!
 //! Answers the pattern "the store is away while engines are reclaimed": a run whose engine leaves
 //! unseen is cut, so that for as long as nothing tells of the registry a VM asks the engines that
-//! run its generations. At other times it asks nobody, since each question costs.
+//! run its generations, and tells the other VMs. At other times it asks nobody, since each question
+//! costs.
 
 use crate::context::Context;
-use gypsumchute_platform::endpoints::read_report;
+use gypsumchute_platform::endpoints::{EndpointReport, read_report};
 use gypsumchute_units::EndpointId;
 use gypsumchute_units::time::boot_now;
 use log::info;
@@ -45,14 +46,11 @@
 
 async fn ask(context: Rc<Context>, endpoint: EndpointId, address: SocketAddr) {
     match read_report(address, REPORT_MS).await {
-        Ok(report) if report.leaving => {
-            if context.with(|state| state.endpoints.note_leaving(&endpoint)) {
-                info!(endpoint = endpoint.as_str(), ends_in_ms:? = report.ends_in_ms;
-                    "endpoint says that it leaves");
-                context.notify_published();
-            }
+        Ok(EndpointReport { ends_in_ms: Some(ends_in_ms) }) => {
+            info!(endpoint = endpoint.as_str(), ends_in_ms; "endpoint says that it leaves");
+            context.note_notice(&endpoint);
         }
-        Ok(_) => {}
+        Ok(EndpointReport { ends_in_ms: None }) => {}
         // Its runs notice for themselves whether it is gone.
         Err(err) => info!(endpoint = endpoint.as_str(), error:% = err; "endpoint gives no report"),
     }
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -17,8 +17,10 @@
 const WATCH_MS: u64 = 1_000;
 /// How often a VM that does not read looks whether it should, in ms.
 const LOOK_MS: u64 = 50;
-/// Shortest and longest pause after a failed read, in ms.
+/// Shortest and longest pause after a failed read of a VM that tries alone, in ms.
 const PAUSE_MS: (u64, u64) = (60, 600);
+/// Longest pause where many try, in ms: what every bound of the platform leaves for one more try.
+const MAX_PAUSE_MS: u64 = 3_000;
 /// Reads in a row that need not wait: a change after a quiet time is known at once.
 const READS_AT_ONCE: u64 = 4;
 /// Time after which one more read need not wait, in ms. Where changes come all the time a reader
@@ -119,10 +121,19 @@
     Ok(())
 }
 
-/// Grows with failures, and differs between VMs.
-fn pause(context: &Context, failures: u32) -> Duration {
+/// How long a VM waits after `failures` reads in a row failed, in ms, where `vms` of its zone may
+/// try as well. All of them together ask as often as two would, and the first that is answered
+/// tells the others.
+pub fn pause_ms(failures: u32, vms: usize) -> u64 {
     let (shortest, longest) = PAUSE_MS;
-    let grown = shortest.saturating_mul(1 << failures.min(8)).min(longest);
-    let ms = context.with(|state| state.rng.random_range(grown / 2..=grown));
+    let shared = (longest * vms as u64 / 2).clamp(longest, MAX_PAUSE_MS);
+    shortest.saturating_mul(1 << failures.min(8)).min(shared)
+}
+
+/// The pause, different between VMs.
+fn pause(context: &Context, failures: u32) -> Duration {
+    let now = boot_now();
+    let longest_ms = pause_ms(failures, context.with(|state| state.members.vms_in_zone(now)));
+    let ms = context.with(|state| state.rng.random_range(longest_ms / 2..=longest_ms));
     Duration::from_millis(ms)
 }
--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -131,6 +131,33 @@
     }
 }
 
+#[test]
+fn what_an_engine_tells_one_vm_is_known_to_the_others() {
+    let (served, world) = (store(), World::default());
+    let slow = Behaviour::Streams { events: 60, pace_ms: 50 };
+    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, slow));
+    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
+    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
+    let second = Daemon::start(served.address(), "vm-2", "a", &[first.settings.peers_listen]);
+    first.wait_ready(true);
+    second.wait_ready(true);
+    std::thread::sleep(Duration::from_millis(500));
+    let mut stream = generation("surveys", "r1").open(first.address());
+    stream.next_chunk().expect("a stream").expect("an event");
+    let leaves = world.arrivals()[0].endpoint.clone();
+    served.set_mode(Mode::Busy);
+    world.announce_end(&leaves);
+    eventually("the move", || world.arrivals().len() == 2);
+    // The second VM has nothing there, so that it asks nobody.
+    std::thread::sleep(Duration::from_millis(100));
+    for n in 0..4 {
+        let mut other = generation("surveys", &format!("s{n}")).open(second.address());
+        other.next_chunk().expect("a stream").expect("an event");
+    }
+    let arrivals = world.arrivals();
+    assert!(arrivals[2..].iter().all(|arrival| arrival.endpoint != leaves));
+}
+
 #[test]
 fn refusals_and_retries_are_counted_by_reason() {
     let (_served, _away, daemons, service) = one_served_and_one_turned_away();
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -184,6 +184,22 @@
     assert_eq!(set.ran_at("r1"), runner);
 }
 
+#[test]
+fn a_stream_stays_at_an_engine_that_drains_for_as_long_as_the_store_is_away() {
+    let (set, engines) = Set::start(two_engines);
+    let slow = Behaviour::Streams { events: 30, pace_ms: 50 };
+    engines.iter().for_each(|engine| engine.set(slow));
+    let mut stream = generation("surveys", "r1").open(set.daemon.address());
+    let first = stream.next_chunk().expect("a stream").expect("an event");
+    let runner = set.ran_at("r1");
+    set.store_mode(Mode::Busy);
+    set.world.set_report(&runner, serde_json::json!({ "state": "draining" }));
+    let reply = stream.finish();
+    assert!(set.world.report_calls() > 0, "it was asked");
+    assert_eq!((reply.whole, first + &reply.body), (true, whole_stream(30)));
+    assert_eq!(set.ran_at("r1"), runner, "it serves on until the store has heard of it");
+}
+
 #[test]
 fn a_stream_leaves_an_engine_that_says_so_itself_while_the_store_is_away() {
     let (set, engines) = Set::start(two_engines);
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -312,6 +312,12 @@
         best.map(|member| member.peer.clone())
     }
 
+    /// Live VMs of the own zone, this one included.
+    pub fn vms_in_zone(&self, now: BootMs) -> usize {
+        let others = self.in_zone(&self.me.zone).map(|member| &member.peer.vm);
+        1 + others.filter(|vm| self.is_alive(now, vm)).count()
+    }
+
     fn in_zone<'a>(&'a self, zone: &'a ZoneId) -> impl Iterator<Item = &'a Member> {
         self.members.values().filter(move |member| member.peer.zone == *zone)
     }
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -41,7 +41,7 @@
     /// Whether the sender reads the platform itself and its reads succeed.
     #[prost(bool, tag = "6")]
     pub reads_platform: bool,
-    /// All that the sender's requests take at endpoints, and the endpoints that it suspects.
+    /// All that the sender's requests take at endpoints, and the endpoints of which it knows more.
     #[prost(message, repeated, tag = "7")]
     pub loads: ::prost::alloc::vec::Vec<EndpointLoad>,
     /// Some of the VMs that the sender knows.
@@ -86,6 +86,9 @@
     /// The part of it that the endpoint itself made.
     #[prost(uint32, tag = "7")]
     pub own_faults_milli: u32,
+    /// It told the sender itself that it leaves.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crash {
