Requests at another zone's engines are told to the VMs there

Such notes go to two VMs of the engine's zone, which hand them on to those that share the engine; they are said again before they are forgotten.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -17,6 +17,7 @@
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
@@ -87,6 +88,14 @@
     seen_ms: BootMs,
 }
 
+/// Who hears of a change at an endpoint.
+pub struct Listeners {
+    /// Where they are heard.
+    pub addresses: Vec<SocketAddrV4>,
+    /// Whether they hand it on in their zone.
+    pub relay: bool,
+}
+
 /// Settings, state and signals, shared by all tasks.
 pub struct Context {
     /// What the process was started with.
@@ -224,6 +233,19 @@
         }
     }
 
+    /// Has other zones hear again what this VM has at their endpoints: they hear no heartbeats of
+    /// it, and forget what is not said again.
+    pub fn renew_far_notes(&self) {
+        let home = &self.settings.zone;
+        let far = self.with(|state| {
+            let used = state.loads.own().filter_map(|(id, _)| state.endpoints.get(id));
+            let far = used.filter(|endpoint| endpoint.entry.zone != *home);
+            far.map(|endpoint| endpoint.entry.id.clone()).collect::<Vec<_>>()
+        });
+        self.notes.borrow_mut().extend(far);
+        self.notes_due.notify_one();
+    }
+
     /// Takes the endpoints of which other VMs should hear.
     pub fn take_notes(&self) -> BTreeSet<EndpointId> {
         std::mem::take(&mut *self.notes.borrow_mut())
@@ -317,6 +339,17 @@
         nobody_reads || heard_ms.is_none_or(|heard| now.since(heard) > REGISTRY_SILENT_MS)
     }
 
+    /// Who hears at once of changes at `endpoint`.
+    pub fn listeners(&self, now: BootMs, endpoint: &EndpointId) -> Listeners {
+        let zone = self.endpoints.get(endpoint).map(|endpoint| &endpoint.entry.zone);
+        match zone {
+            Some(zone) if !self.members.is_full_mesh() && *zone != self.members.me().zone => {
+                Listeners { addresses: self.members.relays(now, zone), relay: true }
+            }
+            _ => Listeners { addresses: self.members.sharers(now, endpoint).others, relay: false },
+        }
+    }
+
     /// Whether other VMs should hear that `endpoint` itself says that it leaves.
     pub fn tells_notice(&self, now: BootMs, endpoint: &EndpointId) -> bool {
         self.notices.get(endpoint).is_some_and(|noticed| now.since(*noticed) <= TELL_MS)
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Datagrams between daemons of different VMs: heartbeats, and notes of loads that changed.
 
-use crate::context::{CRASH_KEEP_MS, Context, State};
+use crate::context::{CRASH_KEEP_MS, Context, Listeners, State};
 use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{Heard, MEMBERS_PER_ANSWER};
 use gypsumchute_fleet::messages::{
@@ -58,7 +58,7 @@
         };
         match Datagram::decode(&buffer[..length]).map(|datagram| datagram.body) {
             Ok(Some(Body::Heartbeat(heartbeat))) => take_in(&context, &socket, heartbeat).await,
-            Ok(Some(Body::Note(note))) => take_note(&context, &note),
+            Ok(Some(Body::Note(note))) => take_note(&context, &socket, note).await,
             Ok(None) => warn!(bytes = length; "datagram of a kind that is not known"),
             Err(err) => warn!(error:% = err, bytes = length; "datagram can't be read"),
         }
@@ -182,29 +182,35 @@
         context.notes_due.notified().await;
         for endpoint in context.take_notes() {
             let now = boot_now();
-            let (load, sharers) = context.with(|state| {
-                (encode_load(state, now, &endpoint), state.members.sharers(now, &endpoint))
+            let (load, listeners) = context.with(|state| {
+                (encode_load(state, now, &endpoint), state.listeners(now, &endpoint))
             });
-            let note = LoadNote { vm: context.settings.vm.to_string(), load: Some(load) };
-            send_datagram(&context, &socket, Body::Note(note), &sharers.others).await;
+            let Listeners { addresses, relay } = listeners;
+            let note = LoadNote { vm: context.settings.vm.to_string(), load: Some(load), relay };
+            send_datagram(&context, &socket, Body::Note(note), &addresses).await;
         }
     }
 }
 
-fn take_note(context: &Context, note: &LoadNote) {
+async fn take_note(context: &Context, socket: &UdpSocket, note: LoadNote) {
     let told = note.load.as_ref().and_then(decode_told);
     let (Ok(vm), Some(told)) = (note.vm.parse(), told) else {
         warn!(vm = note.vm.as_str(); "note of a load can't be read");
         return;
     };
     let now = boot_now();
-    let leaves = context.with(|state| {
+    let (leaves, sharers) = context.with(|state| {
         let near = state.members.zone_of(&vm) == Some(&context.settings.zone);
         let leaves = take_behaviour(state, now, &told, near);
+        let sharers = state.members.sharers(now, &told.endpoint).others;
         state.loads.set_peer_at(now, &vm, told.endpoint, told.load);
-        leaves
+        (leaves, sharers)
     });
     notify(context, leaves);
+    if note.relay {
+        let note = LoadNote { relay: false, ..note };
+        send_datagram(context, socket, Body::Note(note), &sharers).await;
+    }
 }
 
 fn notify(context: &Context, endpoints_leave: bool) {
--- a/crates/daemon/src/upkeep.rs
+++ b/crates/daemon/src/upkeep.rs
@@ -1,6 +1,7 @@
 //! What has to be looked at from time to time: who fell silent, and what may be forgotten.
 
 use crate::context::Context;
+use gypsumchute_routing::load::PEER_LOAD_TTL_MS;
 use gypsumchute_units::time::boot_now;
 use log::info;
 use std::rc::Rc;
@@ -11,10 +12,13 @@
 const LOOK_MS: u64 = 50;
 /// How often silent VMs and old loads are forgotten, in ms.
 const EXPIRE_MS: u64 = 500;
+/// How often other zones are told again of requests at their endpoints, in ms: twice before they
+/// forget.
+const RENEW_MS: u64 = PEER_LOAD_TTL_MS * 2 / 5;
 
 /// Looks for as long as the process lives.
 pub async fn run(context: Rc<Context>) {
-    let mut expire_ms = boot_now();
+    let (mut expire_ms, mut renew_ms) = (boot_now(), boot_now());
     loop {
         sleep(Duration::from_millis(LOOK_MS)).await;
         watch_zones(&context);
@@ -23,6 +27,12 @@
             note_heard_late(&context);
             expire(&context);
         }
+        if renew_ms <= boot_now() {
+            renew_ms = boot_now() + RENEW_MS;
+            if !context.with(|state| state.members.is_full_mesh()) {
+                context.renew_far_notes();
+            }
+        }
     }
 }
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -19,6 +19,11 @@
 /// VMs that share an endpoint in a larger fleet: enough for each VM to have a choice of endpoints
 /// whose load it knows, few enough that telling each other costs less than telling the zone.
 const SHARERS: usize = 8;
+/// VMs of another zone that are sent what is to be handed on there: one may be gone.
+const RELAYS: usize = 2;
+/// How long a VM that others name counts where something is to be handed on. Each is named every
+/// few seconds.
+const NAMED_LATELY_MS: u64 = 15_000;
 /// VMs of each zone that read the platform. The other zones' readers are heard as well, and a VM
 /// that hears of no reader in its zone reads itself.
 const READERS_PER_ZONE: usize = 1;
@@ -70,6 +75,8 @@
     /// When a heartbeat of its own came; none if only others told of it.
     heard_ms: Option<BootMs>,
     learnt_ms: BootMs,
+    /// When it was last heard of.
+    known_ms: BootMs,
     reads_platform: bool,
     store_revision: u64,
 }
@@ -146,6 +153,7 @@
             peer: heard.peer.clone(),
             heard_ms: Some(now),
             learnt_ms: now,
+            known_ms: now,
             reads_platform: heard.reads_platform,
             store_revision: heard.store_revision,
         };
@@ -162,9 +170,11 @@
             peer: peer.clone(),
             heard_ms: None,
             learnt_ms: now,
+            known_ms: now,
             reads_platform: false,
             store_revision: 0,
         });
+        member.known_ms = now;
         let silent = member.heard_ms.is_none_or(|heard| now.since(heard) > REMEMBER_MS / 4);
         if silent {
             member.peer = peer;
@@ -276,6 +286,12 @@
         Sharers { includes_me: !own.is_empty(), others }
     }
 
+    /// Where VMs of another `zone` are heard that hand on what the VMs there should know.
+    pub fn relays(&self, now: BootMs, zone: &ZoneId) -> Vec<SocketAddrV4> {
+        let known = self.in_zone(zone).filter(|m| now.since(m.known_ms) < NAMED_LATELY_MS);
+        known.map(|member| member.peer.address).take(RELAYS).collect()
+    }
+
     /// Zones whose VMs all fell silent although this VM keeps in touch with them: it is likely to
     /// be cut off from their endpoints as well.
     pub fn silent_zones(&self, now: BootMs) -> BTreeSet<ZoneId> {
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -22,6 +22,9 @@
     pub vm: ::prost::alloc::string::String,
     #[prost(message, optional, tag = "2")]
     pub load: ::core::option::Option<EndpointLoad>,
+    /// The receiver hands it on to the VMs of its zone that send there.
+    #[prost(bool, tag = "3")]
+    pub relay: bool,
 }
 /// To every VM that the sender keeps in touch with.
 #[derive(Clone, PartialEq, ::prost::Message)]
