A store that is overdue counts as silent at once

A watch that is 0.15 s late is told to the other VMs at once, and they ask the engines they use. Test: generations::a_stream_leaves_in_time_also_when_the_store_falls_silent, red before; the stand-in's silence holds back watches in progress as well.

--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -10,11 +10,15 @@
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait of a watch, in ms: a store that went away is noticed within it, while engines leave
 /// 1.5 s after a notice that nobody heard.
 const WATCH_MS: u64 = 1_000;
+/// How much later than it should a watch may answer before this VM tells the others that it knows
+/// nothing new, in ms: far more than answers take, little against the 1.5 s after which engines
+/// leave.
+const OVERDUE_MS: u64 = 150;
 /// How often a VM that does not read looks whether it should, in ms.
 const LOOK_MS: u64 = 50;
 /// Shortest and longest pause after a failed read of a VM that tries alone, in ms.
@@ -102,7 +106,7 @@
     if revision == 0 {
         return list(context, store).await;
     }
-    match store.watch(ALL, revision, WATCH_MS).await {
+    match watch(context, store, revision).await {
         Ok(Changes { revision, items }) => {
             take_changes(context, Source::Store, revision, items);
             Ok(())
@@ -115,6 +119,28 @@
     }
 }
 
+/// Watches, and tells the other VMs at once when the store is overdue and when it answers again.
+async fn watch(
+    context: &Context,
+    store: &StoreClient,
+    revision: u64,
+) -> Result<Changes, StoreError> {
+    let mut watching = Box::pin(store.watch(ALL, revision, WATCH_MS));
+    let overdue = Duration::from_millis(WATCH_MS + OVERDUE_MS);
+    if let Ok(answer) = timeout(overdue, watching.as_mut()).await {
+        return answer;
+    }
+    info!(revision; "store is overdue");
+    context.with(|state| state.reads_store = false);
+    context.heartbeat_due.notify_one();
+    let answer = watching.await;
+    if answer.is_ok() {
+        context.with(|state| state.reads_store = true);
+        context.heartbeat_due.notify_one();
+    }
+    answer
+}
+
 async fn list(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
     let Changes { revision, items } = store.list(ALL).await?;
     take_listing(context, Source::Store, revision, items);
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -184,6 +184,22 @@
     assert_eq!(set.ran_at("r1"), runner);
 }
 
+#[test]
+fn a_stream_leaves_in_time_also_when_the_store_falls_silent() {
+    let (set, engines) = Set::start(two_engines);
+    let slow = Behaviour::Streams { events: 60, pace_ms: 100 };
+    engines.iter().for_each(|engine| engine.set(slow));
+    let caller = generation("surveys", "r1").patience_ms(20000);
+    let mut stream = caller.open(set.daemon.address());
+    stream.next_chunk().expect("a stream").expect("an event");
+    let runner = set.ran_at("r1");
+    set.store_mode(Mode::Silent);
+    let away = std::time::Instant::now();
+    set.world.announce_end(&runner);
+    eventually("the move", || set.ran_at("r1") != runner);
+    assert!(away.elapsed().as_millis() < 1_500, "engines leave 1.5 s after their notice");
+}
+
 #[test]
 fn a_stream_stays_at_an_engine_that_drains_for_as_long_as_the_store_is_away() {
     let (set, engines) = Set::start(two_engines);
