Two known red tests mended: the third search for tokens, load reports that the proxy cut

random_arrivals_inside_the_rate_are_hardly_ever_refused: a part that is on its way mints nothing, and two searches could miss it. An endpoint without a report for two reads gets nothing, so that the second booking was rightly refused as not run, if the machine was slow enough. The pause stays, and the proxy spares load reports; what is asserted is unchanged.

--- a/crates/decide/src/shares/mod.rs
+++ b/crates/decide/src/shares/mod.rs
@@ -29,7 +29,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Searches for tokens after a first one in vain: parts may have been on their way.
-const SEARCHES_AGAIN: u32 = 1;
+const SEARCHES_AGAIN: u32 = 2;
 
 /// What became of a request that waited for its customer's rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -47,6 +47,7 @@
     open: Vec<TcpStream>,
     blocked: BTreeSet<SocketAddr>,
     block_all: bool,
+    spared: Option<&'static str>,
 }
 
 /// A running proxy, for TCP and UDP at the same address.
@@ -104,6 +105,11 @@
         }
     }
 
+    /// Lets connections pass unharmed that begin with `prefix`, as `GET /-/load`.
+    pub fn spare(&self, prefix: &'static str) {
+        lock(&self.state).spared = Some(prefix);
+    }
+
     /// Delays each piece that passes over TCP.
     pub fn delay_ms(&self, delay_ms: u64) {
         lock(&self.state).delay_ms = delay_ms;
@@ -161,17 +167,40 @@
         state.open.push(caller.try_clone().ok()?);
         state.generation
     };
+    let spared = is_spared(&caller, state);
     let server = TcpStream::connect_timeout(&target, Duration::from_millis(CONNECT_MS)).ok()?;
     lock(state).open.push(server.try_clone().ok()?);
     let _ = caller.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let (to_server, to_caller) = (server.try_clone().ok()?, caller.try_clone().ok()?);
     let shared = state.clone();
-    thread::spawn(move || pipe(caller, to_server, generation, &shared, false));
-    pipe(server, to_caller, generation, state, true);
+    thread::spawn(move || match spared {
+        true => copy(caller, to_server),
+        false => pipe(caller, to_server, generation, &shared, false),
+    });
+    match spared {
+        true => copy(server, to_caller),
+        false => pipe(server, to_caller, generation, state, true),
+    }
     Some(())
 }
 
+/// Whether the connection's first bytes are those that faults leave alone.
+fn is_spared(caller: &TcpStream, state: &Mutex<State>) -> bool {
+    let Some(prefix) = lock(state).spared else { return false };
+    let mut first = [0; CHUNK_BYTES];
+    let count = caller.peek(&mut first).unwrap_or(0);
+    first[..count].starts_with(prefix.as_bytes())
+}
+
+/// Passes bytes on as they are.
+fn copy(mut from: TcpStream, mut to: TcpStream) {
+    // Either end may go at any time; the other one is told.
+    let _ = io::copy(&mut from, &mut to);
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
+
 fn pipe(
     mut from: TcpStream,
     mut to: TcpStream,
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -68,9 +68,12 @@
 #[test]
 fn a_booking_whose_answer_is_lost_may_have_run_and_does_not_run_again() {
     let set = start();
+    // An endpoint whose load can't be read gets nothing: only bookings are to be lost.
+    set.proxy.spare("GET /-/load");
     set.proxy.fault(Fault::CutAnswers);
     let cut = book(&set, 0, "cut", "raft").unwrap();
     assert_eq!((cut.status, cut.verdict()), (502, "may_have_run"), "{cut:?}");
+    thread::sleep(Duration::from_millis(900));
     set.proxy.fault(Fault::LoseAnswers);
     let silent = book(&set, 1, "silent", "raft").unwrap();
     assert_eq!((silent.status, silent.verdict()), (504, "may_have_run"), "{silent:?}");
