--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -138,7 +138,7 @@
         tokens: load.tokens,
         backup_tokens: load.backup_tokens,
         unread_tokens: load.unread_tokens,
-        suspicion_milli: milli(suspicion.level),
+        failures_milli: milli(suspicion.failures),
         own_faults_milli: milli(suspicion.own_faults),
         leaving: state.tells_notice(now, endpoint),
     }
@@ -155,11 +155,11 @@
 fn decode_told(told: &EndpointLoad) -> Option<ToldEndpoint> {
     let &EndpointLoad { requests, tokens, backup_tokens, unread_tokens, leaving, .. } = told;
     let part = |milli: u32| f64::from(milli) / 1_000.0;
-    let level = part(told.suspicion_milli);
+    let failures = part(told.failures_milli);
     Some(ToldEndpoint {
         endpoint: told.endpoint.parse().ok()?,
         load: Load { requests, tokens, backup_tokens, unread_tokens },
-        suspicion: Suspicion { level, own_faults: part(told.own_faults_milli) },
+        suspicion: Suspicion { level: failures, failures, own_faults: part(told.own_faults_milli) },
         leaving,
     })
 }
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -83,9 +83,10 @@
     pub backup_tokens: u64,
     #[prost(uint64, tag = "5")]
     pub unread_tokens: u64,
-    /// How suspect it is by what the sender saw, in thousandths of one fresh failure.
+    /// How suspect it is by failures that the sender saw and load does not explain, in thousandths of
+    /// one fresh failure.
     #[prost(uint32, tag = "6")]
-    pub suspicion_milli: u32,
+    pub failures_milli: u32,
     /// The part of it that the endpoint itself made.
     #[prost(uint32, tag = "7")]
     pub own_faults_milli: u32,
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -3,7 +3,9 @@
 //! Answers the pattern "an endpoint says that it is well and fails all that it is asked": it stays
 //! the emptiest of all and would draw every request. VMs tell each other whom they suspect, so that
 //! not each of them has to lose requests there. What a VM sees may also be due to its own links, so
-//! that VMs of other zones go only by the errors that an endpoint made itself.
+//! that VMs of other zones go only by the errors that an endpoint made itself; and an endpoint that
+//! is slow or full may only be crowded, which each VM has to see for itself: a crowd must not be
+//! sent elsewhere by hearsay.
 
 use gypsumchute_units::{BootMs, EndpointId};
 use std::collections::BTreeMap;
@@ -54,24 +56,57 @@
         }
     }
 
-    /// Whether the endpoint itself made the failure, rather than perhaps the way to it.
-    fn is_own_fault(self) -> bool {
+    /// Who may have made the failure.
+    fn cause(self) -> Cause {
         match self {
-            Outcome::Error | Outcome::EngineError => true,
-            Outcome::Answered | Outcome::Rejected | Outcome::Broken | Outcome::Silent => false,
+            Outcome::Error | Outcome::EngineError => Cause::Endpoint,
+            Outcome::Broken => Cause::EndpointOrLink,
+            Outcome::Answered | Outcome::Rejected | Outcome::Silent => Cause::Load,
         }
     }
 }
 
+/// Who may have made a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// The endpoint itself.
+    Endpoint,
+    /// The endpoint, or the way to it.
+    EndpointOrLink,
+    /// Nobody: the endpoint may only be crowded.
+    Load,
+}
+
 /// How suspect an endpoint is at a time: 0 for not at all, 1 for one fresh failure.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Suspicion {
     /// By all failures.
     pub level: f64,
+    /// By those that are not explained by load.
+    pub failures: f64,
     /// By those that the endpoint itself made.
     pub own_faults: f64,
 }
 
+impl Suspicion {
+    fn scaled(self, part: f64) -> Self {
+        let Suspicion { level, failures, own_faults } = self;
+        Suspicion { level: level * part, failures: failures * part, own_faults: own_faults * part }
+    }
+
+    fn grown(self, weight: f64, cause: Cause) -> Self {
+        let add = |level: f64, counts: bool| match counts {
+            true => (level + weight).min(MAX_SUSPICION),
+            false => level,
+        };
+        Suspicion {
+            level: add(self.level, true),
+            failures: add(self.failures, cause != Cause::Load),
+            own_faults: add(self.own_faults, cause == Cause::Endpoint),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Record {
     suspicion: Suspicion,
@@ -82,8 +117,7 @@
 impl Record {
     fn at(&self, now: BootMs) -> Suspicion {
         let left = (-(now.since(self.as_of_ms) as f64) / HALF_LIFE_MS).exp2();
-        let Suspicion { level, own_faults } = self.suspicion;
-        Suspicion { level: level * left, own_faults: own_faults * left }
+        self.suspicion.scaled(left)
     }
 }
 
@@ -103,17 +137,12 @@
         let (suspicion, errors_in_a_row) = match outcome {
             Outcome::Answered => {
                 self.ease_heard(now, endpoint);
-                let Suspicion { level, own_faults } = was;
-                let level = level * SUCCESS_LEAVES;
-                (Suspicion { level, own_faults: own_faults * SUCCESS_LEAVES }, 0)
+                (was.scaled(SUCCESS_LEAVES), 0)
             }
             failure => {
-                let weight = failure.weight(errors);
-                let fault = if failure.is_own_fault() { weight } else { 0.0 };
-                let level = (was.level + weight).min(MAX_SUSPICION);
-                let own_faults = (was.own_faults + fault).min(MAX_SUSPICION);
-                let errors = if failure.is_own_fault() { errors + 1 } else { errors };
-                (Suspicion { level, own_faults }, errors)
+                let cause = failure.cause();
+                let errors_now = errors + u32::from(cause == Cause::Endpoint);
+                (was.grown(failure.weight(errors), cause), errors_now)
             }
         };
         match suspicion.level < FORGOTTEN {
@@ -123,16 +152,16 @@
                 self.own.insert(endpoint.clone(), record);
             }
         }
-        outcome != Outcome::Answered && suspicion.level >= TOLD_FROM
+        outcome.cause() != Cause::Load && suspicion.failures >= TOLD_FROM
     }
 
     /// Takes in whom another VM suspects, one of the own zone (`near`) or of another.
     pub fn hear(&mut self, now: BootMs, endpoint: EndpointId, told: Suspicion, near: bool) {
-        let level = if near { told.level } else { told.own_faults };
+        let level = if near { told.failures } else { told.own_faults };
         let level = level.clamp(0.0, MAX_SUSPICION);
         let known = self.heard.get(&endpoint).map_or(0.0, |record| record.at(now).level);
         if level > known.max(FORGOTTEN) {
-            let suspicion = Suspicion { level, own_faults: 0.0 };
+            let suspicion = Suspicion { level, ..Suspicion::default() };
             self.heard.insert(endpoint, Record { suspicion, as_of_ms: now, errors_in_a_row: 0 });
         }
     }
@@ -160,7 +189,7 @@
 
     /// The endpoints that this VM itself suspects so much that others should hear of it.
     pub fn told(&self, now: BootMs) -> impl Iterator<Item = &EndpointId> {
-        let suspects = self.own.iter().filter(move |(_, r)| r.at(now).level >= TOLD_FROM);
+        let suspects = self.own.iter().filter(move |(_, r)| r.at(now).failures >= TOLD_FROM);
         suspects.map(|(endpoint, _)| endpoint)
     }
 
--- a/crates/routing/tests/testsuite/outcomes.rs
+++ b/crates/routing/tests/testsuite/outcomes.rs
@@ -43,7 +43,7 @@
 #[test]
 fn what_another_zone_tells_counts_only_where_the_endpoint_itself_failed() {
     let endpoint = endpoint_id("e1");
-    let cut_off = Suspicion { level: 3.0, own_faults: 0.0 };
+    let cut_off = Suspicion { level: 3.0, failures: 3.0, own_faults: 0.0 };
     let mut far = Outcomes::default();
     far.hear(NOW, endpoint.clone(), cut_off, false);
     assert_eq!(far.suspicion(NOW, &endpoint), 0.0);
@@ -53,7 +53,8 @@
     near.observe(NOW, &endpoint, Outcome::Answered);
     assert!(near.suspicion(NOW, &endpoint) < 1.7, "an own success eases it");
     assert_eq!(near.own_at(NOW, &endpoint), Suspicion::default(), "hearsay is not handed on");
-    far.hear(NOW, endpoint.clone(), Suspicion { level: 3.0, own_faults: 1.0 }, false);
+    let errs = Suspicion { level: 3.0, failures: 3.0, own_faults: 1.0 };
+    far.hear(NOW, endpoint.clone(), errs, false);
     assert!((far.suspicion(NOW, &endpoint) - 0.9).abs() < 0.01);
     assert!(far.suspicion(NOW + 20_000, &endpoint) < 0.05);
 }
@@ -69,3 +70,17 @@
     outcomes.expire(NOW + 20_000);
     assert_eq!(outcomes.told(NOW).count(), 0);
 }
+
+#[test]
+fn a_crowded_endpoint_is_not_told_of() {
+    let mut outcomes = Outcomes::default();
+    let endpoint = endpoint_id("e1");
+    for outcome in [Outcome::Silent, Outcome::Rejected, Outcome::Silent] {
+        assert!(!outcomes.observe(NOW, &endpoint, outcome));
+    }
+    assert!(outcomes.suspicion(NOW, &endpoint) > 3.0, "this VM keeps away");
+    assert_eq!(outcomes.told(NOW).count(), 0);
+    let mut other = Outcomes::default();
+    other.hear(NOW, endpoint.clone(), outcomes.own_at(NOW, &endpoint), true);
+    assert_eq!(other.suspicion(NOW, &endpoint), 0.0);
+}
