--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod folder;
 mod generations;
 mod plain;
+mod poison;
 mod reading;
 mod shutdown;
 mod support;
