--- a/crates/daemon/src/pulls.rs
+++ b/crates/daemon/src/pulls.rs
@@ -33,8 +33,10 @@
     loop {
         sleep(Duration::from_millis(PULL_LOOK_MS)).await;
         let now = boot_now();
-        let revision = context.with(|state| state.copy.revision());
-        let ahead = context.with(|state| state.members.ahead_of(now, revision));
+        let (revision, ahead) = context.with(|state| {
+            let revision = state.copy.revision();
+            (revision, state.members.ahead_of(now, revision, &mut state.rng))
+        });
         let Some(peer) = ahead else { continue };
         match timeout(Duration::from_millis(PULL_MS), pull(&peer, revision)).await {
             Ok(Ok(reply)) => take_reply(&context, &peer, reply),
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -320,12 +320,15 @@
         readers.any(|member| self.is_alive(now, &member.peer.vm))
     }
 
-    /// A live VM that knows more than `revision`, those of the own zone first.
-    pub fn ahead_of(&self, now: BootMs, revision: u64) -> Option<PeerAddress> {
+    /// A live VM that knows more than `revision`, one of the own zone if there is any. Any of them
+    /// will do: where a whole fleet starts, all would ask the first one that knows, and wait.
+    pub fn ahead_of(&self, now: BootMs, revision: u64, rng: &mut impl Rng) -> Option<PeerAddress> {
         let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
         let ahead = alive.filter(|member| member.store_revision > revision);
-        let best = ahead.max_by_key(|m| (m.peer.zone == self.me.zone, m.store_revision));
-        best.map(|member| member.peer.clone())
+        let (near, far): (Vec<_>, Vec<_>) =
+            ahead.partition(|member| member.peer.zone == self.me.zone);
+        let any = if near.is_empty() { far } else { near };
+        any.into_iter().choose(rng).map(|member| member.peer.clone())
     }
 
     /// Live VMs of the own zone, this one included.
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -205,3 +205,22 @@
     let (small, large) = (per_vm_s(52, 2), per_vm_s(416, 16));
     assert!(large < small * 1.5, "{small:.1} a second with 2 zones of 26, {large:.1} with 16");
 }
+
+#[test]
+fn vms_that_lack_changes_ask_different_vms_that_know_them() {
+    let mut net = Net::of(20, 2);
+    net.run(3_000);
+    let me = peer(0, 2);
+    let vm = net.vms.get_mut(&me.address).expect("a VM");
+    let knows =
+        |number: usize| Heard { peer: peer(number, 2), reads_platform: false, store_revision: 7 };
+    // VMs of the own zone have even numbers.
+    [1, 3, 4, 6, 8].map(|number| vm.on_heartbeat(net.now, knows(number)));
+    let mut asked = BTreeSet::new();
+    for _ in 0..40 {
+        let found = vm.ahead_of(net.now, 3, &mut net.rng).expect("a VM that knows more");
+        asked.insert(found.vm.to_string());
+    }
+    assert_eq!(asked, ["vm-004", "vm-006", "vm-008"].map(str::to_owned).into());
+    assert_eq!(vm.ahead_of(net.now, 7, &mut net.rng), None);
+}
