Engines whose load a VM hears late cost more than most others

Eight of 22 VMs of a zone tell each other at once what they send to an engine; the others hear of it with heartbeats, up to 0.6 s later, and went there as soon as it seemed emptier by a quarter: up to four of them within 0.25 s, all on the same stale word.

--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -25,7 +25,7 @@
 /// Cost of leaving the own zone, as a part of an endpoint's load.
 const OTHER_ZONE_COST: f64 = 0.20;
 /// Cost of an endpoint whose load is heard late: about that of a prompt that may have come since.
-const HEARD_LATE_COST: f64 = 0.25;
+const HEARD_LATE_COST: f64 = 0.6;
 /// Cost of a zone that seems cut off: its endpoints come after all others.
 const SILENT_ZONE_COST: f64 = 4.0;
 /// Cost of prompts that an engine has yet to read, against that of memory that is taken: a prompt
