--- a/src/bin/gypsumchute/commands/demo.rs
+++ b/src/bin/gypsumchute/commands/demo.rs
@@ -14,19 +14,18 @@
     let serve = long("serve").help("stay up and print how to call it").switch();
     construct!(Args { serve })
         .to_options()
-        .descr("Starts a small fleet on loopback and sends a generation and a booking through it.")
+        .descr("Starts two daemons on loopback and sends a generation and a booking through them.")
         .command("demo")
 }
 
 impl Args {
     pub fn exec(self) -> OpResult<()> {
-        let fleet = demo::start()?;
+        let demo = demo::start()?;
         let mut out = io::stdout().lock();
-        demo::run(&fleet, &mut out)?;
+        demo::run(&demo, &mut out)?;
         if self.serve {
-            demo::serve(&fleet, &mut out)?;
+            demo::serve(&demo, &mut out)?;
         }
-        fleet.stop();
         Ok(())
     }
 }
