--- a/crates/daemon/src/folder_reader.rs
+++ b/crates/daemon/src/folder_reader.rs
@@ -61,8 +61,13 @@
 }
 
 fn take(context: &Rc<Context>, files: &Files, version: u64) {
-    // A map of texts always has a form in JSON.
-    let value = serde_json::to_vec(files).map(Into::into).ok();
+    let value = match serde_json::to_vec(files) {
+        Ok(value) => Some(value.into()),
+        Err(err) => {
+            warn!(version, error:% = err; "folder can't be handed on; it changes nothing");
+            return;
+        }
+    };
     let item = StoreItem { key: FOLDER_KEY.to_owned(), revision: version, value };
     take_changes(context, Source::Folder, version, vec![item]);
     note_read(context);
