--- a/crates/daemon/tests/testsuite/fleet.rs
+++ b/crates/daemon/tests/testsuite/fleet.rs
@@ -24,6 +24,27 @@
     (served, away, vec![first, second], service)
 }
 
+/// Two VMs of a zone that have heard of each other, before two engines.
+struct TwoVms {
+    served: Store,
+    world: World,
+    daemons: [Daemon; 2],
+    _engines: [Endpoint; 2],
+}
+
+fn two_vms_before_two_engines(behaviour: Behaviour) -> TwoVms {
+    let (served, world) = (store(), World::default());
+    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, behaviour));
+    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
+    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
+    let second = Daemon::start(served.address(), "vm-2", "a", &[first.settings.peers_listen]);
+    first.wait_ready(true);
+    second.wait_ready(true);
+    eventually("membership", || first.metrics().contains("gypsumchute_peer_messages_total"));
+    std::thread::sleep(Duration::from_millis(500));
+    TwoVms { served, world, daemons: [first, second], _engines: engines }
+}
+
 #[test]
 fn a_vm_that_the_store_turns_away_hears_of_changes_from_others() {
     let (served, _away, daemons, _service) = one_served_and_one_turned_away();
@@ -106,16 +127,9 @@
 
 #[test]
 fn two_vms_do_not_choose_the_same_engine_at_once() {
-    let (served, world) = (store(), World::default());
     let slow = Behaviour::Streams { events: 20, pace_ms: 30 };
-    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, slow));
-    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
-    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
-    let second = Daemon::start(served.address(), "vm-2", "a", &[first.settings.peers_listen]);
-    first.wait_ready(true);
-    second.wait_ready(true);
-    eventually("membership", || first.metrics().contains("gypsumchute_peer_messages_total"));
-    std::thread::sleep(Duration::from_millis(500));
+    let set = two_vms_before_two_engines(slow);
+    let (world, [first, second]) = (&set.world, &set.daemons);
     for round in 0..3 {
         let ids = [format!("a{round}"), format!("b{round}")];
         let one = generation("surveys", &ids[0]).open(first.address());
@@ -133,19 +147,13 @@
 
 #[test]
 fn what_an_engine_tells_one_vm_is_known_to_the_others() {
-    let (served, world) = (store(), World::default());
     let slow = Behaviour::Streams { events: 60, pace_ms: 50 };
-    let engines = ["engine-1", "engine-2"].map(|id| Endpoint::start(&world, id, slow));
-    engines.iter().for_each(|engine| register(&served, engine, "engines", "a", "ready"));
-    let first = Daemon::start(served.address(), "vm-1", "a", &[]);
-    let second = Daemon::start(served.address(), "vm-2", "a", &[first.settings.peers_listen]);
-    first.wait_ready(true);
-    second.wait_ready(true);
-    std::thread::sleep(Duration::from_millis(500));
+    let set = two_vms_before_two_engines(slow);
+    let (world, [first, second]) = (&set.world, &set.daemons);
     let mut stream = generation("surveys", "r1").open(first.address());
     stream.next_chunk().expect("a stream").expect("an event");
     let leaves = world.arrivals()[0].endpoint.clone();
-    served.set_mode(Mode::Busy);
+    set.served.set_mode(Mode::Busy);
     world.announce_end(&leaves);
     eventually("the move", || world.arrivals().len() == 2);
     // The second VM has nothing there, so that it asks nobody.
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -215,7 +215,9 @@
     let knows =
         |number: usize| Heard { peer: peer(number, 2), reads_platform: false, store_revision: 7 };
     // VMs of the own zone have even numbers.
-    [1, 3, 4, 6, 8].map(|number| vm.on_heartbeat(net.now, knows(number)));
+    for number in [1, 3, 4, 6, 8] {
+        vm.on_heartbeat(net.now, knows(number));
+    }
     let mut asked = BTreeSet::new();
     for _ in 0..40 {
         let found = vm.ahead_of(net.now, 3, &mut net.rng).expect("a VM that knows more");
--- a/crates/routing/tests/testsuite/outcomes.rs
+++ b/crates/routing/tests/testsuite/outcomes.rs
@@ -19,7 +19,9 @@
         levels.push(format!("{:.2}", outcomes.suspicion(NOW + later_ms, &endpoint)));
     }
     assert_eq!(levels, ["1.00", "2.50", "0.75", "1.00", "0.60"]);
-    (0..20).for_each(|_| drop(outcomes.observe(NOW, &endpoint, Outcome::Broken)));
+    for _ in 0..20 {
+        outcomes.observe(NOW, &endpoint, Outcome::Broken);
+    }
     assert!(outcomes.suspicion(NOW, &endpoint) <= 4.0);
     assert!(outcomes.suspicion(NOW + 20_000, &endpoint) < 0.05);
 }
@@ -31,7 +33,9 @@
     for _ in 0..3 {
         fails.observe(NOW, &endpoint, Outcome::Error);
         varies.observe(NOW, &endpoint, Outcome::Error);
-        (0..6).for_each(|_| drop(varies.observe(NOW, &endpoint, Outcome::Answered)));
+        for _ in 0..6 {
+            varies.observe(NOW, &endpoint, Outcome::Answered);
+        }
     }
     assert!((fails.suspicion(NOW, &endpoint) - 1.75).abs() < 0.01);
     assert!(varies.suspicion(NOW, &endpoint) < 0.05);
