Test of engines heard late: two-sided around the new cost

It named 10,000 of 30,000 tokens as the point from which such an engine is taken, which followed from a cost of 0.25; since the cost is 0.6 the own engine is kept at 16,000 and left at 20,000.

--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -199,6 +199,9 @@
     let service = engine_service();
     let load = run_of(3_000);
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("own"));
+    // All VMs that hear late see the same engine as the emptiest, and would go there together.
+    known.loads.add(&endpoint_id("own"), run_of(10_000));
+    assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("own"));
     known.loads.add(&endpoint_id("own"), run_of(4_000));
     assert_eq!(place(NOW, known.fleet(), known.demand(&service, load, 1)), at("late"));
 }
