Daemon: log and count the crashes that are held against requests

An incident on poison requests could not be followed: a crash was held against a request without a log line or a counter, no line named the fingerprint by which retries of a request are recognised, and a plain request whose caller disconnected left no line at its end.

- Fingerprint is a type of its own, printed as 16 hexadecimal digits, and stands in "request placed", "request ended" and the refusal of a poison request.
- "endpoint crash held against request" and "peer VM reported an endpoint crash" name the fingerprint, the endpoint, the cause and the crashes known so far; a failed run that is not held against its request says so.
- gypsumchute_endpoint_crashes_total{source}: local or peer.
- Plain requests that are cancelled log "request ended" with caller_left.

No decision changes. 50 tests of the daemon pass; the poison test now reads the new counters.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -12,7 +12,9 @@
 use gypsumchute_routing::placement::{Placement, PlacementRequest, choose_endpoint};
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId, ZoneId};
+use gypsumchute_units::{
+    BootMs, EndpointId, Fingerprint, Refusal, RefusalReason, RequestId, ZoneId,
+};
 use http::{HeaderMap, Method, Uri};
 use log::info;
 use std::collections::BTreeSet;
@@ -59,7 +61,7 @@
     /// Deadline for the response: the caller's or the route's, whichever is earlier.
     pub deadline_ms: BootMs,
     /// Hash of path, customer and body, which identifies retries of the same request.
-    pub fingerprint: u64,
+    pub fingerprint: Fingerprint,
     /// Uniformly distributed random number that spreads requests over equally good choices.
     pub random_value: u64,
 }
@@ -286,6 +288,7 @@
         });
         info!(
             request = self.id(),
+            fingerprint:% = self.fingerprint,
             endpoint = endpoint.as_str(),
             waited_ms = now.since(self.arrived_ms),
             needs_tokens = self.load().reserved_tokens,
@@ -340,6 +343,15 @@
         }
     }
 
+    /// Records that `endpoint` crashed while it ran this request. `cause` is the failure that the
+    /// crash is inferred from.
+    pub fn record_crash(&self, endpoint: &EndpointId, cause: &str) {
+        let crashes = self.context.record_crash(self.fingerprint, endpoint);
+        info!(request = self.id(), fingerprint:% = self.fingerprint, endpoint = endpoint.as_str(),
+            cause, crashes;
+            "endpoint crash held against request");
+    }
+
     /// Logs the outcome of the request.
     pub fn log_completion(
         &self,
@@ -351,6 +363,7 @@
         let elapsed_ms = boot_now().since(self.arrived_ms);
         info!(
             request = self.id(),
+            fingerprint:% = self.fingerprint,
             route = self.route.id.as_str(),
             customer = self.customer.as_ref().map_or("-", |customer| customer.id.as_str()),
             endpoint = endpoint.map_or("-", EndpointId::as_str),
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -12,7 +12,7 @@
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, ServiceId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint, ServiceId, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -86,7 +86,7 @@
 #[derive(Debug, Clone)]
 pub struct Crash {
     /// Fingerprint of the request that ran on the endpoint.
-    pub fingerprint: u64,
+    pub fingerprint: Fingerprint,
     /// Endpoint that crashed.
     pub endpoint: EndpointId,
     /// Random number that identifies the crash, so that repeated announcements are counted once.
@@ -310,17 +310,21 @@
         }
     }
 
-    /// Records that `endpoint` crashed while it ran the request with `fingerprint`.
-    pub fn record_crash(&self, fingerprint: u64, endpoint: &EndpointId) {
+    /// Records that `endpoint` crashed while it ran the request with `fingerprint`. Returns the
+    /// number of known crashes of the request.
+    pub fn record_crash(&self, fingerprint: Fingerprint, endpoint: &EndpointId) -> usize {
         let now = boot_now();
-        self.with(|state| {
+        let crashes = self.with(|state| {
             let number = state.rng.random();
             let crash = Crash { fingerprint, endpoint: endpoint.clone(), number, seen_ms: now };
             let observed = [(number, endpoint.clone())];
             state.poison.record_crashes(now, fingerprint, observed, CRASH_RETENTION_MS);
             state.recent_crashes.push_back(crash);
+            state.poison.crash_count(now, fingerprint)
         });
+        self.metrics.count_endpoint_crash("local");
         self.heartbeat_due.notify_one();
+        crashes
     }
 }
 
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -302,7 +302,7 @@
             Err(err) => {
                 info!(request = self.call.id(), endpoint = endpoint.as_str(), error:% = err;
                     "engine sent no response");
-                self.on_run_failed(&endpoint);
+                self.on_run_failed(&endpoint, &err.to_string());
                 return StartOutcome::Lost(backup);
             }
         };
@@ -352,20 +352,24 @@
                 }
             }
             ResponseKind::Foreign => {
-                self.on_run_failed(&endpoint);
+                self.on_run_failed(&endpoint, "unsigned or foreign response");
                 StartOutcome::Lost(backup)
             }
         }
     }
 
     /// Records a connection failure or an invalid response of `endpoint`.
-    fn on_run_failed(&mut self, endpoint: &EndpointId) {
+    fn on_run_failed(&mut self, endpoint: &EndpointId, cause: &str) {
         self.failed_runs += 1;
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
         // An engine that sent a termination notice did not crash.
         if self.accepts_requests(endpoint) {
-            self.call.context.record_crash(self.call.fingerprint, endpoint);
+            self.call.record_crash(endpoint, cause);
+        } else {
+            info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
+                endpoint = endpoint.as_str(), cause;
+                "run failed at an endpoint out of service; not held against the request");
         }
     }
 
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -64,7 +64,7 @@
                         info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
                             error = error.as_str(), events = self.delivered_events;
                             "engine stream failed");
-                        self.on_run_failed(&run.endpoint);
+                        self.on_run_failed(&run.endpoint, &error);
                         return RelayEnd::Lost(Interruption::Disconnected, run.backup);
                     }
                 }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -10,7 +10,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use log::{info, warn};
 use prost::Message;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -116,7 +116,7 @@
         let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
         let members = state.members.sample_members(now, member_count, &mut state.rng);
         let crashes = state.crashes_to_announce(now).map(|crash| Crash {
-            fingerprint: crash.fingerprint,
+            fingerprint: crash.fingerprint.0,
             endpoint: crash.endpoint.to_string(),
             number: crash.number,
             keep_ms: CRASH_RETENTION_MS,
@@ -274,6 +274,27 @@
     Some(PeerAddress { vm: vm.parse().ok()?, zone: zone.parse().ok()?, address })
 }
 
+/// Records a crash that a peer reports, unless it is known.
+fn apply_crash(context: &Context, peer: &PeerAddress, crash: &Crash) {
+    let Ok(endpoint) = crash.endpoint.parse::<EndpointId>() else {
+        warn!(vm = peer.vm.as_str(), endpoint = crash.endpoint.as_str();
+            "crash report has an invalid endpoint id");
+        return;
+    };
+    let now = boot_now();
+    let fingerprint = Fingerprint(crash.fingerprint);
+    let crashes = context.with(|state| {
+        let seen = [(crash.number, endpoint.clone())];
+        let is_new = state.poison.record_crashes(now, fingerprint, seen, crash.keep_ms);
+        is_new.then(|| state.poison.crash_count(now, fingerprint))
+    });
+    let Some(crashes) = crashes else { return };
+    context.metrics.count_endpoint_crash("peer");
+    info!(fingerprint:% = fingerprint, endpoint = endpoint.as_str(), vm = peer.vm.as_str(),
+        zone = peer.zone.as_str(), crashes;
+        "peer VM reported an endpoint crash");
+}
+
 /// Applies a heartbeat from a peer. Replies with a heartbeat if the peer was unknown or silent
 /// before, or if the peer has no live peers itself (`joining`).
 async fn apply_heartbeat(context: &Rc<Context>, socket: &UdpSocket, heartbeat: Heartbeat) {
@@ -321,13 +342,9 @@
         if heartbeat.reads_platform && heartbeat.store_revision <= state.store_copy.revision() {
             state.store_confirmed_ms = Some(now);
         }
-        for crash in &heartbeat.crashes {
-            let Ok(endpoint) = crash.endpoint.parse() else { continue };
-            let seen = [(crash.number, endpoint)];
-            state.poison.record_crashes(now, crash.fingerprint, seen, crash.keep_ms);
-        }
         (is_new, any_terminating)
     });
+    heartbeat.crashes.iter().for_each(|crash| apply_crash(context, &peer, crash));
     notify_waiters(context, any_terminating);
     if is_new {
         info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -11,7 +11,7 @@
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, Refusal, RefusalReason};
+use gypsumchute_units::{BootMs, Fingerprint, Refusal, RefusalReason};
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request};
@@ -135,6 +135,8 @@
     refusal: Refusal,
     /// Request id for the log line, or `-` if there is none.
     request_id: String,
+    /// Fingerprint of the request, if the body was read and decided the refusal.
+    fingerprint: Option<Fingerprint>,
     /// Whether to close the connection, because the end of the request body is unknown.
     close_connection: bool,
 }
@@ -146,7 +148,8 @@
         context.metrics.count_refusal(reason.into(), verdict.into());
         let version = context.with(|state| state.table.as_ref().map_or(0, |t| t.version.0));
         let store_revision = context.with(|state| state.store_copy.revision());
-        info!(request = self.request_id.as_str(), reason:% = reason, verdict:% = verdict,
+        let fingerprint = self.fingerprint.map_or("-".to_owned(), |hash| hash.to_string());
+        info!(request = self.request_id.as_str(), fingerprint, reason:% = reason, verdict:% = verdict,
             retry_after_ms:? = retry_after_ms, version, store_revision; "request refused");
         let mut reply = reply::refusal_reply(self.refusal);
         if self.close_connection {
@@ -169,11 +172,13 @@
     let reject = |refusal: Refusal| RejectedRequest {
         refusal,
         request_id: request_id.clone(),
+        fingerprint: None,
         close_connection: false,
     };
     let close = |reason| RejectedRequest {
         refusal: Refusal::not_run(reason),
         request_id: request_id.clone(),
+        fingerprint: None,
         close_connection: true,
     };
     let table = context.with(|state| state.table.clone());
@@ -196,7 +201,8 @@
     let now = boot_now();
     let refused_for_ms = context.with(|state| state.poison.refused_for_ms(now, fingerprint));
     if let Some(after_ms) = refused_for_ms {
-        return Err(reject(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, after_ms)));
+        let refusal = Refusal::not_run_retry_after(RefusalReason::PoisonRequest, after_ms);
+        return Err(RejectedRequest { fingerprint: Some(fingerprint), ..reject(refusal) });
     }
     let zone_regions = match table.zone_regions.is_empty() {
         true => &context.settings.zone_regions,
@@ -293,7 +299,7 @@
 }
 
 /// Returns a hash of path, customer and body, which identifies retries of the same request.
-fn fingerprint(path: &str, customer: Option<&Customer>, body: &Bytes) -> u64 {
+fn fingerprint(path: &str, customer: Option<&Customer>, body: &Bytes) -> Fingerprint {
     let customer = customer.map_or("", |customer| customer.id.as_str());
-    hash64(&[path.as_bytes(), customer.as_bytes(), body])
+    Fingerprint(hash64(&[path.as_bytes(), customer.as_bytes(), body]))
 }
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -45,15 +45,12 @@
         attempts: 0,
         possible_runs: 0,
         last_endpoint: None,
+        is_answered: false,
     };
     let reply = request.run().await;
+    request.is_answered = true;
     let outcome = if reply.status().is_success() { "answered" } else { "failed" };
-    call.log_completion(
-        outcome,
-        reply.status().as_u16(),
-        request.last_endpoint.as_ref(),
-        request.attempts,
-    );
+    request.log_completion(outcome, reply.status().as_u16());
     reply
 }
 
@@ -69,9 +66,25 @@
     possible_runs: u32,
     /// Endpoint that the request was last sent to.
     last_endpoint: Option<EndpointId>,
+    /// Whether the request has its final reply.
+    is_answered: bool,
+}
+
+/// A request that is dropped without a reply was cancelled because the caller disconnected.
+impl Drop for PlainRequest<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.log_completion("caller_left", 0);
+        }
+    }
 }
 
 impl PlainRequest<'_> {
+    /// Logs the outcome of the request.
+    fn log_completion(&self, outcome: &str, status: u16) {
+        self.call.log_completion(outcome, status, self.last_endpoint.as_ref(), self.attempts);
+    }
+
     /// Sends the request until it is answered or no further attempt is allowed.
     async fn run(&mut self) -> Reply {
         let mut failure: Option<Reply> = None;
@@ -148,18 +161,32 @@
         };
         let result = timeout(limit, exchange).await;
         drop(load_guard);
-        let (sent, outcome) = match result {
-            Err(_) => (SendOutcome::Lost(RefusalReason::EndpointTimeout), RequestOutcome::Timeout),
-            Ok(Err(_)) | Ok(Ok((_, _, Err(_)))) => {
-                (SendOutcome::Lost(RefusalReason::EndpointLost), RequestOutcome::TransportError)
+        let (sent, outcome, cause) = match result {
+            Err(_) => (
+                SendOutcome::Lost(RefusalReason::EndpointTimeout),
+                RequestOutcome::Timeout,
+                "timeout".to_owned(),
+            ),
+            Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) => (
+                SendOutcome::Lost(RefusalReason::EndpointLost),
+                RequestOutcome::TransportError,
+                err.to_string(),
+            ),
+            Ok(Ok((response, kind, Ok(body)))) => {
+                let (sent, outcome) = classify(response, kind, body);
+                (sent, outcome, format!("{kind:?}"))
             }
-            Ok(Ok((response, kind, Ok(body)))) => classify(response, kind, body),
         };
+        if matches!(sent, SendOutcome::Lost(_) | SendOutcome::NotRun) {
+            info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
+                endpoint = endpoint.as_str(), cause = cause.as_str();
+                "endpoint gave no usable response");
+        }
         if !matches!(sent, SendOutcome::NotRun) {
             self.possible_runs += 1;
         }
         if outcome == RequestOutcome::TransportError {
-            self.call.context.record_crash(self.call.fingerprint, &endpoint);
+            self.call.record_crash(&endpoint, &cause);
         }
         self.call.context.record_outcome(&endpoint, outcome);
         sent
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -40,6 +40,12 @@
     assert_eq!(endpoint_state.received_requests().len(), 2, "the route allows two endpoints");
     // The other VM knows of both crashes and uses at most one more endpoint.
     std::thread::sleep(Duration::from_millis(700));
+    let crashes = |daemon: &Daemon, source: &str| {
+        let counted = format!("gypsumchute_endpoint_crashes_total{{source=\"{source}\"}} 2");
+        assert!(daemon.metrics().contains(&counted), "{}", daemon.metrics());
+    };
+    crashes(&daemons[0], "local");
+    crashes(&daemons[1], "peer");
     read(&daemons[1], "poison");
     std::thread::sleep(Duration::from_millis(700));
     let used_endpoints = endpoint_state.received_requests().len();
--- a/crates/decide/src/node.rs
+++ b/crates/decide/src/node.rs
@@ -20,7 +20,7 @@
 use gypsumchute_proto::peer::peer_frame::Body;
 use gypsumchute_proto::peer::{CrashNotice, Hello, PeerFrame};
 use gypsumchute_routing::poison::PoisonTracker;
-use gypsumchute_units::{BootMs, EndpointId, VmId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint, VmId, ZoneId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -325,17 +325,18 @@
             .crashes
             .iter()
             .filter_map(|(id, endpoint)| Some((*id, endpoint.parse::<EndpointId>().ok()?)));
-        self.poison.record_crashes(self.now, notice.fingerprint, crashes, notice.keep_ms);
-        self.refuse_poisoned(notice.fingerprint);
+        let fingerprint = Fingerprint(notice.fingerprint);
+        self.poison.record_crashes(self.now, fingerprint, crashes, notice.keep_ms);
+        self.refuse_poisoned(fingerprint);
     }
 
     /// Sends the known crashes of a request to every other VM. Crashes are rare, so one message
     /// per VM is affordable.
-    pub(crate) fn broadcast_crash(&mut self, fingerprint: u64) {
+    pub(crate) fn broadcast_crash(&mut self, fingerprint: Fingerprint) {
         let (crashes, keep_ms) = self.poison.crashes(self.now, fingerprint);
         let crashes =
             crashes.into_iter().map(|(id, endpoint)| (id, endpoint.to_string())).collect();
-        let notice = CrashNotice { fingerprint, crashes, keep_ms };
+        let notice = CrashNotice { fingerprint: fingerprint.0, crashes, keep_ms };
         let others = self.adoption.list().vms.keys().filter(|vm| **vm != self.identity.vm);
         for to in others {
             let body = Body::CrashNotice(notice.clone());
--- a/crates/decide/src/pipeline.rs
+++ b/crates/decide/src/pipeline.rs
@@ -11,7 +11,7 @@
 use crate::placement::{HeldPermit, PlacementOutcome, PlacementRequest};
 use crate::shares::TokenOutcome;
 use gypsumchute_config::{Route, RouteKind};
-use gypsumchute_units::{BootMs, CustomerId, Refusal, RefusalReason};
+use gypsumchute_units::{BootMs, CustomerId, Fingerprint, Refusal, RefusalReason};
 use rand::RngExt;
 use std::collections::BTreeSet;
 
@@ -76,7 +76,8 @@
         if admit.body_bytes > route.max_body_bytes {
             return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
         }
-        if let Some(after_ms) = self.poison.refused_for_ms(self.now, admit.fingerprint) {
+        if let Some(after_ms) = self.poison.refused_for_ms(self.now, Fingerprint(admit.fingerprint))
+        {
             return Err(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, after_ms));
         }
         Ok(Request {
@@ -204,7 +205,9 @@
             max_tokens: request.admit.max_tokens,
             prefix_hash: request.admit.prefix_hash,
             excluded_endpoints: request.exclude.clone(),
-            is_crash_suspect: self.poison.is_suspect(self.now, request.admit.fingerprint),
+            is_crash_suspect: self
+                .poison
+                .is_suspect(self.now, Fingerprint(request.admit.fingerprint)),
             deadline_ms: self.now + wait_ms,
         };
         self.placement.start_search(&mut context!(self), placement_request);
@@ -280,7 +283,7 @@
         request.may_have_run |= may_have_been_sent;
         request.attempts_left = request.attempts_left.saturating_sub(1);
         request.exclude.extend(permit.iter().map(|permit| permit.endpoint.clone()));
-        let fingerprint = request.admit.fingerprint;
+        let fingerprint = Fingerprint(request.admit.fingerprint);
         let may_retry = request.attempts_left > 0 && self.retry_budget >= 1.0;
         let repeatable = !request.may_have_run || request.is_repeatable(self.adoption.config());
         if let Some(permit) = &permit {
@@ -310,7 +313,7 @@
     }
 
     /// Records that the endpoint of the permit crashed on this request, and tells the other VMs.
-    fn record_crash(&mut self, fingerprint: u64, permit: &HeldPermit) {
+    fn record_crash(&mut self, fingerprint: Fingerprint, permit: &HeldPermit) {
         let id = self.rng.random::<u64>();
         let keep_ms = self.adoption.config().fleet.poison_keep_ms;
         let crash = [(id, permit.endpoint.clone())];
@@ -319,13 +322,13 @@
     }
 
     /// Refuses the pending requests with this fingerprint if it is a known poison request.
-    pub(crate) fn refuse_poisoned(&mut self, fingerprint: u64) {
+    pub(crate) fn refuse_poisoned(&mut self, fingerprint: Fingerprint) {
         let Some(after_ms) = self.poison.refused_for_ms(self.now, fingerprint) else { return };
         let pending: Vec<RequestKey> = self
             .requests
             .by_key
             .iter()
-            .filter(|(_, r)| r.admit.fingerprint == fingerprint)
+            .filter(|(_, r)| Fingerprint(r.admit.fingerprint) == fingerprint)
             .filter(|(_, r)| !matches!(r.stage, Stage::Running(_)))
             .map(|(key, _)| *key)
             .collect();
@@ -343,7 +346,7 @@
             let mut ctx = context!(self);
             self.placement.end_permit(&mut ctx, permit, finished.tokens, finished.stopped);
             if finished.crashed {
-                self.record_crash(request.admit.fingerprint, permit);
+                self.record_crash(Fingerprint(request.admit.fingerprint), permit);
             }
         }
         let not_run = finished.not_run && !request.may_have_run;
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -5,7 +5,7 @@
 //! different endpoints, so that the next crash shows which of them is the cause. After a maximum
 //! number of crashes, the request is refused by all VMs, which learn of each crash immediately.
 
-use gypsumchute_units::{BootMs, EndpointId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::BTreeMap;
 
 /// Default number of crashes after which a request is refused.
@@ -24,7 +24,7 @@
 pub struct PoisonTracker {
     max_crashes: usize,
     /// Records by the fingerprint of the request.
-    records: BTreeMap<u64, CrashRecord>,
+    records: BTreeMap<Fingerprint, CrashRecord>,
 }
 
 impl Default for PoisonTracker {
@@ -45,7 +45,7 @@
     pub fn record_crashes(
         &mut self,
         now: BootMs,
-        fingerprint: u64,
+        fingerprint: Fingerprint,
         crashes: impl IntoIterator<Item = (u64, EndpointId)>,
         keep_ms: u64,
     ) -> bool {
@@ -60,26 +60,35 @@
     }
 
     /// Reports whether an endpoint crashed recently while it ran the request.
-    pub fn is_suspect(&self, now: BootMs, fingerprint: u64) -> bool {
+    pub fn is_suspect(&self, now: BootMs, fingerprint: Fingerprint) -> bool {
         self.record(now, fingerprint).is_some()
     }
 
     /// Returns how long the request remains refused, in milliseconds, or `None` if the request is
     /// not refused.
-    pub fn refused_for_ms(&self, now: BootMs, fingerprint: u64) -> Option<u64> {
+    pub fn refused_for_ms(&self, now: BootMs, fingerprint: Fingerprint) -> Option<u64> {
         let record = self.record(now, fingerprint)?;
         (record.crashes.len() >= self.max_crashes).then(|| now.until(record.expires_ms))
     }
 
+    /// Returns the number of known crashes of the request.
+    pub fn crash_count(&self, now: BootMs, fingerprint: Fingerprint) -> usize {
+        self.record(now, fingerprint).map_or(0, |record| record.crashes.len())
+    }
+
     /// Returns the known crashes of the request by number, and how much longer the record is kept,
     /// in milliseconds.
-    pub fn crashes(&self, now: BootMs, fingerprint: u64) -> (BTreeMap<u64, EndpointId>, u64) {
+    pub fn crashes(
+        &self,
+        now: BootMs,
+        fingerprint: Fingerprint,
+    ) -> (BTreeMap<u64, EndpointId>, u64) {
         let record = self.record(now, fingerprint);
         record.map(|r| (r.crashes.clone(), now.until(r.expires_ms))).unwrap_or_default()
     }
 
     /// Returns the record of the request, unless the record has expired.
-    fn record(&self, now: BootMs, fingerprint: u64) -> Option<&CrashRecord> {
+    fn record(&self, now: BootMs, fingerprint: Fingerprint) -> Option<&CrashRecord> {
         self.records.get(&fingerprint).filter(|record| record.expires_ms > now)
     }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -57,6 +57,7 @@
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    endpoint_crashes: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -83,6 +84,7 @@
             reader,
             refusals: meter.u64_counter("gypsumchute_refusals").build(),
             retries: meter.u64_counter("gypsumchute_retries").build(),
+            endpoint_crashes: meter.u64_counter("gypsumchute_endpoint_crashes").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -106,6 +108,12 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a crash of an endpoint that is held against a request. `source` states whether this
+    /// VM (`local`) or another one (`peer`) observed the crash.
+    pub fn count_endpoint_crash(&self, source: &'static str) {
+        self.endpoint_crashes.add(1, &[KeyValue::new("source", source)]);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -112,6 +112,26 @@
     KeyId
 }
 
+/// Identifies all attempts of the same request: a hash of what its caller sent.
+///
+/// Printed as 16 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Fingerprint)
+    }
+}
+
 /// Identifies one request attempt of a caller.
 ///
 /// Any string is valid, because the id is only compared and forwarded.
