Crash reports cross zones: gateways pass on what they hear

Cause: a VM reported only crashes that it had observed itself, and in a fleet of more than 16 VMs it exchanges heartbeats with its own zone only. The gateways heard the reports and kept them, so each zone counted alone.

CrashReports (routing, no network) now decides what a heartbeat reports: own crashes, and on a gateway those it learned from peers, the least reported first, 24 a heartbeat. Reports carry the remaining time, not the full one. Each crash has a number, so a report that comes back counts once and ends.

Tests, both red on the code before: - poison::a_poison_request_is_refused_in_every_zone_of_a_large_fleet, 18 daemons in 3 zones: "4 crashes, then 14 endpoints reached later", 3 allowed; now passes. - crash_spread::crashes_seen_in_different_zones_are_counted_together_within_ three_seconds, virtual time, 3 % of datagrams lost, 7 to 420 VMs.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,6 +4,7 @@
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
+use gypsumchute_routing::crash_reports::{CrashReport, CrashReports};
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
@@ -16,7 +17,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
@@ -26,9 +27,9 @@
 /// poison request.
 const MAX_CRASHES_PER_REQUEST: usize = 3;
 /// Time for which a crash counts against a request, in milliseconds.
-pub const CRASH_RETENTION_MS: u64 = 60_000;
-/// Time for which a crash or an endpoint's termination notice is repeated in heartbeats, in
-/// milliseconds: the duration of several heartbeats.
+const CRASH_RETENTION_MS: u64 = 60_000;
+/// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
+/// duration of several heartbeats.
 const ANNOUNCE_MS: u64 = 2_500;
 /// Time after a failed read of the store in which the removal of a registry entry is not trusted,
 /// in milliseconds: the lease of the entry may have expired because the store was unavailable.
@@ -76,25 +77,12 @@
     pub store_confirmed_ms: Option<BootMs>,
     /// Random number generator.
     pub rng: StdRng,
-    /// Crashes to announce in heartbeats, oldest first.
-    recent_crashes: VecDeque<Crash>,
+    /// Crashes to report in heartbeats.
+    pub crash_reports: CrashReports,
     /// Endpoints that reported a termination notice to this VM, and when they did.
     termination_notices: BTreeMap<EndpointId, BootMs>,
 }
 
-/// A crash of an endpoint that this VM observed.
-#[derive(Debug, Clone)]
-pub struct Crash {
-    /// Fingerprint of the request that ran on the endpoint.
-    pub fingerprint: Fingerprint,
-    /// Endpoint that crashed.
-    pub endpoint: EndpointId,
-    /// Random number that identifies the crash, so that repeated announcements are counted once.
-    pub number: u64,
-    /// When this VM observed the crash.
-    seen_ms: BootMs,
-}
-
 /// Peers that receive the load notes of an endpoint.
 pub struct LoadNoteTargets {
     /// Addresses of the peers.
@@ -154,7 +142,7 @@
             store_failure_ms: None,
             store_confirmed_ms: None,
             rng: StdRng::from_rng(&mut rand::rng()),
-            recent_crashes: VecDeque::new(),
+            crash_reports: CrashReports::default(),
             termination_notices: BTreeMap::new(),
         };
         Rc::new(Context {
@@ -316,10 +304,9 @@
         let now = boot_now();
         let crashes = self.with(|state| {
             let number = state.rng.random();
-            let crash = Crash { fingerprint, endpoint: endpoint.clone(), number, seen_ms: now };
-            let observed = [(number, endpoint.clone())];
-            state.poison.record_crashes(now, fingerprint, observed, CRASH_RETENTION_MS);
-            state.recent_crashes.push_back(crash);
+            let keep_ms = CRASH_RETENTION_MS;
+            let crash = CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms };
+            state.crash_reports.record(now, &mut state.poison, crash, true);
             state.poison.crash_count(now, fingerprint)
         });
         self.metrics.count_endpoint_crash("local");
@@ -396,14 +383,6 @@
             .cloned()
             .collect()
     }
-
-    /// Returns the crashes that the next heartbeat reports.
-    pub fn crashes_to_announce(&mut self, now: BootMs) -> impl Iterator<Item = &Crash> {
-        while self.recent_crashes.front().is_some_and(|c| now.since(c.seen_ms) > ANNOUNCE_MS) {
-            self.recent_crashes.pop_front();
-        }
-        self.recent_crashes.iter()
-    }
 }
 
 /// Counts a caller's connection as open until the guard is dropped.
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,12 +1,13 @@
 //! Gossip between daemons over UDP: periodic heartbeats, and load notes that announce changes of
 //! load immediately.
 
-use crate::context::{CRASH_RETENTION_MS, Context, LoadNoteTargets, State};
+use crate::context::{Context, LoadNoteTargets, State};
 use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
     Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
 };
+use gypsumchute_routing::crash_reports::CrashReport;
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_units::time::boot_now;
@@ -115,13 +116,11 @@
         let endpoints = state.endpoints_to_announce(now);
         let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
         let members = state.members.sample_members(now, member_count, &mut state.rng);
-        let crashes = state.crashes_to_announce(now).map(|crash| Crash {
-            fingerprint: crash.fingerprint.0,
-            endpoint: crash.endpoint.to_string(),
-            number: crash.number,
-            keep_ms: CRASH_RETENTION_MS,
-        });
-        let crashes = crashes.collect();
+        let crashes = state.crash_reports.next_reports(now, &state.poison);
+        let dropped = state.crash_reports.take_dropped();
+        if dropped > 0 {
+            warn!(dropped; "too many endpoint crashes at once; some were not reported to peers");
+        }
         Heartbeat {
             vm: me.vm.to_string(),
             zone: me.zone.to_string(),
@@ -131,7 +130,7 @@
             reads_platform: state.reads_store,
             loads,
             members: members.iter().map(encode_member).collect(),
-            crashes,
+            crashes: crashes.into_iter().map(encode_crash).collect(),
             joining: !state.members.has_live_peers(now),
             leaving: false,
         }
@@ -274,24 +273,50 @@
     Some(PeerAddress { vm: vm.parse().ok()?, zone: zone.parse().ok()?, address })
 }
 
-/// Records a crash that a peer reports, unless it is known.
+/// Encodes a crash report for a heartbeat.
+fn encode_crash(report: CrashReport) -> Crash {
+    Crash {
+        fingerprint: report.fingerprint.0,
+        endpoint: report.endpoint.to_string(),
+        number: report.number,
+        keep_ms: report.keep_ms,
+    }
+}
+
+/// Decodes a crash report, or returns `None` if the endpoint id is invalid.
+fn decode_crash(crash: &Crash) -> Option<CrashReport> {
+    Some(CrashReport {
+        fingerprint: Fingerprint(crash.fingerprint),
+        endpoint: crash.endpoint.parse().ok()?,
+        number: crash.number,
+        keep_ms: crash.keep_ms,
+    })
+}
+
+/// Records a crash that a peer reports, unless it is known. A gateway passes it on, since the VMs
+/// of its zone exchange no heartbeats with those of other zones.
 fn apply_crash(context: &Context, peer: &PeerAddress, crash: &Crash) {
-    let Ok(endpoint) = crash.endpoint.parse::<EndpointId>() else {
+    let Some(report) = decode_crash(crash) else {
         warn!(vm = peer.vm.as_str(), endpoint = crash.endpoint.as_str();
             "crash report has an invalid endpoint id");
         return;
     };
     let now = boot_now();
-    let fingerprint = Fingerprint(crash.fingerprint);
-    let crashes = context.with(|state| {
-        let seen = [(crash.number, endpoint.clone())];
-        let is_new = state.poison.record_crashes(now, fingerprint, seen, crash.keep_ms);
-        is_new.then(|| state.poison.crash_count(now, fingerprint))
+    let fingerprint = report.fingerprint;
+    let (is_new, is_gateway, crashes) = context.with(|state| {
+        let is_gateway = state.members.is_gateway(now);
+        let is_new = state.crash_reports.record(now, &mut state.poison, report, is_gateway);
+        (is_new, is_gateway, state.poison.crash_count(now, fingerprint))
     });
-    let Some(crashes) = crashes else { return };
+    if !is_new {
+        return;
+    }
+    if is_gateway {
+        context.heartbeat_due.notify_one();
+    }
     context.metrics.count_endpoint_crash("peer");
-    info!(fingerprint:% = fingerprint, endpoint = endpoint.as_str(), vm = peer.vm.as_str(),
-        zone = peer.zone.as_str(), crashes;
+    info!(fingerprint:% = fingerprint, endpoint = crash.endpoint.as_str(),
+        vm = peer.vm.as_str(), zone = peer.zone.as_str(), passed_on = is_gateway, crashes;
         "peer VM reported an endpoint crash");
 }
 
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests by feature: daemons with a stand-in store and stand-in endpoints that simulate
 //! failures.
 
+mod crash_spread;
 mod events;
 mod fleet;
 mod folder;
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -69,3 +69,51 @@
         assert_eq!(read(daemon, "harmless").status, 200);
     }
 }
+
+/// Number of endpoints that a poison request may reach once the fleet has had time to learn of the
+/// third crash.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Time in which a crash becomes known to all VMs that can reach each other.
+const SPREAD_TIME: Duration = Duration::from_secs(3);
+
+/// Sends the poison request to `daemon` until it is refused without being sent. Returns how many
+/// endpoints it reached in total.
+fn send_until_refused(daemon: &Daemon, endpoint_state: &SharedEndpointState) -> usize {
+    for _ in 0..4 {
+        if read(daemon, "poison").body.contains("poison_request") {
+            return endpoint_state.received_requests().len();
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the request was not refused after {:?}", endpoint_state.received_requests().len());
+}
+
+/// Guards against crash reports that stay in the zone in which the crash was observed.
+#[test]
+fn a_poison_request_is_refused_in_every_zone_of_a_large_fleet() {
+    const ZONES: [&str; 3] = ["a", "b", "c"];
+    const VMS_PER_ZONE: usize = 6;
+    let (store, endpoint_state) = (Store::start(), SharedEndpointState::default());
+    store.configure(&configuration(7, &[API_KEY]));
+    let mut books = Vec::new();
+    for (zone, n) in ZONES.iter().flat_map(|zone| (0..5).map(move |n| (zone, n))) {
+        let id = format!("book-{zone}-{n}");
+        let book = Endpoint::start(&endpoint_state, &id, Behaviour::DropsConnection);
+        register_endpoint(&store, &book, "books", zone, "ready");
+        books.push(book);
+    }
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for n in 0..ZONES.len() * VMS_PER_ZONE {
+        let seeds: Vec<_> = daemons.iter().take(3).map(|d| d.settings.peers_listen).collect();
+        let zone = ZONES[n % ZONES.len()];
+        daemons.push(Daemon::start(store.address(), &format!("vm-{n:02}"), zone, &seeds));
+    }
+    daemons.iter().for_each(|daemon| daemon.wait_ready(true));
+    // The VMs hear of each other, and each zone chooses its gateways.
+    std::thread::sleep(SPREAD_TIME);
+    let crashed = send_until_refused(&daemons[0], &endpoint_state);
+    std::thread::sleep(SPREAD_TIME);
+    daemons.iter().for_each(|daemon| drop(read(daemon, "poison")));
+    let late = endpoint_state.received_requests().len() - crashed;
+    assert!(late <= MAX_LATE_ARRIVALS, "{crashed} crashes, then {late} endpoints reached later");
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -414,25 +414,32 @@
         if self.is_full_mesh() {
             return self.members.keys().collect();
         }
-        let was_heard = |vm: &VmId| {
-            let last_heartbeat_ms = self.members[vm].last_heartbeat_ms;
-            last_heartbeat_ms
-                .is_some_and(|last| now.since(last) < MAX_HEARTBEAT_MS * MISSED_HEARTBEATS)
-        };
         let own_zone = self.in_zone(&self.me.zone).map(|member| &member.peer.vm);
         let mut contacts: Vec<_> = own_zone.collect();
-        let ranked_before =
-            contacts.iter().filter(|vm| ***vm < self.me.vm && was_heard(vm)).count();
-        if ranked_before < GATEWAYS_PER_ZONE {
+        if self.is_gateway(now) {
             let mut per_zone: BTreeMap<&ZoneId, usize> = BTreeMap::new();
             for member in self.members.values().filter(|m| m.peer.zone != self.me.zone) {
                 let gateways = per_zone.entry(&member.peer.zone).or_default();
                 if *gateways < GATEWAYS_PER_ZONE {
-                    *gateways += usize::from(was_heard(&member.peer.vm));
+                    *gateways += usize::from(was_heard(now, member));
                     contacts.push(&member.peer.vm);
                 }
             }
         }
         contacts
     }
+
+    /// Reports whether this VM is a gateway of its zone in a large fleet.
+    pub fn is_gateway(&self, now: BootMs) -> bool {
+        let ranked_before = self.in_zone(&self.me.zone).filter(|m| m.peer.vm < self.me.vm);
+        let ranked_before = ranked_before.filter(|member| was_heard(now, member)).count();
+        !self.is_full_mesh() && ranked_before < GATEWAYS_PER_ZONE
+    }
+}
+
+/// Reports whether a heartbeat from `member` arrived recently enough for `member` to be a gateway.
+fn was_heard(now: BootMs, member: &Member) -> bool {
+    member
+        .last_heartbeat_ms
+        .is_some_and(|last| now.since(last) < MAX_HEARTBEAT_MS * MISSED_HEARTBEATS)
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod compile;
 pub mod continuity;
+pub mod crash_reports;
 pub mod endpoints;
 pub mod load;
 pub mod outcomes;
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -76,6 +76,18 @@
         self.record(now, fingerprint).map_or(0, |record| record.crashes.len())
     }
 
+    /// Returns the endpoint of the crash with this number, and how much longer the crash counts
+    /// against the request, in milliseconds.
+    pub fn crash(
+        &self,
+        now: BootMs,
+        fingerprint: Fingerprint,
+        number: u64,
+    ) -> Option<(&EndpointId, u64)> {
+        let record = self.record(now, fingerprint)?;
+        Some((record.crashes.get(&number)?, now.until(record.expires_ms)))
+    }
+
     /// Returns the known crashes of the request by number, and how much longer the record is kept,
     /// in milliseconds.
     pub fn crashes(
