Daemon tests: a daemon's ports can't be taken by outgoing connections

crash_spread and poison together failed once: "failed to bind callers address 127.0.0.1:37883: Address already in use". free_address closed its listener and named the port; before the daemon bound it, an outgoing connection of another test took it. The more daemons a process starts, the likelier.

Each daemon now has a loopback address of its own for all four ports, and no outgoing connection uses these addresses. No check changes.

--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -38,15 +38,16 @@
         zone: &str,
         seeds: &[SocketAddrV4],
     ) -> Self {
+        let ip = next_ip();
+        let [callers, readiness, metrics, peers] = ports().map(|port| SocketAddrV4::new(ip, port));
         let settings = DaemonSettings {
             vm: vm.parse().expect("valid id"),
             zone: zone.parse().expect("valid id"),
             zone_regions: BTreeMap::new(),
-            callers_listen: free_address().into(),
-            readiness_listen: free_address().into(),
-            metrics_listen: free_address().into(),
-            // All daemons use the same port, so each one needs a separate IP address.
-            peers_listen: SocketAddrV4::new(next_ip(vm), peers_port()),
+            callers_listen: callers.into(),
+            readiness_listen: readiness.into(),
+            metrics_listen: metrics.into(),
+            peers_listen: peers,
             seeds: seeds.to_vec(),
             configuration,
             shutdown_grace_s: 8.0,
@@ -96,25 +97,25 @@
     }
 }
 
-/// Returns a loopback address with a free port.
-fn free_address() -> SocketAddrV4 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
-    let port = listener.local_addr().expect("local address").port();
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
-}
-
-/// Returns the peer port, which all daemons of this process share: they differ by IP address.
-fn peers_port() -> u16 {
+/// Returns the ports for callers, readiness, metrics and peers, which all daemons of this process
+/// share: they differ by IP address. No outgoing connection uses these IP addresses, so that none
+/// can take a port before a daemon listens on it.
+fn ports() -> [u16; 4] {
     use std::sync::OnceLock;
-    static PORT: OnceLock<u16> = OnceLock::new();
-    *PORT.get_or_init(|| free_address().port())
+    static PORTS: OnceLock<[u16; 4]> = OnceLock::new();
+    *PORTS.get_or_init(|| {
+        let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("free port"));
+        listeners.map(|listener| listener.local_addr().expect("local address").port())
+    })
 }
 
 /// Returns a loopback IP address that no other daemon of this process uses.
-fn next_ip(_vm: &str) -> Ipv4Addr {
+fn next_ip() -> Ipv4Addr {
     use std::sync::atomic::{AtomicU8, Ordering};
     static NEXT: AtomicU8 = AtomicU8::new(10);
-    Ipv4Addr::new(127, 0, 7, NEXT.fetch_add(1, Ordering::Relaxed))
+    let last_byte = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(last_byte >= 10, "the tests of this process use more than 246 daemons");
+    Ipv4Addr::new(127, 0, 7, last_byte)
 }
 
 /// Waits until `holds` returns true, and panics after [`MAX_WAIT`].
