Refusals of poison requests are repeated while they are in force

Cause: a crash was an event that its observer announced for 2.5 s. Whoever missed it never learned of it, and sent the request.

The refusal is now state: each VM repeats the requests that it refuses, to a newcomer in the first reply and to all its contacts each 2 s, 32 a heartbeat in turn, with the time that is left. A VM that refuses a request already does not take over a longer time, or VMs would extend it for each other.

--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -5,11 +5,12 @@
 use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
-    Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
+    self, Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
 };
-use gypsumchute_routing::crash_reports::CrashReport;
+use gypsumchute_routing::crash_reports::{Audience, CrashReport, HeartbeatReports};
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
+use gypsumchute_routing::poison::PoisonRequest;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use log::{info, warn};
@@ -33,8 +34,7 @@
 pub async fn send_heartbeats(context: Rc<Context>, socket: Rc<UdpSocket>) {
     loop {
         let targets = context.with(|state| state.members.next_heartbeat_targets(boot_now()));
-        let heartbeat =
-            build_heartbeat(&context, context.with(|s| s.members.members_per_heartbeat()));
+        let heartbeat = build_heartbeat(&context, Audience::Contacts);
         send_heartbeat(&context, &socket, heartbeat, &targets).await;
         let regular_ms = context.with(|state| state.members.heartbeat_interval_ms());
         let urgent_gap_ms = (MIN_URGENT_GAP_MS_PER_TARGET * targets.len() as u64).min(regular_ms);
@@ -76,7 +76,7 @@
 /// Announces the shutdown of this VM to peers, so that they stop expecting heartbeats.
 pub async fn announce_shutdown(context: &Rc<Context>, socket: &UdpSocket) {
     let targets = context.with(|state| state.members.next_heartbeat_targets(boot_now()));
-    let heartbeat = Heartbeat { leaving: true, ..build_heartbeat(context, 0) };
+    let heartbeat = Heartbeat { leaving: true, ..build_heartbeat(context, Audience::Contacts) };
     send_heartbeat(context, socket, heartbeat, &targets).await;
 }
 
@@ -108,15 +108,20 @@
     }
 }
 
-/// Builds a heartbeat that names at most `member_count` other members.
-fn build_heartbeat(context: &Context, member_count: usize) -> Heartbeat {
+/// Builds a heartbeat. A newcomer receives the names of many members.
+fn build_heartbeat(context: &Context, audience: Audience) -> Heartbeat {
     let now = boot_now();
     context.with(|state| {
         let me = state.members.local_vm().clone();
         let endpoints = state.endpoints_to_announce(now);
         let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
+        let member_count = match audience {
+            Audience::Contacts => state.members.members_per_heartbeat(),
+            Audience::Newcomer => MEMBERS_PER_JOIN_REPLY,
+        };
         let members = state.members.sample_members(now, member_count, &mut state.rng);
-        let crashes = state.crash_reports.next_reports(now, &state.poison);
+        let HeartbeatReports { crashes, poison_requests } =
+            state.crash_reports.next_reports(now, &state.poison, audience);
         let dropped = state.crash_reports.take_dropped();
         if dropped > 0 {
             warn!(dropped; "too many endpoint crashes at once; some were not reported to peers");
@@ -133,6 +138,7 @@
             crashes: crashes.into_iter().map(encode_crash).collect(),
             joining: !state.members.has_live_peers(now),
             leaving: false,
+            poison_requests: poison_requests.into_iter().map(encode_poison_request).collect(),
         }
     })
 }
@@ -283,6 +289,23 @@
     }
 }
 
+/// Encodes a refusal for a heartbeat.
+fn encode_poison_request(poison: PoisonRequest) -> messages::PoisonRequest {
+    let PoisonRequest { fingerprint, refused_for_ms } = poison;
+    messages::PoisonRequest { fingerprint: fingerprint.0, refused_for_ms }
+}
+
+/// Refuses a request that a peer refuses.
+fn apply_poison_request(context: &Context, peer: &PeerAddress, poison: &messages::PoisonRequest) {
+    let fingerprint = Fingerprint(poison.fingerprint);
+    let poison = PoisonRequest { fingerprint, refused_for_ms: poison.refused_for_ms };
+    if context.with(|state| state.poison.refuse(boot_now(), poison)) {
+        info!(fingerprint:% = fingerprint, refused_for_ms = poison.refused_for_ms,
+            vm = peer.vm.as_str(), zone = peer.zone.as_str();
+            "peer VM refuses a poison request");
+    }
+}
+
 /// Decodes a crash report, or returns `None` if the endpoint id is invalid.
 fn decode_crash(crash: &Crash) -> Option<CrashReport> {
     Some(CrashReport {
@@ -370,13 +393,15 @@
         (is_new, any_terminating)
     });
     heartbeat.crashes.iter().for_each(|crash| apply_crash(context, &peer, crash));
+    let poison_requests = heartbeat.poison_requests.iter();
+    poison_requests.for_each(|poison| apply_poison_request(context, &peer, poison));
     notify_waiters(context, any_terminating);
     if is_new {
         info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
             "peer VM discovered");
     }
     if heartbeat.joining || is_new {
-        let response = self::build_heartbeat(context, MEMBERS_PER_JOIN_REPLY);
+        let response = self::build_heartbeat(context, Audience::Newcomer);
         send_heartbeat(context, socket, response, &[peer.address]).await;
     }
 }
--- a/crates/daemon/tests/testsuite/crash_spread.rs
+++ b/crates/daemon/tests/testsuite/crash_spread.rs
@@ -3,12 +3,12 @@
 
 use gypsumchute_fleet::members::HeartbeatSender;
 use gypsumchute_fleet::{Membership, PeerAddress};
-use gypsumchute_routing::crash_reports::{CrashReport, CrashReports};
+use gypsumchute_routing::crash_reports::{Audience, CrashReport, CrashReports};
 use gypsumchute_routing::poison::PoisonTracker;
 use gypsumchute_units::{BootMs, Fingerprint};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const START: BootMs = BootMs(1_000_000);
@@ -36,6 +36,10 @@
     rng: StdRng,
     /// Fraction of the datagrams that are lost.
     loss: f64,
+    /// VMs that neither send nor receive.
+    cut_off: BTreeSet<SocketAddrV4>,
+    /// VMs that receive nothing, although what they send arrives.
+    deaf: BTreeSet<SocketAddrV4>,
     /// Number of crash reports sent.
     reports_sent: usize,
 }
@@ -63,9 +67,15 @@
             };
             (me.address, state)
         });
-        let rng = StdRng::seed_from_u64(7);
-        let mut fleet =
-            SimulatedFleet { vms: vms.collect(), now: START, rng, loss, reports_sent: 0 };
+        let mut fleet = SimulatedFleet {
+            vms: vms.collect(),
+            now: START,
+            rng: StdRng::seed_from_u64(7),
+            loss,
+            cut_off: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            reports_sent: 0,
+        };
         fleet.run(DISCOVERY_MS);
         fleet
     }
@@ -87,7 +97,10 @@
     fn send_heartbeat(&mut self, from: SocketAddrV4, reply_to: Option<SocketAddrV4>) {
         let (now, loss) = (self.now, self.loss);
         let sender = self.vms.get_mut(&from).expect("known VM");
-        let count = if reply_to.is_some() { 48 } else { sender.members.members_per_heartbeat() };
+        let (audience, count) = match reply_to {
+            Some(_) => (Audience::Newcomer, 48),
+            None => (Audience::Contacts, sender.members.members_per_heartbeat()),
+        };
         let targets = match reply_to {
             Some(target) => vec![target],
             None => {
@@ -97,11 +110,12 @@
             }
         };
         let named = sender.members.sample_members(now, count, &mut self.rng);
-        let reports = sender.reports.next_reports(now, &sender.poison);
+        let reports = sender.reports.next_reports(now, &sender.poison, audience);
         let me = sender.members.local_vm().clone();
         for target in targets {
-            self.reports_sent += reports.len();
-            if self.rng.random_bool(loss) {
+            self.reports_sent += reports.crashes.len();
+            let is_lost = self.rng.random_bool(loss) || !self.is_delivered(from, target);
+            if is_lost {
                 continue;
             }
             let receiver = self.vms.get_mut(&target).expect("known VM");
@@ -110,15 +124,23 @@
             let is_new = receiver.members.on_heartbeat(now, heartbeat);
             named.iter().for_each(|peer| receiver.members.on_mentioned(now, peer.clone()));
             let is_gateway = receiver.members.is_gateway(now);
-            for report in reports.iter().cloned() {
+            for report in reports.crashes.iter().cloned() {
                 receiver.reports.record(now, &mut receiver.poison, report, is_gateway);
             }
+            for poison in &reports.poison_requests {
+                receiver.poison.refuse(now, *poison);
+            }
             if is_new {
                 self.send_heartbeat(target, Some(me.address));
             }
         }
     }
 
+    /// Reports whether a datagram crosses the partitions.
+    fn is_delivered(&self, from: SocketAddrV4, to: SocketAddrV4) -> bool {
+        self.cut_off.contains(&from) == self.cut_off.contains(&to) && !self.deaf.contains(&to)
+    }
+
     /// Lets an endpoint crash under the poison request of the VM with this number.
     fn crash(&mut self, vm: usize, zones: usize, number: u64) {
         let endpoint = format!("engine-{number}").parse().expect("valid id");
@@ -146,3 +168,33 @@
         assert_eq!(accepting, 0, "{accepting} of {vms} VMs in {zones} zones still send it");
     }
 }
+
+/// Guards against VMs that miss the reports of the crashes and never learn of them.
+#[test]
+fn a_vm_that_missed_the_crashes_refuses_the_request_within_three_seconds_of_its_return() {
+    for (vms, zones) in [(7, 4), (86, 5)] {
+        let zone_of_last: BTreeSet<_> =
+            (0..vms).filter(|vm| vm % zones == (vms - 1) % zones).collect();
+        let addresses = |vms: &BTreeSet<usize>| -> BTreeSet<_> {
+            vms.iter().map(|vm| peer(*vm, zones).address).collect()
+        };
+        let last = addresses(&BTreeSet::from([vms - 1]));
+        let none = BTreeSet::new();
+        let faults = [
+            ("VM cut off", last.clone(), none.clone()),
+            ("zone cut off", addresses(&zone_of_last), none.clone()),
+            ("VM that receives nothing", none.clone(), last),
+            ("zone that receives nothing", none, addresses(&zone_of_last)),
+        ];
+        for (fault, cut_off, deaf) in faults {
+            let mut fleet = SimulatedFleet::start(vms, zones, 0.03);
+            (fleet.cut_off, fleet.deaf) = (cut_off, deaf);
+            (0..3).for_each(|number| fleet.crash(0, zones, number));
+            fleet.run(6_000);
+            (fleet.cut_off, fleet.deaf) = Default::default();
+            fleet.run(3_000);
+            let accepting = fleet.accepting_vms();
+            assert_eq!(accepting, 0, "{fault}: {accepting} of {vms} VMs still send it");
+        }
+    }
+}
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -117,3 +117,20 @@
     let late = endpoint_state.received_requests().len() - crashed;
     assert!(late <= MAX_LATE_ARRIVALS, "{crashed} crashes, then {late} endpoints reached later");
 }
+
+/// Guards against a VM that starts after the crashes were reported and never learns of them.
+#[test]
+fn a_vm_that_starts_later_refuses_a_known_poison_request() {
+    let endpoint_state = SharedEndpointState::default();
+    let (store, books, daemons) = start(&endpoint_state);
+    books.iter().for_each(|book| book.set_behaviour(Behaviour::DropsConnection));
+    let crashed = send_until_refused(&daemons[0], &endpoint_state);
+    std::thread::sleep(SPREAD_TIME);
+    let seeds = [daemons[0].settings.peers_listen];
+    let late = Daemon::start(store.address(), "vm-3", "a", &seeds);
+    late.wait_ready(true);
+    std::thread::sleep(SPREAD_TIME);
+    let refused = read(&late, "poison");
+    assert!(refused.body.contains("poison_request"), "{} {}", refused.status, refused.body);
+    assert_eq!(endpoint_state.received_requests().len(), crashed);
+}
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -62,6 +62,9 @@
     /// Whether the sender is shutting down.
     #[prost(bool, tag = "11")]
     pub leaving: bool,
+    /// Requests that the sender refuses because endpoints crashed each time they ran them.
+    #[prost(message, repeated, tag = "12")]
+    pub poison_requests: ::prost::alloc::vec::Vec<PoisonRequest>,
 }
 /// Address of a VM, as IPv4 address and port on which the VM listens for other VMs.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -118,6 +121,16 @@
     #[prost(uint64, tag = "4")]
     pub keep_ms: u64,
 }
+/// A request that all VMs refuse.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PoisonRequest {
+    /// Hash that identifies the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Time for which the request is still refused, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub refused_for_ms: u64,
+}
 /// Requests all changes of the platform's store after a revision. Sent over TCP.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullRequest {
--- a/crates/routing/src/crash_reports.rs
+++ b/crates/routing/src/crash_reports.rs
@@ -1,5 +1,5 @@
-//! Chooses the crashes that a VM reports to its peers, so that all VMs count the crashes of a
-//! request together.
+//! Chooses what a VM tells its peers about crashes of endpoints and poison requests, so that all
+//! VMs count the crashes of a request together and refuse it together.
 //!
 //! Load pattern: callers send a poison request again and again, each time to another VM, in any
 //! zone. No VM observes more than one or two of its crashes.
@@ -9,17 +9,26 @@
 //! zones, pass on what they learn. A report is repeated for a few heartbeats, because datagrams may
 //! be lost. The number of reports in a heartbeat is limited, so that the failure of many endpoints
 //! at once does not flood the fleet.
+//!
+//! Every VM repeats the requests that it refuses, first in each heartbeat and then at an interval,
+//! for as long as it refuses them. A VM that starts, wakes or is reconnected after the crashes
+//! learns of the refusal from any peer.
 
-use crate::poison::PoisonTracker;
+use crate::poison::{PoisonRequest, PoisonTracker};
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::VecDeque;
 
-/// Time for which a crash is repeated in heartbeats, in milliseconds: the duration of several
-/// heartbeats.
+/// Time for which a crash or a new refusal is repeated in each heartbeat, in milliseconds: the
+/// duration of several heartbeats.
 pub const REPORT_MS: u64 = 2_500;
+/// Interval at which all refusals are repeated, in milliseconds. All VMs must know a refusal within
+/// 3 s once they can reach each other.
+const REFUSAL_INTERVAL_MS: u64 = 2_000;
 /// Maximum number of crashes in a heartbeat. With about 40 bytes each, they fit into a datagram
 /// next to the loads of the busiest VM.
-const MAX_REPORTS_PER_HEARTBEAT: usize = 24;
+const MAX_CRASHES_PER_HEARTBEAT: usize = 24;
+/// Maximum number of refusals in a heartbeat, of about 15 bytes each.
+const MAX_REFUSALS_PER_HEARTBEAT: usize = 32;
 
 /// A crash of an endpoint, as VMs report it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,6 +43,24 @@
     pub keep_ms: u64,
 }
 
+/// Receivers of a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// The peers that this VM exchanges heartbeats with.
+    Contacts,
+    /// A single VM that was unknown or silent until now.
+    Newcomer,
+}
+
+/// What a heartbeat tells about crashes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct HeartbeatReports {
+    /// Crashes of endpoints.
+    pub crashes: Vec<CrashReport>,
+    /// Requests that this VM refuses.
+    pub poison_requests: Vec<PoisonRequest>,
+}
+
 /// A crash that is being reported.
 #[derive(Debug)]
 struct RecentCrash {
@@ -45,13 +72,17 @@
     times_reported: u32,
 }
 
-/// The crashes that a VM is reporting to its peers.
+/// The crashes and refusals that a VM reports to its peers.
 #[derive(Debug, Default)]
 pub struct CrashReports {
     /// Crashes to report, oldest first.
     recent: VecDeque<RecentCrash>,
     /// Number of crashes that were never reported, because the heartbeats were full.
     dropped: u64,
+    /// When all refusals are repeated next; `None` until the first heartbeat.
+    repeat_refusals_ms: Option<BootMs>,
+    /// Last refusal that was repeated; the next repetition continues behind it.
+    last_repeated: Option<Fingerprint>,
 }
 
 impl CrashReports {
@@ -73,21 +104,67 @@
         is_new
     }
 
-    /// Returns the crashes that the next heartbeat reports: those that were reported least often
-    /// so far, up to a limit. Crashes that `tracker` no longer holds are left out.
-    pub fn next_reports(&mut self, now: BootMs, tracker: &PoisonTracker) -> Vec<CrashReport> {
+    /// Returns what the next heartbeat to `audience` reports.
+    pub fn next_reports(
+        &mut self,
+        now: BootMs,
+        tracker: &PoisonTracker,
+        audience: Audience,
+    ) -> HeartbeatReports {
         self.drop_expired(now);
+        let crashes = self.due_crashes(now, tracker, audience);
+        let poison_requests = self.due_refusals(now, tracker, audience);
+        HeartbeatReports { crashes, poison_requests }
+    }
+
+    /// Returns the crashes that were reported least often so far, up to a limit.
+    fn due_crashes(
+        &mut self,
+        now: BootMs,
+        tracker: &PoisonTracker,
+        audience: Audience,
+    ) -> Vec<CrashReport> {
         let mut due: Vec<&mut RecentCrash> = self.recent.iter_mut().collect();
         due.sort_by_key(|crash| crash.times_reported);
-        due.truncate(MAX_REPORTS_PER_HEARTBEAT);
-        due.into_iter()
-            .filter_map(|crash| {
-                crash.times_reported += 1;
-                let RecentCrash { fingerprint, number, .. } = *crash;
-                let (endpoint, keep_ms) = tracker.crash(now, fingerprint, number)?;
-                Some(CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms })
-            })
-            .collect()
+        due.truncate(MAX_CRASHES_PER_HEARTBEAT);
+        let reports = due.into_iter().filter_map(|crash| {
+            crash.times_reported += u32::from(audience == Audience::Contacts);
+            let RecentCrash { fingerprint, number, .. } = *crash;
+            let (endpoint, keep_ms) = tracker.crash(now, fingerprint, number)?;
+            Some(CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms })
+        });
+        reports.collect()
+    }
+
+    /// Returns the refusals that are new, and at each interval the next ones of all refusals. A
+    /// newcomer receives old ones in any case.
+    fn due_refusals(
+        &mut self,
+        now: BootMs,
+        tracker: &PoisonTracker,
+        audience: Audience,
+    ) -> Vec<PoisonRequest> {
+        let is_new = |since_ms: BootMs| now.since(since_ms) <= REPORT_MS;
+        let (new, old): (Vec<_>, Vec<_>) =
+            tracker.refused_requests(now).partition(|(_, since_ms)| is_new(*since_ms));
+        let repeats_all = self.repeat_refusals_ms.is_none_or(|due_ms| due_ms <= now);
+        let old = match audience {
+            Audience::Newcomer => old,
+            Audience::Contacts if repeats_all => {
+                self.repeat_refusals_ms = Some(now + REFUSAL_INTERVAL_MS);
+                let is_next =
+                    |poison: &PoisonRequest| Some(poison.fingerprint) > self.last_repeated;
+                let (next, first): (Vec<_>, Vec<_>) =
+                    old.into_iter().partition(|(poison, _)| is_next(poison));
+                let room = MAX_REFUSALS_PER_HEARTBEAT.saturating_sub(new.len());
+                let old: Vec<_> = next.into_iter().chain(first).take(room).collect();
+                self.last_repeated = old.last().map(|(poison, _)| poison.fingerprint);
+                old
+            }
+            Audience::Contacts => Vec::new(),
+        };
+        let due = new.into_iter().chain(old).take(MAX_REFUSALS_PER_HEARTBEAT);
+        due.map(|(poison, _)| poison).collect()
     }
 
     /// Returns the number of crashes that were never reported, and resets it.
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -3,7 +3,11 @@
 //! A request is identified by its fingerprint, a hash of the route and the body. When an endpoint
 //! crashes, every request that was running on the endpoint becomes a suspect. Suspects run on
 //! different endpoints, so that the next crash shows which of them is the cause. After a maximum
-//! number of crashes, the request is refused by all VMs, which learn of each crash immediately.
+//! number of crashes, the request is refused by all VMs.
+//!
+//! VMs report crashes to each other when they happen. A VM that is down or cut off at that time
+//! misses the reports, so the refusal itself is part of the state that VMs keep repeating to each
+//! other for as long as it is in force.
 
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::BTreeMap;
@@ -16,9 +20,20 @@
 struct CrashRecord {
     /// Endpoint that crashed, by the number of the crash.
     crashes: BTreeMap<u64, EndpointId>,
+    /// When the request was found to be poison, or a peer said so.
+    refused_since_ms: Option<BootMs>,
     expires_ms: BootMs,
 }
 
+/// A request that all VMs refuse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoisonRequest {
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// Time for which the request is still refused, in milliseconds.
+    pub refused_for_ms: u64,
+}
+
 /// Crashes of endpoints, by the request that may have caused them.
 #[derive(Debug)]
 pub struct PoisonTracker {
@@ -49,16 +64,31 @@
         crashes: impl IntoIterator<Item = (u64, EndpointId)>,
         keep_ms: u64,
     ) -> bool {
-        let record = self
-            .records
-            .entry(fingerprint)
-            .or_insert_with(|| CrashRecord { crashes: BTreeMap::new(), expires_ms: now });
+        let max_crashes = self.max_crashes;
+        let record = self.record_for_update(now, fingerprint);
         record.expires_ms = record.expires_ms.max(now + keep_ms);
         let previous_count = record.crashes.len();
         record.crashes.extend(crashes);
+        if record.crashes.len() >= max_crashes {
+            record.refused_since_ms.get_or_insert(now);
+        }
         record.crashes.len() > previous_count
     }
 
+    /// Refuses a request that a peer refuses. Returns whether the request was not refused before.
+    ///
+    /// If it was, the time until which it is refused stays the same: otherwise, VMs would extend it
+    /// for each other without end, by the time that their messages take.
+    pub fn refuse(&mut self, now: BootMs, poison: PoisonRequest) -> bool {
+        let record = self.record_for_update(now, poison.fingerprint);
+        if record.refused_since_ms.is_some() {
+            return false;
+        }
+        record.refused_since_ms = Some(now);
+        record.expires_ms = record.expires_ms.max(now + poison.refused_for_ms);
+        true
+    }
+
     /// Reports whether an endpoint crashed recently while it ran the request.
     pub fn is_suspect(&self, now: BootMs, fingerprint: Fingerprint) -> bool {
         self.record(now, fingerprint).is_some()
@@ -68,7 +98,16 @@
     /// not refused.
     pub fn refused_for_ms(&self, now: BootMs, fingerprint: Fingerprint) -> Option<u64> {
         let record = self.record(now, fingerprint)?;
-        (record.crashes.len() >= self.max_crashes).then(|| now.until(record.expires_ms))
+        record.refused_since_ms.map(|_| now.until(record.expires_ms))
+    }
+
+    /// Returns the requests that are refused, by fingerprint, with the time since when.
+    pub fn refused_requests(&self, now: BootMs) -> impl Iterator<Item = (PoisonRequest, BootMs)> {
+        self.records.iter().filter_map(move |(fingerprint, record)| {
+            let since_ms = record.refused_since_ms.filter(|_| record.expires_ms > now)?;
+            let refused_for_ms = now.until(record.expires_ms);
+            Some((PoisonRequest { fingerprint: *fingerprint, refused_for_ms }, since_ms))
+        })
     }
 
     /// Returns the number of known crashes of the request.
@@ -104,6 +143,18 @@
         self.records.get(&fingerprint).filter(|record| record.expires_ms > now)
     }
 
+    /// Returns the record of the request, or a new one if there is none or it has expired.
+    fn record_for_update(&mut self, now: BootMs, fingerprint: Fingerprint) -> &mut CrashRecord {
+        if self.record(now, fingerprint).is_none() {
+            self.records.remove(&fingerprint);
+        }
+        self.records.entry(fingerprint).or_insert_with(|| CrashRecord {
+            crashes: BTreeMap::new(),
+            refused_since_ms: None,
+            expires_ms: now,
+        })
+    }
+
     /// Drops expired records.
     pub fn expire(&mut self, now: BootMs) {
         self.records.retain(|_, record| record.expires_ms > now);
--- /dev/null
+++ b/crates/routing/tests/testsuite/poison.rs
@@ -0,0 +1,53 @@
+//! Tests that poison requests are counted and refused, on one VM and between two.
+
+use crate::support::{NOW, endpoint_id};
+use gypsumchute_routing::poison::{PoisonRequest, PoisonTracker};
+use gypsumchute_units::Fingerprint;
+
+const POISON: Fingerprint = Fingerprint(7);
+const KEEP_MS: u64 = 60_000;
+
+/// Returns a tracker that refuses the poison request after two crashes at `NOW`.
+fn refusing_tracker() -> PoisonTracker {
+    let mut tracker = PoisonTracker::new(2);
+    let crashes = [(1, endpoint_id("engine-1")), (2, endpoint_id("engine-2"))];
+    tracker.record_crashes(NOW, POISON, crashes, KEEP_MS);
+    tracker
+}
+
+#[test]
+fn a_crash_that_is_reported_twice_counts_once() {
+    let mut tracker = PoisonTracker::new(2);
+    for _ in 0..2 {
+        tracker.record_crashes(NOW, POISON, [(1, endpoint_id("engine-1"))], KEEP_MS);
+    }
+    assert_eq!(tracker.crash_count(NOW, POISON), 1);
+    assert_eq!(tracker.refused_for_ms(NOW, POISON), None);
+    tracker.record_crashes(NOW, POISON, [(2, endpoint_id("engine-1"))], KEEP_MS);
+    assert_eq!(tracker.refused_for_ms(NOW, POISON), Some(KEEP_MS));
+}
+
+/// Guards against VMs that extend a refusal for each other by the time that their messages take.
+#[test]
+fn a_refusal_that_two_vms_repeat_to_each_other_ends() {
+    const HEARTBEAT_MS: u64 = 300;
+    const MESSAGE_MS: u64 = 50;
+    let (mut sender, mut receiver) = (refusing_tracker(), PoisonTracker::new(2));
+    let mut now = NOW;
+    while let Some(refused_for_ms) = sender.refused_for_ms(now, POISON) {
+        assert!(now.since(NOW) <= KEEP_MS + 2 * MESSAGE_MS, "still refused at {now}");
+        let poison = PoisonRequest { fingerprint: POISON, refused_for_ms };
+        receiver.refuse(now + MESSAGE_MS, poison);
+        std::mem::swap(&mut sender, &mut receiver);
+        now = now + HEARTBEAT_MS;
+    }
+}
+
+#[test]
+fn crashes_from_before_the_expiry_of_a_record_do_not_count_after_it() {
+    let mut tracker = refusing_tracker();
+    let later = NOW + KEEP_MS;
+    assert_eq!(tracker.refused_for_ms(later, POISON), None);
+    tracker.record_crashes(later, POISON, [(3, endpoint_id("engine-3"))], KEEP_MS);
+    assert_eq!(tracker.crash_count(later, POISON), 1);
+}
