A request is checked against poison requests before each send

Cause: the check was made once, when the request arrived, and its result kept while the request waited for seconds or was tried elsewhere.

Call::poison_refusal is asked before each placement, again once a connection is open, and before a run resumes from a backup. Its reason is poison_request: 503 if no endpoint can have run it, else 502.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -153,6 +153,15 @@
         Refusal::not_run_retry_after(reason, after_ms)
     }
 
+    /// Returns the refusal if this is a poison request. Checked before each send, because the
+    /// endpoints may have crashed while this request was waiting or running elsewhere.
+    pub fn poison_refusal(&self) -> Option<Refusal> {
+        let now = boot_now();
+        let refused_for_ms =
+            self.context.with(|state| state.poison.refused_for_ms(now, self.fingerprint))?;
+        Some(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, refused_for_ms))
+    }
+
     /// Chooses an endpoint with capacity and connects to it. If all endpoints are full, waits in
     /// the admission queue for at most [`max_queue_wait_ms`], which leaves the endpoint enough time
     /// for the response.
@@ -179,6 +188,9 @@
                     excluded.insert(endpoint);
                 }
                 Ok(connection) => {
+                    if let Some(refusal) = self.poison_refusal() {
+                        return Err(refusal);
+                    }
                     return Ok(EndpointConnection { endpoint, address, connection, load_guard });
                 }
                 Err(err) => {
@@ -212,6 +224,9 @@
         let position = self.context.with(|state| state.admission_queue.enqueue(priority, tokens));
         let _queue_entry = QueueEntry { context: self.context.clone(), position };
         loop {
+            if let Some(refusal) = self.poison_refusal() {
+                return Err(refusal);
+            }
             let placement = self.try_place(position, excluded);
             let reason = match placement {
                 Placement::Endpoint(endpoint) => {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -267,6 +267,9 @@
                 Err(refusal) => return StartOutcome::Refused(refusal),
             },
             StartFrom::Backup(backup) => {
+                if let Some(refusal) = self.call.poison_refusal() {
+                    return StartOutcome::Refused(refusal);
+                }
                 let opened =
                     Connection::open(backup.address, BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long)
                         .await;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -195,8 +195,9 @@
     /// Refuses a request for which no endpoint is left. The reply carries `refusal` only if no
     /// endpoint can have run the request.
     fn refuse_exhausted(&self, refusal: Refusal) -> Reply {
-        match self.possible_runs {
-            0 => self.refuse(refusal),
+        match (self.possible_runs, refusal.reason) {
+            (0, _) => self.refuse(refusal),
+            (_, RefusalReason::PoisonRequest) => self.refuse_may_have_run(refusal.reason),
             _ => self.refuse_may_have_run(RefusalReason::EndpointLost),
         }
     }
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -1,10 +1,17 @@
 //! Poison requests: a request that crashes every endpoint is refused on all VMs after three
 //! crashes.
 
-use crate::support::{API_KEY, Daemon, configuration, eventually, register_endpoint};
+use crate::support::{
+    API_KEY, Daemon, TestEnv, configuration, eventually, generation_request, register_endpoint,
+};
+use gypsumchute_fleet::messages::{Datagram, Heartbeat, PoisonRequest, datagram};
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, CompleteResponse, Endpoint, SharedEndpointState, Store,
 };
+use gypsumchute_units::rendezvous::hash64;
+use prost::Message;
+use std::net::UdpSocket;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Starts two VMs in one zone and six endpoints.
@@ -22,7 +29,7 @@
         first.metrics().contains("gypsumchute_peer_messages_total")
             && second.metrics().contains("gypsumchute_peer_messages_total")
     });
-    std::thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(500));
     (store, books, vec![first, second])
 }
 
@@ -39,7 +46,7 @@
     assert_eq!(read(&daemons[0], "poison").status, 502);
     assert_eq!(endpoint_state.received_requests().len(), 2, "the route allows two endpoints");
     // The other VM knows of both crashes and uses at most one more endpoint.
-    std::thread::sleep(Duration::from_millis(700));
+    thread::sleep(Duration::from_millis(700));
     let crashes = |daemon: &Daemon, source: &str| {
         let counted = format!("gypsumchute_endpoint_crashes_total{{source=\"{source}\"}} 2");
         assert!(daemon.metrics().contains(&counted), "{}", daemon.metrics());
@@ -47,7 +54,7 @@
     crashes(&daemons[0], "local");
     crashes(&daemons[1], "peer");
     read(&daemons[1], "poison");
-    std::thread::sleep(Duration::from_millis(700));
+    thread::sleep(Duration::from_millis(700));
     let used_endpoints = endpoint_state.received_requests().len();
     assert!(used_endpoints <= 4, "{used_endpoints} endpoints were used");
     for daemon in [&daemons[0], &daemons[1], &daemons[0]] {
@@ -83,7 +90,7 @@
         if read(daemon, "poison").body.contains("poison_request") {
             return endpoint_state.received_requests().len();
         }
-        std::thread::sleep(Duration::from_millis(100));
+        thread::sleep(Duration::from_millis(100));
     }
     panic!("the request was not refused after {:?}", endpoint_state.received_requests().len());
 }
@@ -110,9 +117,9 @@
     }
     daemons.iter().for_each(|daemon| daemon.wait_ready(true));
     // The VMs hear of each other, and each zone chooses its gateways.
-    std::thread::sleep(SPREAD_TIME);
+    thread::sleep(SPREAD_TIME);
     let crashed = send_until_refused(&daemons[0], &endpoint_state);
-    std::thread::sleep(SPREAD_TIME);
+    thread::sleep(SPREAD_TIME);
     daemons.iter().for_each(|daemon| drop(read(daemon, "poison")));
     let late = endpoint_state.received_requests().len() - crashed;
     assert!(late <= MAX_LATE_ARRIVALS, "{crashed} crashes, then {late} endpoints reached later");
@@ -125,12 +132,81 @@
     let (store, books, daemons) = start(&endpoint_state);
     books.iter().for_each(|book| book.set_behaviour(Behaviour::DropsConnection));
     let crashed = send_until_refused(&daemons[0], &endpoint_state);
-    std::thread::sleep(SPREAD_TIME);
+    thread::sleep(SPREAD_TIME);
     let seeds = [daemons[0].settings.peers_listen];
     let late = Daemon::start(store.address(), "vm-3", "a", &seeds);
     late.wait_ready(true);
-    std::thread::sleep(SPREAD_TIME);
+    thread::sleep(SPREAD_TIME);
     let refused = read(&late, "poison");
     assert!(refused.body.contains("poison_request"), "{} {}", refused.status, refused.body);
     assert_eq!(endpoint_state.received_requests().len(), crashed);
 }
+
+/// Tells `daemon` in a heartbeat that another VM refuses the request with this path and body.
+fn report_refusal(daemon: &Daemon, path: &str, body: &str) {
+    let fingerprint = hash64(&[path.as_bytes(), b"acme", body.as_bytes()]);
+    let heartbeat = Heartbeat {
+        vm: "vm-9".to_owned(),
+        zone: "a".to_owned(),
+        poison_requests: vec![PoisonRequest { fingerprint, refused_for_ms: 60_000 }],
+        ..Heartbeat::default()
+    };
+    let datagram = Datagram { body: Some(datagram::Body::Heartbeat(heartbeat)) };
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("free port");
+    socket.send_to(&datagram.encode_to_vec(), daemon.settings.peers_listen).expect("sent");
+}
+
+/// Sends `request` on a thread of its own and returns the response with the time that it took.
+fn send_in_background(
+    daemon: &Daemon,
+    request: CallerRequest,
+) -> thread::JoinHandle<(CompleteResponse, Duration)> {
+    let address = daemon.address();
+    thread::spawn(move || {
+        let sent_at = Instant::now();
+        (request.send_and_read(address), sent_at.elapsed())
+    })
+}
+
+/// Guards against a request that is retried after it has become known as a poison request.
+#[test]
+fn a_request_that_becomes_known_as_poison_is_not_retried() {
+    let (env, _endpoints) = TestEnv::start(|endpoint_state| {
+        ["book-1", "book-2"]
+            .map(|id| (Endpoint::start(endpoint_state, id, Behaviour::Hangs), "books", "a"))
+            .into()
+    });
+    let request = CallerRequest::new("POST /reads/x", "r", API_KEY).body("poison");
+    let caller = send_in_background(&env.daemon, request);
+    let runs = || env.endpoint_state.received_requests().len();
+    eventually("the first attempt", || runs() == 1);
+    report_refusal(&env.daemon, "/reads/x", "poison");
+    let (reply, _) = caller.join().expect("response");
+    assert_eq!(reply.status, 502, "{}", reply.body);
+    assert!(reply.body.contains("poison_request"), "{}", reply.body);
+    assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+    assert_eq!(runs(), 1, "the request was sent to another endpoint");
+}
+
+/// Guards against a request that waits for capacity and is sent although it has become known as a
+/// poison request.
+#[test]
+fn a_queued_request_that_becomes_known_as_poison_is_refused_at_once() {
+    // Output that fills most of the memory of the only engine.
+    let generation = |id: &str| generation_request("surveys", id).output_tokens(20_000, 20_000);
+    let (env, _endpoints) = TestEnv::start(|endpoint_state| {
+        vec![(Endpoint::start(endpoint_state, "engine-1", Behaviour::Hangs), "engines", "a")]
+    });
+    let _running = send_in_background(&env.daemon, generation("running"));
+    let runs = || env.endpoint_state.received_requests().len();
+    eventually("the engine to be full", || runs() == 1);
+    let caller = send_in_background(&env.daemon, generation("queued").body("poison"));
+    thread::sleep(Duration::from_millis(50));
+    report_refusal(&env.daemon, "/surveys/write", "poison");
+    let (reply, elapsed) = caller.join().expect("response");
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert!(reply.body.contains("poison_request"), "{}", reply.body);
+    assert!(reply.body.contains("not_run"), "{}", reply.body);
+    assert!(elapsed < Duration::from_millis(200), "refused after {elapsed:?}");
+    assert_eq!(runs(), 1);
+}
