Only a broken connection counts as an endpoint's crash

Cause: every transport error was taken for a crash. An endpoint that sends something, however wrong, is running.

ExchangeError::is_disconnect tells a connection that broke from bytes that can't be parsed, by the parser's error or the kind of the body's error, and RunFailure carries it for generations. Outcomes for placement are as before.

Test: poison::an_endpoint_that_answers_wrongly_did_not_crash (421, foreign ids, no HTTP, no chunk), red before: refused poison_request.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -12,9 +12,11 @@
 mod relay;
 mod run;
 
-use self::run::{Backup, GenerationEnd, RelayEnd, ResponseSender, Run, StartFrom, StartOutcome};
+use self::run::{
+    Backup, GenerationEnd, RelayEnd, ResponseSender, Run, RunFailure, StartFrom, StartOutcome,
+};
 use crate::call::{Call, EndpointConnection, SendOptions};
-use crate::events::{EventAction, EventError, EventReader, EventSequence};
+use crate::events::{EventAction, EventReader, EventSequence};
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
 use gypsumchute_exchange::{Connection, TcpTimeouts};
@@ -305,7 +307,7 @@
             Err(err) => {
                 info!(request = self.call.id(), endpoint = endpoint.as_str(), error:% = err;
                     "engine sent no response");
-                self.on_run_failed(&endpoint, &err.to_string());
+                self.on_run_failed(&endpoint, &err.into());
                 return StartOutcome::Lost(backup);
             }
         };
@@ -355,24 +357,30 @@
                 }
             }
             ResponseKind::Foreign => {
-                self.on_run_failed(&endpoint, "unsigned or foreign response");
+                self.on_run_failed(
+                    &endpoint,
+                    &RunFailure::InvalidResponse("response cannot be attributed".to_owned()),
+                );
                 StartOutcome::Lost(backup)
             }
         }
     }
 
     /// Records a connection failure or an invalid response of `endpoint`.
-    fn on_run_failed(&mut self, endpoint: &EndpointId, cause: &str) {
+    fn on_run_failed(&mut self, endpoint: &EndpointId, failure: &RunFailure) {
         self.failed_runs += 1;
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
-        // An engine that sent a termination notice did not crash.
-        if self.accepts_requests(endpoint) {
-            self.call.record_crash(endpoint, cause);
-        } else {
-            info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
-                endpoint = endpoint.as_str(), cause;
-                "run failed at an endpoint out of service; not held against the request");
+        match failure {
+            // An engine that sent a termination notice did not crash.
+            RunFailure::Disconnected(cause) if self.accepts_requests(endpoint) => {
+                self.call.record_crash(endpoint, cause);
+            }
+            RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
+                info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
+                    endpoint = endpoint.as_str(), cause = failure.cause();
+                    "failed run is not held against the request");
+            }
         }
     }
 
@@ -414,18 +422,15 @@
     }
 
     /// Appends `chunk` to the event buffer and forwards each complete event to the caller. Returns
-    /// an error message if an event is too large or does not follow the previous event.
-    async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), String> {
+    /// an error if an event is too large or does not follow the previous event.
+    async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), RunFailure> {
         run.events.push(chunk);
-        while let Some(event) = run.events.next_event().map_err(|err| err.to_string())? {
+        while let Some(event) = run.events.next_event()? {
             run.last_event_at = Instant::now();
             run.load_guard.release_prefill_load();
-            match self.sequence.advance(event.id) {
-                Ok(EventAction::Skip) => continue,
-                Ok(EventAction::Forward) => {}
-                Err(err @ (EventError::Gap(..) | EventError::TooLarge)) => {
-                    return Err(err.to_string());
-                }
+            match self.sequence.advance(event.id)? {
+                EventAction::Skip => continue,
+                EventAction::Forward => {}
             }
             self.send_response_head(run);
             self.delivered_events += 1;
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -2,7 +2,9 @@
 //! terminated or stalls.
 
 use super::Generation;
-use super::run::{Backup, CopyTarget, PendingCopy, RelayEnd, Run, StartFrom, StartOutcome};
+use super::run::{
+    Backup, CopyTarget, PendingCopy, RelayEnd, Run, RunFailure, StartFrom, StartOutcome,
+};
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy, copy_kv_cache, free_kv_copy};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
@@ -46,11 +48,12 @@
             let stall_deadline = self.stall_deadline(&run);
             tokio::select! {
                 chunk = run.response.next_chunk() => {
-                    let chunk = chunk.map_err(|err| err.to_string());
                     let delivered = match chunk {
                         Ok(Some(chunk)) => self.deliver_events(&mut run, &chunk).await,
-                        Ok(None) if run.events.has_partial_event() =>
-                            Err("stream ended in the middle of an event".into()),
+                        // A stream without framing ends so if the connection breaks.
+                        Ok(None) if run.events.has_partial_event() => Err(
+                            RunFailure::Disconnected("stream ended within an event".to_owned())
+                        ),
                         Ok(None) => {
                             self.call
                                 .context
@@ -58,13 +61,13 @@
                             free_unused_copy(run.backup.take());
                             return RelayEnd::Complete;
                         }
-                        Err(err) => Err(err),
+                        Err(err) => Err(err.into()),
                     };
-                    if let Err(error) = delivered {
+                    if let Err(failure) = delivered {
                         info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
-                            error = error.as_str(), events = self.delivered_events;
+                            error = failure.cause(), events = self.delivered_events;
                             "engine stream failed");
-                        self.on_run_failed(&run.endpoint, &error);
+                        self.on_run_failed(&run.endpoint, &failure);
                         return RelayEnd::Lost(Interruption::Disconnected, run.backup);
                     }
                 }
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -1,10 +1,10 @@
 //! Types that describe the runs of a generation, their backups and their outcomes.
 
 use crate::context::LoadGuard;
-use crate::events::EventReader;
+use crate::events::{EventError, EventReader};
 use crate::reply::{Reply, StreamAborted};
 use bytes::Bytes;
-use gypsumchute_exchange::ResponseStream;
+use gypsumchute_exchange::{ExchangeError, ResponseStream};
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::continuity::Interruption;
@@ -91,6 +91,38 @@
     Failed(Reply),
 }
 
+/// Why a run ended without its complete stream.
+pub(super) enum RunFailure {
+    /// The connection broke, as it does when the engine crashes.
+    Disconnected(String),
+    /// The engine sent something invalid, so it is still running.
+    InvalidResponse(String),
+}
+
+impl RunFailure {
+    /// Returns the error message.
+    pub(super) fn cause(&self) -> &str {
+        match self {
+            RunFailure::Disconnected(cause) | RunFailure::InvalidResponse(cause) => cause,
+        }
+    }
+}
+
+impl From<ExchangeError> for RunFailure {
+    fn from(err: ExchangeError) -> Self {
+        match err.is_disconnect() {
+            true => RunFailure::Disconnected(err.to_string()),
+            false => RunFailure::InvalidResponse(err.to_string()),
+        }
+    }
+}
+
+impl From<EventError> for RunFailure {
+    fn from(err: EventError) -> Self {
+        RunFailure::InvalidResponse(err.to_string())
+    }
+}
+
 /// Why a generation ended.
 pub(super) enum GenerationEnd {
     /// The stream reached its end.
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -161,7 +161,7 @@
         };
         let result = timeout(limit, exchange).await;
         drop(load_guard);
-        let (sent, outcome, cause) = match result {
+        let (sent, outcome, cause) = match &result {
             Err(_) => (
                 SendOutcome::Lost(RefusalReason::EndpointTimeout),
                 RequestOutcome::Timeout,
@@ -173,7 +173,7 @@
                 err.to_string(),
             ),
             Ok(Ok((response, kind, Ok(body)))) => {
-                let (sent, outcome) = classify(response, kind, body);
+                let (sent, outcome) = classify(response, *kind, body);
                 (sent, outcome, format!("{kind:?}"))
             }
         };
@@ -185,7 +185,9 @@
         if !matches!(sent, SendOutcome::NotRun) {
             self.possible_runs += 1;
         }
-        if outcome == RequestOutcome::TransportError {
+        if let Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) = &result
+            && err.is_disconnect()
+        {
             self.call.record_crash(&endpoint, &cause);
         }
         self.call.context.record_outcome(&endpoint, outcome);
@@ -217,17 +219,19 @@
 /// Converts an endpoint's response into the result for the request and the outcome for the
 /// endpoint.
 fn classify(
-    response: ResponseStream,
+    response: &ResponseStream,
     kind: ResponseKind,
-    body: Bytes,
+    body: &Bytes,
 ) -> (SendOutcome, RequestOutcome) {
     match kind {
-        ResponseKind::Success => {
-            (SendOutcome::Answered(forward_response(&response, body)), RequestOutcome::Success)
-        }
-        ResponseKind::Failure => {
-            (SendOutcome::Failed(forward_response(&response, body)), RequestOutcome::ServiceError)
-        }
+        ResponseKind::Success => (
+            SendOutcome::Answered(forward_response(response, body.clone())),
+            RequestOutcome::Success,
+        ),
+        ResponseKind::Failure => (
+            SendOutcome::Failed(forward_response(response, body.clone())),
+            RequestOutcome::ServiceError,
+        ),
         ResponseKind::NotRun => (SendOutcome::NotRun, RequestOutcome::Rejected),
         ResponseKind::WrongEndpoint => (SendOutcome::NotRun, RequestOutcome::TransportError),
         ResponseKind::Foreign => {
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -6,7 +6,8 @@
 };
 use gypsumchute_fleet::messages::{Datagram, Heartbeat, PoisonRequest, datagram};
 use gypsumchute_platform_standin::{
-    Behaviour, CallerRequest, CompleteResponse, Endpoint, SharedEndpointState, Store,
+    Behaviour, CallerRequest, CompleteResponse, Endpoint, RawEndpoint, RawResponse,
+    SharedEndpointState, Store,
 };
 use gypsumchute_units::rendezvous::hash64;
 use prost::Message;
@@ -210,3 +211,45 @@
     assert!(elapsed < Duration::from_millis(200), "refused after {elapsed:?}");
     assert_eq!(runs(), 1);
 }
+
+/// Guards against innocent requests that are refused as poison, because endpoints that answered
+/// them wrongly were counted as crashed.
+#[test]
+fn an_endpoint_that_answers_wrongly_did_not_crash() {
+    let raw_responses = [
+        "not HTTP\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Signature: s\r\n\
+         Transfer-Encoding: chunked\r\n\r\nnot a chunk\r\n",
+    ];
+    let raw = |(n, response): (usize, &str)| {
+        let first = response.as_bytes().to_vec();
+        RawEndpoint::start(&format!("raw-{n}"), RawResponse { first, ..RawResponse::default() })
+    };
+    let raw_endpoints: Vec<_> = raw_responses.into_iter().enumerate().map(raw).collect();
+    let (env, endpoints) = TestEnv::start(|endpoint_state| {
+        ["book-1", "book-2"]
+            .map(|id| Endpoint::start(endpoint_state, id, Behaviour::MismatchesRequestId))
+            .map(|endpoint| (endpoint, "books", "a"))
+            .into()
+    });
+    // An entry whose address now belongs to another endpoint, which answers 421.
+    let reused = endpoints[0].registry_entry("books", "a", "ready");
+    env.store.put("servers/book-gone", &reused);
+    for raw in &raw_endpoints {
+        env.store.put(&format!("servers/{}", raw.id), &raw.registry_entry("books", "a"));
+    }
+    let used = || {
+        let raw_used = raw_endpoints.iter().filter(|raw| raw.request_count() > 0).count();
+        let arrivals = env.endpoint_state.received_requests();
+        let misdirected = arrivals.iter().any(|a| a.expected_endpoint() == "book-gone");
+        raw_used + usize::from(misdirected)
+    };
+    eventually("all endpoints to answer wrongly", || {
+        let reply = read(&env.daemon, "innocent");
+        assert!(!reply.body.contains("poison_request"), "{}", reply.body);
+        used() == 3
+    });
+    raw_endpoints.iter().for_each(|raw| env.store.unregister(&raw.id));
+    endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(Behaviour::Succeeds));
+    eventually("an answer", || read(&env.daemon, "innocent").status == 200);
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -87,6 +88,28 @@
     }
 }
 
+impl ExchangeError {
+    /// Reports whether the connection broke after the request was sent, as it does when the server
+    /// crashes. A server that sent something invalid is still running.
+    pub fn is_disconnect(&self) -> bool {
+        match self {
+            ExchangeError::ConnectionLost(err) => !err.is_parse() && !has_invalid_body(err),
+            ExchangeError::ConnectFailed(_)
+            | ExchangeError::InvalidRequest(_)
+            | ExchangeError::TimedOut
+            | ExchangeError::BodyTooLarge(_) => false,
+        }
+    }
+}
+
+/// Reports whether the framing of the response body is invalid.
+fn has_invalid_body(err: &hyper::Error) -> bool {
+    let cause = err.source().and_then(|source| source.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| {
+        matches!(cause.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+    })
+}
+
 /// An open connection on which no request has been sent yet.
 #[derive(Debug)]
 pub struct Connection {
