A crash in a drained zone counts against the request

Cause: a crash counted only if the engine could receive new requests, which is false for every engine of a zone that is out of service. The check is meant for engines that end as planned.

The crash now counts unless the engine had sent a termination notice or was unregistered.

Test: poison::an_engine_that_crashes_in_a_drained_zone_counts; on the code before it timed out waiting for the count.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -372,8 +372,8 @@
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
         match failure {
-            // An engine that sent a termination notice did not crash.
-            RunFailure::Disconnected(cause) if self.accepts_requests(endpoint) => {
+            // An engine that sent a termination notice or was unregistered may end as planned.
+            RunFailure::Disconnected(cause) if !self.is_terminating(endpoint) => {
                 self.call.record_crash(endpoint, cause);
             }
             RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -39,6 +39,13 @@
     CallerRequest::new("POST /reads/x", "r", API_KEY).body(body).send_and_read(daemon.address())
 }
 
+/// Reports whether `daemon` has counted this number of crashes that it observed (`local`) or that
+/// peers reported (`peer`).
+fn counted_crashes(daemon: &Daemon, source: &str, count: u64) -> bool {
+    let line = format!("gypsumchute_endpoint_crashes_total{{source=\"{source}\"}} {count}\n");
+    daemon.metrics().contains(&line)
+}
+
 #[test]
 fn a_poison_request_is_refused_on_all_vms_after_three_crashes() {
     let endpoint_state = SharedEndpointState::default();
@@ -48,12 +55,8 @@
     assert_eq!(endpoint_state.received_requests().len(), 2, "the route allows two endpoints");
     // The other VM knows of both crashes and uses at most one more endpoint.
     thread::sleep(Duration::from_millis(700));
-    let crashes = |daemon: &Daemon, source: &str| {
-        let counted = format!("gypsumchute_endpoint_crashes_total{{source=\"{source}\"}} 2");
-        assert!(daemon.metrics().contains(&counted), "{}", daemon.metrics());
-    };
-    crashes(&daemons[0], "local");
-    crashes(&daemons[1], "peer");
+    assert!(counted_crashes(&daemons[0], "local", 2), "{}", daemons[0].metrics());
+    assert!(counted_crashes(&daemons[1], "peer", 2), "{}", daemons[1].metrics());
     read(&daemons[1], "poison");
     thread::sleep(Duration::from_millis(700));
     let used_endpoints = endpoint_state.received_requests().len();
@@ -253,3 +256,20 @@
     endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(Behaviour::Succeeds));
     eventually("an answer", || read(&env.daemon, "innocent").status == 200);
 }
+
+/// Guards against crashes that don't count because the zone of the engine is out of service.
+#[test]
+fn an_engine_that_crashes_in_a_drained_zone_counts() {
+    let (env, mut engines) = TestEnv::start(|endpoint_state| {
+        let slow = Behaviour::Streams { events: 200, event_interval_ms: 50 };
+        let book = Endpoint::start(endpoint_state, "book-1", Behaviour::Succeeds);
+        let engine = Endpoint::start(endpoint_state, "engine-1", slow);
+        vec![(engine, "engines", "b"), (book, "books", "b")]
+    });
+    let mut stream = generation_request("surveys", "r").send(env.daemon.address());
+    assert!(stream.next_chunk().expect("first event").is_some());
+    env.store.set_zone_drained("b", true);
+    eventually("the zone to be out of service", || read(&env.daemon, "x").status == 503);
+    engines[0].kill();
+    eventually("the crash to be counted", || counted_crashes(&env.daemon, "local", 1));
+}
