An endpoint that falls silent and vanishes has crashed

Cause: only a broken connection counted as a crash. A machine that loses power or hangs breaks none.

A run and its endpoint are matched in either order. Generations report stalls, timeouts and callers that leave, plain requests attempts that time out and callers that leave; a connection that is closed late at an endpoint that is gone counts the same way. An entry that may only have expired, in trouble of the store, does not.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,6 +10,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{Placement, PlacementRequest, choose_endpoint};
+use gypsumchute_routing::silent_runs::SilentRun;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{
@@ -367,6 +368,16 @@
             "endpoint crash held against request");
     }
 
+    /// Records that a run at `endpoint` ended without a response, the last sign of life of which was
+    /// at `silent_since_ms`. The endpoint may have crashed.
+    pub fn record_silent_run(&self, endpoint: &EndpointId, silent_since_ms: BootMs) {
+        let fingerprint = self.fingerprint;
+        let run = SilentRun { fingerprint, endpoint: endpoint.clone(), silent_since_ms };
+        if self.context.record_silent_run(run) {
+            self.record_crash(endpoint, "unregistered without notice, then no response");
+        }
+    }
+
     /// Logs the outcome of the request.
     pub fn log_completion(
         &self,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -9,11 +9,13 @@
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
+use gypsumchute_routing::silent_runs::{SilentRun, SilentRuns};
 use gypsumchute_routing::warmup::ColdStartLimiter;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint, ServiceId, ZoneId};
+use log::info;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -58,6 +60,11 @@
     pub warmups: ColdStartLimiter,
     /// Requests that crashed endpoints.
     pub poison: PoisonTracker,
+    /// Runs that ended without a response, whose endpoints may have crashed.
+    silent_runs: SilentRuns,
+    /// Endpoints that have vanished from the registry without notice since the last call of
+    /// [`Context::settle_vanished_endpoints`].
+    pub vanished_endpoints: Vec<EndpointId>,
     /// Requests that wait for an endpoint with capacity.
     pub admission_queue: AdmissionQueue,
     /// Peer VMs.
@@ -133,6 +140,8 @@
             retries: RetryBudget::default(),
             warmups: ColdStartLimiter::default(),
             poison: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
+            silent_runs: SilentRuns::default(),
+            vanished_endpoints: Vec::new(),
             admission_queue: AdmissionQueue::default(),
             members: Membership::new(boot_now(), me, settings.seed_addresses()),
             unreachable_zones: BTreeSet::new(),
@@ -298,6 +307,27 @@
         }
     }
 
+    /// Records a run that ended without a response. Returns whether its endpoint crashed, as far as
+    /// known by now.
+    pub fn record_silent_run(&self, run: SilentRun) -> bool {
+        self.with(|state| state.silent_runs.on_run_ended(boot_now(), run))
+    }
+
+    /// Records the crashes of endpoints that have vanished from the registry without notice while
+    /// requests ran on them without a response.
+    pub fn settle_vanished_endpoints(&self) {
+        for endpoint in self.with(|state| std::mem::take(&mut state.vanished_endpoints)) {
+            let now = boot_now();
+            let crashed = self.with(|state| state.silent_runs.on_endpoint_vanished(now, &endpoint));
+            for fingerprint in crashed {
+                let crashes = self.record_crash(fingerprint, &endpoint);
+                info!(fingerprint:% = fingerprint, endpoint = endpoint.as_str(),
+                    cause = "no response, then unregistered without notice", crashes;
+                    "endpoint crash held against request");
+            }
+        }
+    }
+
     /// Records that `endpoint` crashed while it ran the request with `fingerprint`. Returns the
     /// number of known crashes of the request.
     pub fn record_crash(&self, fingerprint: Fingerprint, endpoint: &EndpointId) -> usize {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -28,7 +28,7 @@
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{PlacementRequest, choose_backup_engine, needs_backup};
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
+use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason};
 use http::Response;
 use log::info;
 use std::collections::BTreeSet;
@@ -84,6 +84,9 @@
     rejections: u32,
     /// Endpoint that the request was last sent to.
     last_endpoint: Option<EndpointId>,
+    /// Last sign of life of the run at `last_endpoint`: when the request was sent, or the last event
+    /// arrived. `None` if there is no run.
+    run_alive_ms: Option<BootMs>,
 }
 
 impl Generation {
@@ -100,6 +103,7 @@
             failed_runs: 0,
             rejections: 0,
             last_endpoint: None,
+            run_alive_ms: None,
         }
     }
 
@@ -112,9 +116,19 @@
             () = events.closed() => GenerationEnd::CallerDisconnected,
             () = sleep(left) => GenerationEnd::TimedOut,
         };
+        if matches!(end, GenerationEnd::CallerDisconnected | GenerationEnd::TimedOut) {
+            self.record_silent_run();
+        }
         self.finish(end).await;
     }
 
+    /// Records that the run ends without a response, unless there was a sign of life just now.
+    fn record_silent_run(&mut self) {
+        if let (Some(endpoint), Some(alive_ms)) = (&self.last_endpoint, self.run_alive_ms.take()) {
+            self.call.record_silent_run(endpoint, alive_ms);
+        }
+    }
+
     /// Logs the outcome and sends the final reply, or aborts a stream that has already started.
     async fn finish(&mut self, end: GenerationEnd) {
         let (outcome, reply) = match end {
@@ -300,6 +314,7 @@
         self.endpoints_used += 1;
         let EndpointConnection { endpoint, address, connection, load_guard } = placed;
         self.last_endpoint = Some(endpoint.clone());
+        self.run_alive_ms = Some(boot_now());
         let sent = self.call.send(connection, &endpoint, options).await;
         drop(backup_load_guard);
         let (mut response, kind) = match sent {
@@ -318,6 +333,9 @@
             tokens = self.call.load().reserved_tokens,
             elapsed_ms = boot_now().since(self.call.arrived_ms);
             "engine answered");
+        if kind != ResponseKind::Success {
+            self.run_alive_ms = None;
+        }
         match kind {
             ResponseKind::Success => StartOutcome::Running(Box::new(Run {
                 endpoint,
@@ -371,12 +389,16 @@
         self.failed_runs += 1;
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
+        let alive_ms = self.run_alive_ms.take();
         match failure {
             // An engine that sent a termination notice or was unregistered may end as planned.
             RunFailure::Disconnected(cause) if !self.is_terminating(endpoint) => {
                 self.call.record_crash(endpoint, cause);
             }
             RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
+                if let (RunFailure::Disconnected(_), Some(alive_ms)) = (failure, alive_ms) {
+                    self.call.record_silent_run(endpoint, alive_ms);
+                }
                 info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
                     endpoint = endpoint.as_str(), cause = failure.cause();
                     "failed run is not held against the request");
@@ -427,6 +449,7 @@
         run.events.push(chunk);
         while let Some(event) = run.events.next_event()? {
             run.last_event_at = Instant::now();
+            self.run_alive_ms = Some(boot_now());
             run.load_guard.release_prefill_load();
             match self.sequence.advance(event.id)? {
                 EventAction::Skip => continue,
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -55,6 +55,7 @@
                             RunFailure::Disconnected("stream ended within an event".to_owned())
                         ),
                         Ok(None) => {
+                            self.run_alive_ms = None;
                             self.call
                                 .context
                                 .record_outcome(&run.endpoint, RequestOutcome::Success);
@@ -85,6 +86,7 @@
                         continue;
                     }
                     self.call.context.record_outcome(&run.endpoint, RequestOutcome::Timeout);
+                    self.record_silent_run();
                     self.excluded.insert(run.endpoint.clone());
                     match self.fail_over_stalled_run(run).await {
                         Ok(next_run) => run = *next_run,
@@ -160,14 +162,14 @@
     /// Resumes the run from `backup`. The old run is kept until the new one has started, but no
     /// longer than `CUTOVER_TIMEOUT_MS`, so that the two runs do not overlap for too long.
     async fn cut_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, RelayEnd> {
-        let mut outcome = Box::pin(self.start_run(StartFrom::Backup(backup)));
-        let within_limit =
-            timeout(Duration::from_millis(CUTOVER_TIMEOUT_MS), outcome.as_mut()).await;
-        let (outcome, old_run) = match within_limit {
-            Ok(outcome) => (outcome, Some(run)),
-            Err(_) => {
-                drop(run);
-                (outcome.await, None)
+        let (outcome, old_run) = {
+            let mut start = Box::pin(self.start_run(StartFrom::Backup(backup)));
+            match timeout(Duration::from_millis(CUTOVER_TIMEOUT_MS), start.as_mut()).await {
+                Ok(outcome) => (outcome, Some(run)),
+                Err(_) => {
+                    drop(run);
+                    (start.await, None)
+                }
             }
         };
         match (outcome, old_run) {
@@ -175,6 +177,8 @@
             // The run stays at the current engine, and the KV cache can still be copied.
             (_, Some(mut run)) => {
                 run.termination_handled = false;
+                self.last_endpoint = Some(run.endpoint.clone());
+                self.run_alive_ms = Some(boot_now());
                 Ok(Box::new(run))
             }
             (StartOutcome::Lost(backup), None) => {
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -7,7 +7,8 @@
 use gypsumchute_platform::{ResponseKind, endpoints};
 use gypsumchute_routing::RouteKind;
 use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason};
 use http::Response;
 use log::info;
 use std::collections::BTreeSet;
@@ -45,6 +46,7 @@
         attempts: 0,
         possible_runs: 0,
         last_endpoint: None,
+        in_flight: None,
         is_answered: false,
     };
     let reply = request.run().await;
@@ -66,6 +68,8 @@
     possible_runs: u32,
     /// Endpoint that the request was last sent to.
     last_endpoint: Option<EndpointId>,
+    /// Endpoint that has not responded yet, and when the request was sent.
+    in_flight: Option<(EndpointId, BootMs)>,
     /// Whether the request has its final reply.
     is_answered: bool,
 }
@@ -73,9 +77,13 @@
 /// A request that is dropped without a reply was cancelled because the caller disconnected.
 impl Drop for PlainRequest<'_> {
     fn drop(&mut self) {
-        if !self.is_answered {
-            self.log_completion("caller_left", 0);
+        if self.is_answered {
+            return;
         }
+        if let Some((endpoint, sent_ms)) = &self.in_flight {
+            self.call.record_silent_run(endpoint, *sent_ms);
+        }
+        self.log_completion("caller_left", 0);
     }
 }
 
@@ -153,6 +161,8 @@
         self.attempts += 1;
         let limit = Duration::from_millis(self.attempt_timeout_ms());
         let EndpointConnection { endpoint, connection, load_guard, .. } = placed;
+        let sent_ms = boot_now();
+        self.in_flight = Some((endpoint.clone(), sent_ms));
         let exchange = async {
             let sent = self.call.send(connection, &endpoint, SendOptions::default());
             let (mut response, kind) = sent.await?;
@@ -160,6 +170,7 @@
             Ok::<_, ExchangeError>((response, kind, body))
         };
         let result = timeout(limit, exchange).await;
+        self.in_flight = None;
         drop(load_guard);
         let (sent, outcome, cause) = match &result {
             Err(_) => (
@@ -190,6 +201,9 @@
         {
             self.call.record_crash(&endpoint, &cause);
         }
+        if result.is_err() {
+            self.call.record_silent_run(&endpoint, sent_ms);
+        }
         self.call.context.record_outcome(&endpoint, outcome);
         sent
     }
--- a/crates/daemon/src/store_updates.rs
+++ b/crates/daemon/src/store_updates.rs
@@ -60,6 +60,7 @@
     let now = boot_now();
     let relevant = context
         .with(|state| changed.iter().filter(|key| apply_key(state, now, source, key)).count());
+    context.settle_vanished_endpoints();
     if relevant > 0 {
         context.notify_registry_changed();
     }
@@ -129,6 +130,9 @@
         let unreliable = state.registry_is_unreliable(now);
         info!(source:% = source, endpoint = id.as_str(), revision, unreliable;
             "endpoint removed from the registry");
+        if !unreliable && state.endpoints.is_ready(id) {
+            state.vanished_endpoints.push(id.clone());
+        }
         return state.endpoints.remove(now, id, unreliable);
     };
     match registry::decode(id, &value) {
@@ -136,6 +140,9 @@
             info!(source:% = source, endpoint = id.as_str(), service = entry.service.as_str(),
                 zone = entry.zone.as_str(), leaving = entry.terminating,
                 warmup_left_ms = entry.warmup_remaining_ms, revision; "endpoint registered");
+            if state.endpoints.is_ready(id) && state.endpoints.is_new_start(&entry) {
+                state.vanished_endpoints.push(id.clone());
+            }
             state.endpoints.upsert(now, entry)
         }
         Err(err) => {
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -273,3 +273,43 @@
     engines[0].kill();
     eventually("the crash to be counted", || counted_crashes(&env.daemon, "local", 1));
 }
+
+/// Guards against crashes that don't count because the endpoint never closed its connections.
+#[test]
+fn an_endpoint_that_falls_silent_and_vanishes_has_crashed() {
+    let (env, _endpoints) = TestEnv::start(|endpoint_state| {
+        let book = Endpoint::start(endpoint_state, "book-1", Behaviour::Hangs);
+        let engine = Endpoint::start(endpoint_state, "engine-1", Behaviour::Hangs);
+        vec![(engine, "engines", "a"), (book, "books", "a")]
+    });
+    let crashes = |count| counted_crashes(&env.daemon, "local", count);
+    // A plain request whose attempt times out before the entry expires.
+    assert_eq!(read(&env.daemon, "poison").status, 502);
+    env.store.unregister("book-1");
+    eventually("the first crash to be counted", || crashes(1));
+    // A generation whose caller leaves after the entry has expired.
+    let caller = generation_request("surveys", "r").send_only(env.daemon.address());
+    eventually("the generation to run", || env.endpoint_state.active_executions("r") == 1);
+    thread::sleep(Duration::from_secs(1));
+    env.store.unregister("engine-1");
+    thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    eventually("the second crash to be counted", || crashes(2));
+}
+
+/// Guards against slow endpoints that are taken for crashed ones.
+#[test]
+fn an_endpoint_that_is_slow_or_leaves_as_announced_has_not_crashed() {
+    let (env, endpoints) = TestEnv::start(|endpoint_state| {
+        ["book-1", "book-2"]
+            .map(|id| (Endpoint::start(endpoint_state, id, Behaviour::Hangs), "books", "a"))
+            .into()
+    });
+    assert_eq!(read(&env.daemon, "slow").status, 504);
+    assert_eq!(env.endpoint_state.received_requests().len(), 2);
+    register_endpoint(&env.store, &endpoints[0], "books", "a", "draining");
+    thread::sleep(Duration::from_millis(300));
+    env.store.unregister("book-1");
+    thread::sleep(Duration::from_millis(700));
+    assert!(!env.daemon.metrics().contains("gypsumchute_endpoint_crashes_total"));
+}
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -144,6 +144,19 @@
         })
     }
 
+    /// Reports whether the endpoint is registered and has announced no shutdown.
+    pub fn is_ready(&self, id: &EndpointId) -> bool {
+        self.by_id.get(id).is_some_and(|endpoint| endpoint.state == EndpointState::Ready)
+    }
+
+    /// Reports whether `entry` comes from a new start of an endpoint that is already known.
+    pub fn is_new_start(&self, entry: &EndpointEntry) -> bool {
+        self.by_id.get(&entry.id).is_some_and(|known| {
+            known.entry.started_wall_ms.is_some()
+                && known.entry.started_wall_ms != entry.started_wall_ms
+        })
+    }
+
     /// Reports whether the endpoint's entry vanished but may only have expired.
     pub fn is_unconfirmed(&self, id: &EndpointId) -> bool {
         let state = self.by_id.get(id).map(|endpoint| endpoint.state);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod poison;
 pub mod shutdown;
+pub mod silent_runs;
 pub mod table;
 pub mod warmup;
 
--- a/crates/routing/tests/testsuite/endpoints.rs
+++ b/crates/routing/tests/testsuite/endpoints.rs
@@ -43,3 +43,13 @@
     endpoints.remove(NOW, &endpoint_id("e1"), false);
     assert!(candidate_ids(&endpoints).is_empty());
 }
+
+#[test]
+fn a_new_start_under_the_same_id_is_told_from_a_changed_entry() {
+    let mut endpoints = EndpointTable::default();
+    let started = |started_wall_ms| EndpointEntry { started_wall_ms, ..entry("engine-1", "a") };
+    assert!(!endpoints.is_new_start(&started(Some(1))), "unknown endpoint");
+    endpoints.upsert(NOW, started(Some(1)));
+    assert!(!endpoints.is_new_start(&started(Some(1))));
+    assert!(endpoints.is_new_start(&started(Some(2))));
+}
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod poison;
 mod shutdown;
+mod silent_runs;
 mod support;
 mod table;
 mod warmup;
