The crash of an endpoint counts once, however many copies ran there

Cause: a crash was numbered at random by each observer, so that two observations of the same crash were two crashes.

The number now follows from the endpoint, its start and its earlier crashes under the request, and failures within 3 s of each other at one endpoint are one crash, so that all observers of a crash name it alike. An endpoint that crashes again later counts again, even if the registry still shows the start before.

Tests: poison::the_crash_of_an_endpoint_counts_once_however_many_copies_ran_ there, red before (refused poison_request); two of the numbers in routing.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,8 +16,8 @@
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint, ServiceId, ZoneId};
 use log::info;
+use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -332,15 +332,18 @@
     /// number of known crashes of the request.
     pub fn record_crash(&self, fingerprint: Fingerprint, endpoint: &EndpointId) -> usize {
         let now = boot_now();
-        let crashes = self.with(|state| {
-            let number = state.rng.random();
+        let (is_new, crashes) = self.with(|state| {
+            let started_ms = state.endpoints.get(endpoint).and_then(|e| e.entry.started_wall_ms);
+            let number = state.poison.crash_number(now, fingerprint, endpoint, started_ms);
             let keep_ms = CRASH_RETENTION_MS;
             let crash = CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms };
-            state.crash_reports.record(now, &mut state.poison, crash, true);
-            state.poison.crash_count(now, fingerprint)
+            let is_new = state.crash_reports.record(now, &mut state.poison, crash, true);
+            (is_new, state.poison.crash_count(now, fingerprint))
         });
-        self.metrics.count_endpoint_crash("local");
-        self.heartbeat_due.notify_one();
+        if is_new {
+            self.metrics.count_endpoint_crash("local");
+            self.heartbeat_due.notify_one();
+        }
         crashes
     }
 }
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -313,3 +313,22 @@
     thread::sleep(Duration::from_millis(700));
     assert!(!env.daemon.metrics().contains("gypsumchute_endpoint_crashes_total"));
 }
+
+/// Guards against a popular request that is refused as poison after the crash of one endpoint, at
+/// which several copies of it were running.
+#[test]
+fn the_crash_of_an_endpoint_counts_once_however_many_copies_ran_there() {
+    let (env, mut endpoints) = TestEnv::start(|endpoint_state| {
+        vec![(Endpoint::start(endpoint_state, "book-1", Behaviour::Hangs), "books", "a")]
+    });
+    let request =
+        |n| CallerRequest::new("POST /orders/x", &format!("r{n}"), API_KEY).body("popular");
+    let callers: Vec<_> = (0..5).map(|n| send_in_background(&env.daemon, request(n))).collect();
+    eventually("all copies to run", || env.endpoint_state.received_requests().len() == 5);
+    endpoints[0].kill();
+    for caller in callers {
+        assert_eq!(caller.join().expect("response").0.status, 502);
+    }
+    let next = request(5).send_and_read(env.daemon.address());
+    assert!(!next.body.contains("poison_request"), "{}", next.body);
+}
--- a/crates/routing/src/crash_reports.rs
+++ b/crates/routing/src/crash_reports.rs
@@ -37,7 +37,7 @@
     pub fingerprint: Fingerprint,
     /// Endpoint that crashed.
     pub endpoint: EndpointId,
-    /// Random number that identifies the crash, so that repeated reports are counted once.
+    /// Identifies the crash, so that repeated reports are counted once.
     pub number: u64,
     /// Time for which the crash still counts against the request, in milliseconds.
     pub keep_ms: u64,
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -9,17 +9,30 @@
 //! misses the reports, so the refusal itself is part of the state that VMs keep repeating to each
 //! other for as long as it is in force.
 
+use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::BTreeMap;
 
 /// Default number of crashes after which a request is refused.
 pub const DEFAULT_MAX_CRASHES: usize = 2;
 
+/// Minimum time between two crashes of an endpoint, in milliseconds. A crashed endpoint takes some
+/// seconds to start again, so failures that are closer together belong to one crash.
+const MIN_RESTART_MS: u64 = 3_000;
+
+/// A crash of an endpoint.
+#[derive(Debug)]
+struct Crash {
+    endpoint: EndpointId,
+    /// When this VM first learned of the crash.
+    seen_ms: BootMs,
+}
+
 /// Crashes that one request may have caused.
 #[derive(Debug)]
 struct CrashRecord {
-    /// Endpoint that crashed, by the number of the crash.
-    crashes: BTreeMap<u64, EndpointId>,
+    /// Crashes by number.
+    crashes: BTreeMap<u64, Crash>,
     /// When the request was found to be poison, or a peer said so.
     refused_since_ms: Option<BootMs>,
     expires_ms: BootMs,
@@ -68,13 +81,41 @@
         let record = self.record_for_update(now, fingerprint);
         record.expires_ms = record.expires_ms.max(now + keep_ms);
         let previous_count = record.crashes.len();
-        record.crashes.extend(crashes);
+        for (number, endpoint) in crashes {
+            record.crashes.entry(number).or_insert(Crash { endpoint, seen_ms: now });
+        }
         if record.crashes.len() >= max_crashes {
             record.refused_since_ms.get_or_insert(now);
         }
         record.crashes.len() > previous_count
     }
 
+    /// Returns the number of a crash that this VM observes at `endpoint`, which was started at
+    /// `started_wall_ms`.
+    ///
+    /// Several copies of a request may run on one endpoint, through several VMs. All of them derive
+    /// the same number for its crash, so that the crash counts once.
+    pub fn crash_number(
+        &self,
+        now: BootMs,
+        fingerprint: Fingerprint,
+        endpoint: &EndpointId,
+        started_wall_ms: Option<u64>,
+    ) -> u64 {
+        let record = self.record(now, fingerprint);
+        let known = record.into_iter().flat_map(|record| &record.crashes);
+        let known: Vec<_> = known.filter(|(_, crash)| crash.endpoint == *endpoint).collect();
+        let same = known.iter().find(|(_, crash)| now.since(crash.seen_ms) < MIN_RESTART_MS);
+        same.map_or_else(
+            || {
+                let started = started_wall_ms.unwrap_or_default().to_le_bytes();
+                let earlier_crashes = (known.len() as u64).to_le_bytes();
+                hash64(&[endpoint.as_str().as_bytes(), &started, &earlier_crashes])
+            },
+            |(number, _)| **number,
+        )
+    }
+
     /// Refuses a request that a peer refuses. Returns whether the request was not refused before.
     ///
     /// If it was, the time until which it is refused stays the same: otherwise, VMs would extend it
@@ -124,7 +165,7 @@
         number: u64,
     ) -> Option<(&EndpointId, u64)> {
         let record = self.record(now, fingerprint)?;
-        Some((record.crashes.get(&number)?, now.until(record.expires_ms)))
+        Some((&record.crashes.get(&number)?.endpoint, now.until(record.expires_ms)))
     }
 
     /// Returns the known crashes of the request by number, and how much longer the record is kept,
@@ -134,8 +175,10 @@
         now: BootMs,
         fingerprint: Fingerprint,
     ) -> (BTreeMap<u64, EndpointId>, u64) {
-        let record = self.record(now, fingerprint);
-        record.map(|r| (r.crashes.clone(), now.until(r.expires_ms))).unwrap_or_default()
+        let Some(record) = self.record(now, fingerprint) else { return Default::default() };
+        let crashes = record.crashes.iter();
+        let crashes = crashes.map(|(number, crash)| (*number, crash.endpoint.clone())).collect();
+        (crashes, now.until(record.expires_ms))
     }
 
     /// Returns the record of the request, unless the record has expired.
--- a/crates/routing/tests/testsuite/poison.rs
+++ b/crates/routing/tests/testsuite/poison.rs
@@ -51,3 +51,28 @@
     tracker.record_crashes(later, POISON, [(3, endpoint_id("engine-3"))], KEEP_MS);
     assert_eq!(tracker.crash_count(later, POISON), 1);
 }
+
+/// Guards against a popular request that is refused after one crash, which several VMs observed.
+#[test]
+fn vms_derive_the_same_number_for_the_same_crash() {
+    let (endpoint, other) = (endpoint_id("engine-1"), endpoint_id("engine-2"));
+    let trackers = [PoisonTracker::new(3), PoisonTracker::new(3)];
+    let [first, second] =
+        trackers.each_ref().map(|t| t.crash_number(NOW, POISON, &endpoint, Some(5)));
+    assert_eq!(first, second);
+    assert_ne!(first, trackers[0].crash_number(NOW, POISON, &other, Some(5)));
+    assert_ne!(first, trackers[0].crash_number(NOW, POISON, &endpoint, Some(6)), "a new start");
+}
+
+#[test]
+fn an_endpoint_that_crashes_again_after_a_while_counts_again() {
+    let endpoint = endpoint_id("engine-1");
+    let mut tracker = PoisonTracker::new(3);
+    for (after_ms, count) in [(0, 1), (1_000, 1), (10_000, 2), (20_000, 3)] {
+        let now = NOW + after_ms;
+        // The registry may still show the start before the last crash.
+        let number = tracker.crash_number(now, POISON, &endpoint, Some(5));
+        tracker.record_crashes(now, POISON, [(number, endpoint.clone())], KEEP_MS);
+        assert_eq!(tracker.crash_count(now, POISON), count, "after {after_ms} ms");
+    }
+}
