A request that endpoints complete is not poison

Cause: the crashes of a request only added up. Nothing that happened in between counted, and over a whole fleet three broken connections of a popular request come soon.

A complete response now disproves the crashes before it: they no longer count, and the request is not refused for 60 s. A poison request is never completed. VMs repeat completions of suspected requests to each other as they do refusals, since an idle VM has crash reports but no responses; a completion goes before a refusal, and is taken over only if it is over 1 s longer, or messages in flight would extend it.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -368,6 +368,11 @@
             "endpoint crash held against request");
     }
 
+    /// Records that an endpoint has completed this request, which is therefore not poison.
+    pub fn record_completed(&self) {
+        self.context.with(|state| state.poison.on_completed(boot_now(), self.fingerprint));
+    }
+
     /// Records that a run at `endpoint` ended without a response, the last sign of life of which was
     /// at `silent_since_ms`. The endpoint may have crashed.
     pub fn record_silent_run(&self, endpoint: &EndpointId, silent_since_ms: BootMs) {
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -56,6 +56,7 @@
                         ),
                         Ok(None) => {
                             self.run_alive_ms = None;
+                            self.call.record_completed();
                             self.call
                                 .context
                                 .record_outcome(&run.endpoint, RequestOutcome::Success);
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -10,7 +10,7 @@
 use gypsumchute_routing::crash_reports::{Audience, CrashReport, HeartbeatReports};
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
-use gypsumchute_routing::poison::PoisonRequest;
+use gypsumchute_routing::poison::{CompletedRequest, PoisonRequest};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use log::{info, warn};
@@ -120,7 +120,7 @@
             Audience::Newcomer => MEMBERS_PER_JOIN_REPLY,
         };
         let members = state.members.sample_members(now, member_count, &mut state.rng);
-        let HeartbeatReports { crashes, poison_requests } =
+        let HeartbeatReports { crashes, poison_requests, completed_requests } =
             state.crash_reports.next_reports(now, &state.poison, audience);
         let dropped = state.crash_reports.take_dropped();
         if dropped > 0 {
@@ -139,6 +139,7 @@
             joining: !state.members.has_live_peers(now),
             leaving: false,
             poison_requests: poison_requests.into_iter().map(encode_poison_request).collect(),
+            completed_requests: completed_requests.into_iter().map(encode_completed).collect(),
         }
     })
 }
@@ -306,6 +307,26 @@
     }
 }
 
+/// Encodes a completed request for a heartbeat.
+fn encode_completed(completed: CompletedRequest) -> messages::CompletedRequest {
+    let CompletedRequest { fingerprint, valid_for_ms } = completed;
+    messages::CompletedRequest { fingerprint: fingerprint.0, valid_for_ms }
+}
+
+/// Accepts a request that an endpoint has completed through a peer, although it had crashed others.
+fn apply_completed(
+    context: &Context,
+    peer: &PeerAddress,
+    &messages::CompletedRequest { fingerprint, valid_for_ms }: &messages::CompletedRequest,
+) {
+    let completed = CompletedRequest { fingerprint: Fingerprint(fingerprint), valid_for_ms };
+    if context.with(|state| state.poison.on_completed_by_peer(boot_now(), completed)) {
+        info!(fingerprint:% = completed.fingerprint, valid_for_ms, vm = peer.vm.as_str(),
+            zone = peer.zone.as_str();
+            "peer VM reported that an endpoint completed a suspected request");
+    }
+}
+
 /// Decodes a crash report, or returns `None` if the endpoint id is invalid.
 fn decode_crash(crash: &Crash) -> Option<CrashReport> {
     Some(CrashReport {
@@ -395,6 +416,8 @@
     heartbeat.crashes.iter().for_each(|crash| apply_crash(context, &peer, crash));
     let poison_requests = heartbeat.poison_requests.iter();
     poison_requests.for_each(|poison| apply_poison_request(context, &peer, poison));
+    let completed_requests = heartbeat.completed_requests.iter();
+    completed_requests.for_each(|completed| apply_completed(context, &peer, completed));
     notify_waiters(context, any_terminating);
     if is_new {
         info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -106,7 +106,10 @@
             let sent = self.send(placed).await;
             self.excluded.insert(endpoint);
             let retry_reason = match sent {
-                SendOutcome::Answered(reply) => return reply,
+                SendOutcome::Answered(reply) => {
+                    self.call.record_completed();
+                    return reply;
+                }
                 SendOutcome::Failed(reply) if !self.may_retry() => return reply,
                 SendOutcome::Failed(reply) => {
                     failure = Some(reply);
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -332,3 +332,24 @@
     let next = request(5).send_and_read(env.daemon.address());
     assert!(!next.body.contains("poison_request"), "{}", next.body);
 }
+
+/// Guards against a popular request that is refused as poison although endpoints complete it.
+#[test]
+fn a_request_that_endpoints_complete_is_not_poison() {
+    let endpoint_state = SharedEndpointState::default();
+    let (_store, books, daemons) = start(&endpoint_state);
+    books.iter().for_each(|book| book.set_behaviour(Behaviour::DropsConnection));
+    read(&daemons[0], "popular");
+    books.iter().for_each(|book| book.set_behaviour(Behaviour::Succeeds));
+    assert_eq!(read(&daemons[0], "popular").status, 200);
+    books.iter().for_each(|book| book.set_behaviour(Behaviour::DropsConnection));
+    let lost = read(&daemons[0], "popular");
+    assert_eq!(lost.status, 502, "{}", lost.body);
+    books.iter().for_each(|book| book.set_behaviour(Behaviour::Succeeds));
+    // Also through a VM that has only heard of the crashes.
+    thread::sleep(SPREAD_TIME);
+    for daemon in &daemons {
+        let served = read(daemon, "popular");
+        assert_eq!(served.status, 200, "{}", served.body);
+    }
+}
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -65,6 +65,9 @@
     /// Requests that the sender refuses because endpoints crashed each time they ran them.
     #[prost(message, repeated, tag = "12")]
     pub poison_requests: ::prost::alloc::vec::Vec<PoisonRequest>,
+    /// Requests that an endpoint has completed although endpoints crashed when they ran them.
+    #[prost(message, repeated, tag = "13")]
+    pub completed_requests: ::prost::alloc::vec::Vec<CompletedRequest>,
 }
 /// Address of a VM, as IPv4 address and port on which the VM listens for other VMs.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -131,6 +134,16 @@
     #[prost(uint64, tag = "2")]
     pub refused_for_ms: u64,
 }
+/// A request that is not poison, because an endpoint has completed it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CompletedRequest {
+    /// Hash that identifies the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Time for which the request is not refused, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub valid_for_ms: u64,
+}
 /// Requests all changes of the platform's store after a revision. Sent over TCP.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullRequest {
--- a/crates/routing/src/crash_reports.rs
+++ b/crates/routing/src/crash_reports.rs
@@ -12,23 +12,24 @@
 //!
 //! Every VM repeats the requests that it refuses, first in each heartbeat and then at an interval,
 //! for as long as it refuses them. A VM that starts, wakes or is reconnected after the crashes
-//! learns of the refusal from any peer.
+//! learns of the refusal from any peer. It repeats the requests that endpoints have completed in
+//! the same way.
 
-use crate::poison::{PoisonRequest, PoisonTracker};
+use crate::poison::{CompletedRequest, PoisonRequest, PoisonTracker};
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::VecDeque;
 
-/// Time for which a crash or a new refusal is repeated in each heartbeat, in milliseconds: the
-/// duration of several heartbeats.
+/// Time for which a crash, a new refusal or a new completion is repeated in each heartbeat, in
+/// milliseconds: the duration of several heartbeats.
 pub const REPORT_MS: u64 = 2_500;
-/// Interval at which all refusals are repeated, in milliseconds. All VMs must know a refusal within
-/// 3 s once they can reach each other.
-const REFUSAL_INTERVAL_MS: u64 = 2_000;
+/// Interval at which all refusals and completions are repeated, in milliseconds. All VMs must know
+/// a refusal within 3 s once they can reach each other.
+const REPEAT_INTERVAL_MS: u64 = 2_000;
 /// Maximum number of crashes in a heartbeat. With about 40 bytes each, they fit into a datagram
 /// next to the loads of the busiest VM.
 const MAX_CRASHES_PER_HEARTBEAT: usize = 24;
-/// Maximum number of refusals in a heartbeat, of about 15 bytes each.
-const MAX_REFUSALS_PER_HEARTBEAT: usize = 32;
+/// Maximum number of refusals, and of completions, in a heartbeat, of about 15 bytes each.
+const MAX_REPEATED_PER_HEARTBEAT: usize = 32;
 
 /// A crash of an endpoint, as VMs report it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,6 +60,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that this VM refuses.
     pub poison_requests: Vec<PoisonRequest>,
+    /// Requests that this VM does not refuse, because endpoints have completed them.
+    pub completed_requests: Vec<CompletedRequest>,
 }
 
 /// A crash that is being reported.
@@ -79,10 +82,48 @@
     recent: VecDeque<RecentCrash>,
     /// Number of crashes that were never reported, because the heartbeats were full.
     dropped: u64,
-    /// When all refusals are repeated next; `None` until the first heartbeat.
-    repeat_refusals_ms: Option<BootMs>,
-    /// Last refusal that was repeated; the next repetition continues behind it.
-    last_repeated: Option<Fingerprint>,
+    refusals: RepeatedState,
+    completions: RepeatedState,
+}
+
+/// Decides when to repeat facts that stay in force for a while, each about one request.
+#[derive(Debug, Default)]
+struct RepeatedState {
+    /// When all facts are repeated next; `None` until the first heartbeat.
+    repeat_ms: Option<BootMs>,
+    /// Request that was repeated last; the next repetition continues behind it.
+    last: Option<Fingerprint>,
+}
+
+impl RepeatedState {
+    /// Returns the facts that are new, and at each interval the next ones of all facts. A newcomer
+    /// receives old ones in any case. `facts` are ordered by fingerprint and state since when this
+    /// VM knows them.
+    fn due<T>(
+        &mut self,
+        now: BootMs,
+        audience: Audience,
+        facts: impl Iterator<Item = (Fingerprint, BootMs, T)>,
+    ) -> Vec<T> {
+        let is_new = |since_ms: BootMs| now.since(since_ms) <= REPORT_MS;
+        let (new, old): (Vec<_>, Vec<_>) = facts.partition(|(_, since_ms, _)| is_new(*since_ms));
+        let repeats_all = self.repeat_ms.is_none_or(|due_ms| due_ms <= now);
+        let old = match audience {
+            Audience::Newcomer => old,
+            Audience::Contacts if repeats_all => {
+                self.repeat_ms = Some(now + REPEAT_INTERVAL_MS);
+                let (next, first): (Vec<_>, Vec<_>) =
+                    old.into_iter().partition(|(request, ..)| Some(*request) > self.last);
+                let room = MAX_REPEATED_PER_HEARTBEAT.saturating_sub(new.len());
+                let old: Vec<_> = next.into_iter().chain(first).take(room).collect();
+                self.last = old.last().map(|(request, ..)| *request);
+                old
+            }
+            Audience::Contacts => Vec::new(),
+        };
+        let due = new.into_iter().chain(old).take(MAX_REPEATED_PER_HEARTBEAT);
+        due.map(|(_, _, fact)| fact).collect()
+    }
 }
 
 impl CrashReports {
@@ -113,8 +154,15 @@
     ) -> HeartbeatReports {
         self.drop_expired(now);
         let crashes = self.due_crashes(now, tracker, audience);
-        let poison_requests = self.due_refusals(now, tracker, audience);
-        HeartbeatReports { crashes, poison_requests }
+        let refused = tracker.refused_requests(now);
+        let refused = refused.map(|(poison, since_ms)| (poison.fingerprint, since_ms, poison));
+        let completed = tracker.completed_requests(now);
+        let completed = completed.map(|(item, since_ms)| (item.fingerprint, since_ms, item));
+        HeartbeatReports {
+            crashes,
+            poison_requests: self.refusals.due(now, audience, refused),
+            completed_requests: self.completions.due(now, audience, completed),
+        }
     }
 
     /// Returns the crashes that were reported least often so far, up to a limit.
@@ -136,37 +184,6 @@
         reports.collect()
     }
 
-    /// Returns the refusals that are new, and at each interval the next ones of all refusals. A
-    /// newcomer receives old ones in any case.
-    fn due_refusals(
-        &mut self,
-        now: BootMs,
-        tracker: &PoisonTracker,
-        audience: Audience,
-    ) -> Vec<PoisonRequest> {
-        let is_new = |since_ms: BootMs| now.since(since_ms) <= REPORT_MS;
-        let (new, old): (Vec<_>, Vec<_>) =
-            tracker.refused_requests(now).partition(|(_, since_ms)| is_new(*since_ms));
-        let repeats_all = self.repeat_refusals_ms.is_none_or(|due_ms| due_ms <= now);
-        let old = match audience {
-            Audience::Newcomer => old,
-            Audience::Contacts if repeats_all => {
-                self.repeat_refusals_ms = Some(now + REFUSAL_INTERVAL_MS);
-                let is_next =
-                    |poison: &PoisonRequest| Some(poison.fingerprint) > self.last_repeated;
-                let (next, first): (Vec<_>, Vec<_>) =
-                    old.into_iter().partition(|(poison, _)| is_next(poison));
-                let room = MAX_REFUSALS_PER_HEARTBEAT.saturating_sub(new.len());
-                let old: Vec<_> = next.into_iter().chain(first).take(room).collect();
-                self.last_repeated = old.last().map(|(poison, _)| poison.fingerprint);
-                old
-            }
-            Audience::Contacts => Vec::new(),
-        };
-        let due = new.into_iter().chain(old).take(MAX_REFUSALS_PER_HEARTBEAT);
-        due.map(|(poison, _)| poison).collect()
-    }
-
     /// Returns the number of crashes that were never reported, and resets it.
     pub fn take_dropped(&mut self) -> u64 {
         std::mem::take(&mut self.dropped)
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -8,10 +8,14 @@
 //! VMs report crashes to each other when they happen. A VM that is down or cut off at that time
 //! misses the reports, so the refusal itself is part of the state that VMs keep repeating to each
 //! other for as long as it is in force.
+//!
+//! A connection may also break because of the network. A request that many callers send is bound to
+//! lose three connections some time, but endpoints complete it as well, which a poison request
+//! never is. A completed request is therefore not refused for a while, and VMs tell each other.
 
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Default number of crashes after which a request is refused.
 pub const DEFAULT_MAX_CRASHES: usize = 2;
@@ -20,6 +24,12 @@
 /// seconds to start again, so failures that are closer together belong to one crash.
 const MIN_RESTART_MS: u64 = 3_000;
 
+/// Time for which a request is not refused after an endpoint has completed it, in milliseconds.
+const COMPLETION_MS: u64 = 60_000;
+/// Minimum extension of a completion that is taken over from a peer, in milliseconds. Smaller ones
+/// come from the time that messages take.
+const MIN_EXTENSION_MS: u64 = 1_000;
+
 /// A crash of an endpoint.
 #[derive(Debug)]
 struct Crash {
@@ -33,11 +43,37 @@
 struct CrashRecord {
     /// Crashes by number.
     crashes: BTreeMap<u64, Crash>,
+    /// Numbers of the crashes before the last completion.
+    disproved: BTreeSet<u64>,
     /// When the request was found to be poison, or a peer said so.
     refused_since_ms: Option<BootMs>,
+    completion: Option<Completion>,
     expires_ms: BootMs,
 }
 
+/// The last time that an endpoint completed a request.
+#[derive(Debug, Clone, Copy)]
+struct Completion {
+    /// When this VM learned of it.
+    since_ms: BootMs,
+    until_ms: BootMs,
+}
+
+impl CrashRecord {
+    /// Returns the last completion, while it keeps the request from being refused.
+    fn completion(&self, now: BootMs) -> Option<Completion> {
+        self.completion.filter(|completion| completion.until_ms > now)
+    }
+
+    /// Discards the crashes so far, because an endpoint has completed the request.
+    fn disprove(&mut self, now: BootMs, until_ms: BootMs) {
+        self.disproved.extend(std::mem::take(&mut self.crashes).into_keys());
+        self.refused_since_ms = None;
+        self.completion = Some(Completion { since_ms: now, until_ms });
+        self.expires_ms = self.expires_ms.max(until_ms);
+    }
+}
+
 /// A request that all VMs refuse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoisonRequest {
@@ -47,6 +83,15 @@
     pub refused_for_ms: u64,
 }
 
+/// A request that is not poison, because an endpoint has completed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CompletedRequest {
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// Time for which the request is not refused, in milliseconds.
+    pub valid_for_ms: u64,
+}
+
 /// Crashes of endpoints, by the request that may have caused them.
 #[derive(Debug)]
 pub struct PoisonTracker {
@@ -82,7 +127,9 @@
         record.expires_ms = record.expires_ms.max(now + keep_ms);
         let previous_count = record.crashes.len();
         for (number, endpoint) in crashes {
-            record.crashes.entry(number).or_insert(Crash { endpoint, seen_ms: now });
+            if !record.disproved.contains(&number) {
+                record.crashes.entry(number).or_insert(Crash { endpoint, seen_ms: now });
+            }
         }
         if record.crashes.len() >= max_crashes {
             record.refused_since_ms.get_or_insert(now);
@@ -122,7 +169,7 @@
     /// for each other without end, by the time that their messages take.
     pub fn refuse(&mut self, now: BootMs, poison: PoisonRequest) -> bool {
         let record = self.record_for_update(now, poison.fingerprint);
-        if record.refused_since_ms.is_some() {
+        if record.refused_since_ms.is_some() || record.completion(now).is_some() {
             return false;
         }
         record.refused_since_ms = Some(now);
@@ -130,6 +177,26 @@
         true
     }
 
+    /// Records that an endpoint has completed the request.
+    pub fn on_completed(&mut self, now: BootMs, fingerprint: Fingerprint) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.disprove(now, now + COMPLETION_MS);
+        }
+    }
+
+    /// Records that an endpoint has completed a request through a peer. Returns whether this is
+    /// news to this VM.
+    pub fn on_completed_by_peer(&mut self, now: BootMs, completed: CompletedRequest) -> bool {
+        let Some(record) = self.records.get_mut(&completed.fingerprint) else { return false };
+        let until_ms = now + completed.valid_for_ms.min(COMPLETION_MS);
+        let known_until_ms = record.completion(now).map_or(now, |completion| completion.until_ms);
+        if until_ms <= known_until_ms + MIN_EXTENSION_MS {
+            return false;
+        }
+        record.disprove(now, until_ms);
+        true
+    }
+
     /// Reports whether an endpoint crashed recently while it ran the request.
     pub fn is_suspect(&self, now: BootMs, fingerprint: Fingerprint) -> bool {
         self.record(now, fingerprint).is_some()
@@ -139,18 +206,36 @@
     /// not refused.
     pub fn refused_for_ms(&self, now: BootMs, fingerprint: Fingerprint) -> Option<u64> {
         let record = self.record(now, fingerprint)?;
-        record.refused_since_ms.map(|_| now.until(record.expires_ms))
+        record.refused_since_ms.filter(|_| record.completion(now).is_none())?;
+        Some(now.until(record.expires_ms))
     }
 
     /// Returns the requests that are refused, by fingerprint, with the time since when.
     pub fn refused_requests(&self, now: BootMs) -> impl Iterator<Item = (PoisonRequest, BootMs)> {
         self.records.iter().filter_map(move |(fingerprint, record)| {
-            let since_ms = record.refused_since_ms.filter(|_| record.expires_ms > now)?;
-            let refused_for_ms = now.until(record.expires_ms);
-            Some((PoisonRequest { fingerprint: *fingerprint, refused_for_ms }, since_ms))
+            let refused_for_ms = self.refused_for_ms(now, *fingerprint)?;
+            let poison = PoisonRequest { fingerprint: *fingerprint, refused_for_ms };
+            Some((poison, record.refused_since_ms?))
         })
     }
 
+    /// Returns the completed requests that peers may refuse because of the crashes before, by
+    /// fingerprint, with the time since when.
+    pub fn completed_requests(
+        &self,
+        now: BootMs,
+    ) -> impl Iterator<Item = (CompletedRequest, BootMs)> {
+        // A peer may know of one crash more than this VM.
+        let is_contested = |record: &CrashRecord| record.disproved.len() + 1 >= self.max_crashes;
+        self.records.iter().filter(move |(_, record)| is_contested(record)).filter_map(
+            move |(fingerprint, record)| {
+                let Completion { since_ms, until_ms } = record.completion(now)?;
+                let valid_for_ms = now.until(until_ms);
+                Some((CompletedRequest { fingerprint: *fingerprint, valid_for_ms }, since_ms))
+            },
+        )
+    }
+
     /// Returns the number of known crashes of the request.
     pub fn crash_count(&self, now: BootMs, fingerprint: Fingerprint) -> usize {
         self.record(now, fingerprint).map_or(0, |record| record.crashes.len())
@@ -193,7 +278,9 @@
         }
         self.records.entry(fingerprint).or_insert_with(|| CrashRecord {
             crashes: BTreeMap::new(),
+            disproved: BTreeSet::new(),
             refused_since_ms: None,
+            completion: None,
             expires_ms: now,
         })
     }
--- a/crates/routing/tests/testsuite/poison.rs
+++ b/crates/routing/tests/testsuite/poison.rs
@@ -1,8 +1,8 @@
 //! Tests that poison requests are counted and refused, on one VM and between two.
 
 use crate::support::{NOW, endpoint_id};
-use gypsumchute_routing::poison::{PoisonRequest, PoisonTracker};
-use gypsumchute_units::Fingerprint;
+use gypsumchute_routing::poison::{CompletedRequest, PoisonRequest, PoisonTracker};
+use gypsumchute_units::{BootMs, Fingerprint};
 
 const POISON: Fingerprint = Fingerprint(7);
 const KEEP_MS: u64 = 60_000;
@@ -76,3 +76,57 @@
         assert_eq!(tracker.crash_count(now, POISON), count, "after {after_ms} ms");
     }
 }
+
+/// Records a crash of `endpoint` with this number.
+fn crash(tracker: &mut PoisonTracker, now: BootMs, number: u64) {
+    tracker.record_crashes(now, POISON, [(number, endpoint_id("engine-1"))], KEEP_MS);
+}
+
+#[test]
+fn only_crashes_after_the_last_completion_count() {
+    let mut tracker = refusing_tracker();
+    tracker.on_completed(NOW, POISON);
+    assert_eq!(tracker.refused_for_ms(NOW, POISON), None);
+    // Reports of the crashes before the completion may still arrive.
+    crash(&mut tracker, NOW, 1);
+    assert_eq!(tracker.crash_count(NOW, POISON), 0);
+    for number in 3..5 {
+        crash(&mut tracker, NOW + 30_000, number);
+    }
+    assert_eq!(tracker.refused_for_ms(NOW + 59_000, POISON), None);
+    assert!(tracker.refused_for_ms(NOW + 61_000, POISON).is_some(), "not completed for 60 s");
+}
+
+#[test]
+fn a_completion_through_one_vm_ends_the_refusal_of_another() {
+    let (mut serving, mut idle) = (refusing_tracker(), refusing_tracker());
+    serving.on_completed(NOW, POISON);
+    let reported: Vec<_> = serving.completed_requests(NOW).map(|(item, _)| item).collect();
+    let expected = CompletedRequest { fingerprint: POISON, valid_for_ms: 60_000 };
+    assert_eq!(reported, [expected]);
+    assert!(idle.on_completed_by_peer(NOW, expected));
+    assert!(!idle.on_completed_by_peer(NOW, expected), "known by now");
+    assert_eq!(idle.refused_for_ms(NOW, POISON), None);
+    let refused = PoisonRequest { fingerprint: POISON, refused_for_ms: KEEP_MS };
+    assert!(!idle.refuse(NOW, refused), "a peer that has not heard of the completion");
+    // A VM that knows no crash has nothing to remember.
+    assert!(!PoisonTracker::new(2).on_completed_by_peer(NOW, expected));
+}
+
+/// Guards against VMs that extend a completion for each other by the time that their messages take.
+#[test]
+fn a_completion_that_two_vms_repeat_to_each_other_ends() {
+    const HEARTBEAT_MS: u64 = 300;
+    const MESSAGE_MS: u64 = 50;
+    let (mut sender, mut receiver) = (refusing_tracker(), refusing_tracker());
+    sender.on_completed(NOW, POISON);
+    let mut now = NOW;
+    loop {
+        let completed = sender.completed_requests(now).map(|(item, _)| item).next();
+        let Some(completed) = completed else { break };
+        assert!(now.since(NOW) <= 60_000 + 2 * MESSAGE_MS, "still in force at {now}");
+        receiver.on_completed_by_peer(now + MESSAGE_MS, completed);
+        std::mem::swap(&mut sender, &mut receiver);
+        now = now + HEARTBEAT_MS;
+    }
+}
