Crashes count for ten minutes, and their records are limited

Cause: crash records expired 60 s after the last crash.

Their number is limited to 4,096; the one that expires first goes, refused ones last.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -28,8 +28,9 @@
 /// all VMs. After two crashes, the request could still be an innocent one that ran next to the
 /// poison request.
 const MAX_CRASHES_PER_REQUEST: usize = 3;
-/// Time for which a crash counts against a request, in milliseconds.
-const CRASH_RETENTION_MS: u64 = 60_000;
+/// Time for which a crash counts against a request, in milliseconds: callers may return minutes
+/// later. Also the time for which a poison request is refused.
+pub const CRASH_RETENTION_MS: u64 = 600_000;
 /// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
 /// duration of several heartbeats.
 const ANNOUNCE_MS: u64 = 2_500;
--- a/crates/daemon/tests/testsuite/crash_spread.rs
+++ b/crates/daemon/tests/testsuite/crash_spread.rs
@@ -1,6 +1,7 @@
 //! How crash reports spread over a fleet, in virtual time: the daemon's decisions on a simulated
 //! network that loses datagrams.
 
+use gypsumchute_daemon::context::CRASH_RETENTION_MS;
 use gypsumchute_fleet::members::HeartbeatSender;
 use gypsumchute_fleet::{Membership, PeerAddress};
 use gypsumchute_routing::crash_reports::{Audience, CrashReport, CrashReports};
@@ -16,8 +17,6 @@
 const POISON: Fingerprint = Fingerprint(7);
 /// Number of crashes after which the request is refused.
 const MAX_CRASHES: usize = 3;
-/// Time for which a crash counts, in milliseconds.
-const KEEP_MS: u64 = 60_000;
 /// Time until each VM of a fleet has heard of the others, in milliseconds.
 const DISCOVERY_MS: u64 = 10_000;
 
@@ -144,7 +143,8 @@
     /// Lets an endpoint crash under the poison request of the VM with this number.
     fn crash(&mut self, vm: usize, zones: usize, number: u64) {
         let endpoint = format!("engine-{number}").parse().expect("valid id");
-        let crash = CrashReport { fingerprint: POISON, endpoint, number, keep_ms: KEEP_MS };
+        let crash =
+            CrashReport { fingerprint: POISON, endpoint, number, keep_ms: CRASH_RETENTION_MS };
         let vm = self.vms.get_mut(&peer(vm, zones).address).expect("known VM");
         vm.reports.record(self.now, &mut vm.poison, crash, true);
     }
@@ -198,3 +198,22 @@
         }
     }
 }
+
+/// Guards against a request whose caller returns so rarely that its crashes never add up, or that
+/// is sent again as soon as its refusal ends.
+#[test]
+fn a_poison_request_that_returns_every_two_minutes_is_stopped() {
+    const RETURN_MS: u64 = 120_000;
+    let mut fleet = SimulatedFleet::start(7, 4, 0.03);
+    let mut crashes = 0;
+    for n in 0..5 {
+        let vm = n as usize % 7;
+        let address = peer(vm, 4).address;
+        if fleet.vms[&address].poison.refused_for_ms(fleet.now, POISON).is_none() {
+            fleet.crash(vm, 4, n);
+            crashes += 1;
+        }
+        fleet.run(RETURN_MS);
+    }
+    assert_eq!(crashes, 3);
+}
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -24,6 +24,8 @@
 /// seconds to start again, so failures that are closer together belong to one crash.
 const MIN_RESTART_MS: u64 = 3_000;
 
+/// Maximum number of requests with a record, which limits the memory if many endpoints fail.
+pub const MAX_RECORDS: usize = 4_096;
 /// Time for which a request is not refused after an endpoint has completed it, in milliseconds.
 const COMPLETION_MS: u64 = 60_000;
 /// Minimum extension of a completion that is taken over from a peer, in milliseconds. Smaller ones
@@ -275,6 +277,7 @@
     fn record_for_update(&mut self, now: BootMs, fingerprint: Fingerprint) -> &mut CrashRecord {
         if self.record(now, fingerprint).is_none() {
             self.records.remove(&fingerprint);
+            self.make_room();
         }
         self.records.entry(fingerprint).or_insert_with(|| CrashRecord {
             crashes: BTreeMap::new(),
@@ -285,6 +288,29 @@
         })
     }
 
+    /// Drops a record if the maximum number is reached: one that is not refused, if any, and among
+    /// these the one that expires first.
+    fn make_room(&mut self) {
+        if self.records.len() < MAX_RECORDS {
+            return;
+        }
+        let records = self.records.iter();
+        let least = records.min_by_key(|(_, r)| (r.refused_since_ms.is_some(), r.expires_ms));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.records.remove(&fingerprint);
+        }
+    }
+
+    /// Returns the number of requests with a record.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Reports whether no request has a record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Drops expired records.
     pub fn expire(&mut self, now: BootMs) {
         self.records.retain(|_, record| record.expires_ms > now);
--- a/crates/routing/tests/testsuite/poison.rs
+++ b/crates/routing/tests/testsuite/poison.rs
@@ -1,7 +1,7 @@
 //! Tests that poison requests are counted and refused, on one VM and between two.
 
 use crate::support::{NOW, endpoint_id};
-use gypsumchute_routing::poison::{CompletedRequest, PoisonRequest, PoisonTracker};
+use gypsumchute_routing::poison::{CompletedRequest, MAX_RECORDS, PoisonRequest, PoisonTracker};
 use gypsumchute_units::{BootMs, Fingerprint};
 
 const POISON: Fingerprint = Fingerprint(7);
@@ -130,3 +130,17 @@
         now = now + HEARTBEAT_MS;
     }
 }
+
+/// Guards against crashes of many requests that use up the memory of a VM.
+#[test]
+fn the_number_of_records_is_limited_and_refusals_are_kept_longest() {
+    let mut tracker = refusing_tracker();
+    for n in 0..10_000 {
+        let crash = [(n, endpoint_id("engine-1"))];
+        tracker.record_crashes(NOW + 1 + n, Fingerprint(1_000 + n), crash, KEEP_MS);
+    }
+    assert_eq!(tracker.len(), MAX_RECORDS);
+    assert!(tracker.refused_for_ms(NOW + 10_000, POISON).is_some());
+    let newest = Fingerprint(1_000 + 9_999);
+    assert_eq!(tracker.crash_count(NOW + 10_000, newest), 1);
+}
