Limit the head of an endpoint's response in size and time

Cause: hyper accepts any number of informational responses, and a connection that always has data to parse keeps the one thread busy; nothing bounded the time of a head once it had begun.

HeadGuard counts what arrives before the head is complete and ends the connection at 64 KB; the rest of a head has 1.2 s after its first byte, and the first byte as long as before, since engines may be slow to begin. Neither counts as a crash.

Tests: endless_responses, seven heads and six bodies without end, for a read that is answered by another endpoint and an order that ends as may_have_run.

--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! failures.
 
 mod crash_spread;
+mod endless_responses;
 mod events;
 mod fleet;
 mod folder;
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -6,6 +6,9 @@
 //! closing the connection stops the endpoint's work on the request. The cost is one additional
 //! round trip within an availability zone per request.
 
+mod head_guard;
+
+use self::head_guard::{HeadGuard, HeadProgress};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, Response};
@@ -18,14 +21,20 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Number of unanswered TCP keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Time within which a response head must be complete after its first byte, in milliseconds. TCP
+/// retransmits a lost packet after 1 s.
+const HEAD_TIMEOUT_MS: u64 = 1_200;
+
 /// TCP timeouts after which a connection to an unresponsive remote host is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TcpTimeouts {
@@ -77,6 +86,10 @@
             from()
             display("invalid request: {}", err)
         }
+        /// The rest of the response head did not follow its first byte in time.
+        HeadTimedOut {
+            display("response head incomplete {} ms after its first byte", HEAD_TIMEOUT_MS)
+        }
         /// The timeout of the whole exchange expired.
         TimedOut {
             display("no complete response before the timeout")
@@ -93,17 +106,25 @@
     /// crashes. A server that sent something invalid is still running.
     pub fn is_disconnect(&self) -> bool {
         match self {
-            ExchangeError::ConnectionLost(err) => !err.is_parse() && !has_invalid_body(err),
+            ExchangeError::ConnectionLost(err) => !err.is_parse() && !is_invalid_data(err),
             ExchangeError::ConnectFailed(_)
             | ExchangeError::InvalidRequest(_)
+            | ExchangeError::HeadTimedOut
             | ExchangeError::TimedOut
             | ExchangeError::BodyTooLarge(_) => false,
         }
     }
 }
 
-/// Reports whether the framing of the response body is invalid.
-fn has_invalid_body(err: &hyper::Error) -> bool {
+/// Waits until the response head has been incomplete for too long since its first byte. A server
+/// may take any time before that.
+async fn head_overdue(progress: &HeadProgress) {
+    progress.started.notified().await;
+    sleep(Duration::from_millis(HEAD_TIMEOUT_MS)).await;
+}
+
+/// Reports whether the response head is too large or the framing of the body is invalid.
+fn is_invalid_data(err: &hyper::Error) -> bool {
     let cause = err.source().and_then(|source| source.downcast_ref::<io::Error>());
     cause.is_some_and(|cause| {
         matches!(cause.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
@@ -179,16 +200,24 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::ConnectionLost`] if no valid response arrived. The server may have
+    /// Returns [`ExchangeError::ConnectionLost`] if no valid response arrived, and
+    /// [`ExchangeError::HeadTimedOut`] if only the beginning of one did. The server may have
     /// received the request.
     pub async fn send(
         self,
         request: Request<Full<Bytes>>,
     ) -> Result<ResponseStream, ExchangeError> {
-        let (mut sender, connection) = http1::handshake(TokioIo::new(self.stream)).await?;
+        let progress = Arc::new(HeadProgress::default());
+        let stream = HeadGuard::new(self.stream, progress.clone());
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         // A failure of the connection is ignored here, since `send_request` or the body returns it.
         let connection_task = ConnectionTask(tokio::spawn(async move { drop(connection.await) }));
-        let response = sender.send_request(request).await?;
+        let response = tokio::select! {
+            biased;
+            response = sender.send_request(request) => response?,
+            () = head_overdue(&progress) => return Err(ExchangeError::HeadTimedOut),
+        };
+        progress.complete.store(true, Ordering::Relaxed);
         let (head, body) = Response::into_parts(response);
         Ok(ResponseStream { head, body, _connection_task: connection_task })
     }
