Only the next event of a stream is progress

Cause: what has no id was forwarded as if it were an event, and any event, forwarded or not, reset the stall timer.

Engines number all events, so what has no id is skipped, and only an event that is forwarded counts as a sign of life.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -104,7 +104,7 @@
 pub enum EventAction {
     /// Forward the event to the caller: it is the next one.
     Forward,
-    /// Skip the event: the caller has already received it.
+    /// Skip the event: the caller has already received it, or it is none, such as a comment.
     Skip,
 }
 
@@ -119,15 +119,15 @@
         self.last
     }
 
-    /// Decides whether to forward an event with the given id. Events without an id are always
-    /// forwarded.
+    /// Decides whether to forward an event with the given id. Engines number all events, so what has
+    /// no id is not forwarded.
     ///
     /// # Errors
     ///
     /// Returns [`EventError::Gap`] if at least one event before this one is missing.
     pub fn advance(&mut self, id: Option<u64>) -> Result<EventAction, EventError> {
         match (self.last, id) {
-            (_, None) => Ok(EventAction::Forward),
+            (_, None) => Ok(EventAction::Skip),
             (Some(last), Some(id)) if id <= last => Ok(EventAction::Skip),
             (Some(last), Some(id)) if id != last + 1 => Err(EventError::Gap(last + 1, id)),
             (_, Some(id)) => {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -448,13 +448,14 @@
     async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), RunFailure> {
         run.events.push(chunk);
         while let Some(event) = run.events.next_event()? {
-            run.last_event_at = Instant::now();
-            self.run_alive_ms = Some(boot_now());
-            run.load_guard.release_prefill_load();
             match self.sequence.advance(event.id)? {
+                // Not a sign of progress: a faulty engine may send such events without end.
                 EventAction::Skip => continue,
                 EventAction::Forward => {}
             }
+            run.last_event_at = Instant::now();
+            self.run_alive_ms = Some(boot_now());
+            run.load_guard.release_prefill_load();
             self.send_response_head(run);
             self.delivered_events += 1;
             if self.response_sender.events.send(Ok(event.bytes)).await.is_err() {
--- a/crates/daemon/tests/testsuite/endless_responses.rs
+++ b/crates/daemon/tests/testsuite/endless_responses.rs
@@ -1,7 +1,7 @@
 //! Endpoints that send bytes without end which are no response, in the head or in the body, until
 //! the daemon closes the connection. Callers get the answer of another endpoint, or an error soon.
 
-use crate::support::{API_KEY, TestEnv, eventually};
+use crate::support::{API_KEY, TestEnv, complete_stream, eventually, generation_request};
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, CompleteResponse, Endpoint, RawEndpoint, RawResponse,
 };
@@ -75,7 +75,11 @@
 /// which is used only if the first one fails.
 fn start(service: &'static str, response: RawResponse) -> (TestEnv, RawEndpoint, Vec<Endpoint>) {
     let (env, endpoints) = TestEnv::start(|endpoint_state| {
-        vec![(Endpoint::start(endpoint_state, "healthy", Behaviour::Succeeds), service, "b")]
+        let behaviour = match service {
+            "books" => Behaviour::Succeeds,
+            _ => Behaviour::Streams { events: 5, event_interval_ms: 5 },
+        };
+        vec![(Endpoint::start(endpoint_state, "healthy", behaviour), service, "b")]
     });
     let raw = RawEndpoint::start("endless", response);
     env.store.put("servers/endless", &raw.registry_entry(service, "a"));
@@ -136,3 +140,62 @@
         check_closed(what, &raw);
     }
 }
+
+/// Streams that go on without end and without the next event.
+fn endless_streams() -> Vec<(&'static str, RawResponse)> {
+    let mut streams = endless_bodies();
+    streams.extend([
+        ("event without an end", endless_chunks("id: 1\ndata: x", 0)),
+        ("comments", endless_chunks(": still here\n\n", 5)),
+        ("blank lines", endless_chunks("\n\n", 5)),
+        ("events without an id", endless_chunks("data: nothing\n\n", 5)),
+        ("events with a text as id", endless_chunks("id: one\ndata: nothing\n\n", 5)),
+    ]);
+    streams
+}
+
+#[test]
+fn a_generation_that_may_be_repeated_is_completed_by_another_engine() {
+    for (what, response) in endless_heads().into_iter().chain(endless_streams()) {
+        let (env, raw, _endpoints) = start("engines", response);
+        let request = generation_request("briefs", "r");
+        let Outcome { reply, elapsed, .. } = send_to_endless(&env, &raw, &request);
+        assert_eq!(reply.status, 200, "{what}: {}", reply.body);
+        assert_eq!(reply.body, complete_stream(5), "{what}");
+        assert!(reply.complete, "{what}");
+        // The latency target of the route is 400 ms, and a run may be late by 700 ms.
+        assert!(elapsed < Duration::from_millis(2_000), "{what}: answered after {elapsed:?}");
+        check_closed(what, &raw);
+    }
+}
+
+#[test]
+fn a_generation_that_may_not_be_repeated_forwards_nothing_that_is_no_event() {
+    for (what, response) in endless_heads().into_iter().chain(endless_streams()) {
+        let (env, raw, _endpoints) = start("engines", response);
+        let request = generation_request("surveys", "r").timeout_ms(2_000);
+        let Outcome { reply, elapsed, .. } = send_to_endless(&env, &raw, &request);
+        let is_error = [502, 504].contains(&reply.status) && reply.body.contains("may_have_run");
+        let is_cut = reply.status == 200 && reply.body.is_empty() && !reply.complete;
+        assert!(is_error || is_cut, "{what}: {} {:?}", reply.status, reply.body);
+        assert!(elapsed < Duration::from_millis(2_300), "{what}: ended after {elapsed:?}");
+        check_closed(what, &raw);
+    }
+}
+
+/// Guards against an engine that repeats an event without end, so that its run never stalls.
+#[test]
+fn an_engine_that_repeats_its_last_event_has_stalled() {
+    let first = format!(
+        "{VALID_HEAD}Transfer-Encoding: chunked\r\n\r\n{}",
+        chunk("id: 1\ndata: token 1\n\n")
+    );
+    let response = endless(&first, chunk("id: 1\ndata: token 1\n\n"), 5);
+    let (env, raw, _endpoints) = start("engines", response);
+    let request = generation_request("briefs", "r");
+    let Outcome { reply, elapsed, .. } = send_to_endless(&env, &raw, &request);
+    assert_eq!((reply.status, reply.body), (200, complete_stream(5)));
+    // Four times the longest pause between events that the route allows, which is 150 ms.
+    assert!(elapsed < Duration::from_millis(1_500), "answered after {elapsed:?}");
+    check_closed("repeated event", &raw);
+}
--- a/crates/daemon/tests/testsuite/events.rs
+++ b/crates/daemon/tests/testsuite/events.rs
@@ -51,6 +51,7 @@
     assert_eq!(sequence.advance(Some(5)), Ok(EventAction::Forward));
     assert_eq!(sequence.advance(Some(5)), Ok(EventAction::Skip));
     assert_eq!(sequence.advance(Some(7)), Err(EventError::Gap(6, 7)));
+    assert_eq!(sequence.advance(None), Ok(EventAction::Skip));
     assert_eq!(sequence.last_id(), Some(5));
 }
 
