An engine's error body is awaited only where it is forwarded, and not for long

Cause: the body of an error was read to its end, with a limit on its size only, before it was known whether it would be forwarded.

A generation that may go elsewhere does so at the head of the error; else the body has 1.2 s.

Test: endless_responses::an_engine_error_with_an_endless_body_ends_the_run, red before (504 endpoint_timeout after 5 s).

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -36,12 +36,15 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Maximum number of events buffered for a caller that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 256;
 /// Maximum size of an engine's error body that is forwarded to the caller, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 1 << 20;
+/// Time within which an engine's error body must arrive after its head, in milliseconds. TCP
+/// retransmits a lost packet after 1 s.
+const ERROR_BODY_TIMEOUT_MS: u64 = 1_200;
 /// Timeout for connecting to the engine that holds a backup, in milliseconds. It is shorter than
 /// `CUTOVER_TIMEOUT_MS`, the time for which the old run is kept.
 const BACKUP_CONNECT_TIMEOUT_MS: u64 = 200;
@@ -364,14 +367,14 @@
                 // If the run is still active at the old engine, its next copy must go to another
                 // engine than this one.
                 self.excluded.insert(endpoint);
-                match response.read_body(MAX_ERROR_BODY_BYTES).await {
-                    Ok(body) if !self.call.is_repeatable() => {
-                        StartOutcome::Failed(forward_response(&response, body))
-                    }
-                    Ok(body) if self.endpoints_used >= self.call.route.max_endpoints => {
-                        StartOutcome::Failed(forward_response(&response, body))
-                    }
-                    _ => StartOutcome::Lost(None),
+                if self.call.is_repeatable() && self.endpoints_used < self.call.route.max_endpoints
+                {
+                    return StartOutcome::Lost(None);
+                }
+                let reading = response.read_body(MAX_ERROR_BODY_BYTES);
+                match timeout(Duration::from_millis(ERROR_BODY_TIMEOUT_MS), reading).await {
+                    Ok(Ok(body)) => StartOutcome::Failed(forward_response(&response, body)),
+                    Ok(Err(_)) | Err(_) => StartOutcome::Lost(None),
                 }
             }
             ResponseKind::Foreign => {
--- a/crates/daemon/tests/testsuite/endless_responses.rs
+++ b/crates/daemon/tests/testsuite/endless_responses.rs
@@ -199,3 +199,27 @@
     assert!(elapsed < Duration::from_millis(1_500), "answered after {elapsed:?}");
     check_closed("repeated event", &raw);
 }
+
+/// Guards against an engine that never ends the body of an error.
+#[test]
+fn an_engine_error_with_an_endless_body_ends_the_run() {
+    let error_head = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: r\r\n\
+                      X-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (what, pause_ms) in [("fast", 0), ("slow", 50)] {
+        let response = || endless(error_head, chunk("an error"), pause_ms);
+        let (env, raw, _endpoints) = start("engines", response());
+        let request = generation_request("briefs", "r");
+        let Outcome { reply, elapsed, .. } = send_to_endless(&env, &raw, &request);
+        assert_eq!((reply.status, reply.body), (200, complete_stream(5)), "{what}");
+        assert!(elapsed < Duration::from_secs(1), "{what}: answered after {elapsed:?}");
+        check_closed(what, &raw);
+
+        let (env, raw, _endpoints) = start("engines", response());
+        let request = generation_request("surveys", "r");
+        let Outcome { reply, elapsed, .. } = send_to_endless(&env, &raw, &request);
+        assert_eq!(reply.status, 502, "{what}: {}", reply.body);
+        assert!(reply.body.contains("may_have_run"), "{what}: {}", reply.body);
+        assert!(elapsed < Duration::from_secs(2), "{what}: ended after {elapsed:?}");
+        check_closed(what, &raw);
+    }
+}
