Large responses share a memory budget

Cause: each body had a limit (4 MB a response, 1 MB an event), their sum had none. hyper's read buffers add 0.4 MB a connection.

BodyBuffer takes what a body needs beyond 64 KB from a budget of 16 MB for all responses, and gives it back when the last reference is dropped; a response for which there is no room fails like one that is too large. Events are limited to 64 KB, read buffers too.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,7 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
 use gypsumchute_config::DaemonSettings;
+use gypsumchute_exchange::BufferBudget;
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
@@ -31,6 +32,8 @@
 /// Time for which a crash counts against a request, in milliseconds: callers may return minutes
 /// later. Also the time for which a poison request is refused.
 pub const CRASH_RETENTION_MS: u64 = 600_000;
+/// Memory for large responses that are buffered at once, in bytes. The smallest VMs have 88 MB.
+const RESPONSE_BUFFER_BYTES: usize = 16 << 20;
 /// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
 /// duration of several heartbeats.
 const ANNOUNCE_MS: u64 = 2_500;
@@ -105,6 +108,8 @@
     pub settings: DaemonSettings,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Memory for responses that are buffered as a whole.
+    pub response_buffers: BufferBudget,
     /// Signals that a heartbeat should be sent ahead of schedule.
     pub heartbeat_due: Notify,
     /// Signals that load notes are pending.
@@ -158,6 +163,7 @@
         Rc::new(Context {
             settings,
             metrics: Metrics::new(),
+            response_buffers: BufferBudget::new(RESPONSE_BUFFER_BYTES),
             heartbeat_due: Notify::new(),
             load_notes_due: Notify::new(),
             pending_load_notes: RefCell::default(),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -6,8 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use quick_error::quick_error;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes. Events hold a few tokens, and each stream may buffer one.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 quick_error! {
     /// Reason why an event stream cannot continue.
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -371,7 +371,8 @@
                 {
                     return StartOutcome::Lost(None);
                 }
-                let reading = response.read_body(MAX_ERROR_BODY_BYTES);
+                let budget = &self.call.context.response_buffers;
+                let reading = response.read_body(MAX_ERROR_BODY_BYTES, budget);
                 match timeout(Duration::from_millis(ERROR_BODY_TIMEOUT_MS), reading).await {
                     Ok(Ok(body)) => StartOutcome::Failed(forward_response(&response, body)),
                     Ok(Err(_)) | Err(_) => StartOutcome::Lost(None),
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -169,7 +169,8 @@
         let exchange = async {
             let sent = self.call.send(connection, &endpoint, SendOptions::default());
             let (mut response, kind) = sent.await?;
-            let body = response.read_body(MAX_RESPONSE_BYTES).await;
+            let budget = &self.call.context.response_buffers;
+            let body = response.read_body(MAX_RESPONSE_BYTES, budget).await;
             Ok::<_, ExchangeError>((response, kind, body))
         };
         let result = timeout(limit, exchange).await;
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -6,10 +6,12 @@
 //! closing the connection stops the endpoint's work on the request. The cost is one additional
 //! round trip within an availability zone per request.
 
+mod body_buffer;
 mod head_guard;
 
+pub use self::body_buffer::{BodyBuffer, BudgetExceeded, BufferBudget};
 use self::head_guard::{HeadGuard, HeadProgress};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -35,6 +37,9 @@
 /// retransmits a lost packet after 1 s.
 const HEAD_TIMEOUT_MS: u64 = 1_200;
 
+/// Maximum size of the buffer into which hyper reads a response, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// TCP timeouts after which a connection to an unresponsive remote host is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TcpTimeouts {
@@ -94,6 +99,11 @@
         TimedOut {
             display("no complete response before the timeout")
         }
+        /// The response body is large, and so are too many others.
+        BudgetExceeded(err: BudgetExceeded) {
+            from()
+            display("{}", err)
+        }
         /// The response body is larger than the allowed maximum.
         BodyTooLarge(max_bytes: usize) {
             display("response body exceeds the maximum of {} bytes", max_bytes)
@@ -110,6 +120,7 @@
             ExchangeError::ConnectFailed(_)
             | ExchangeError::InvalidRequest(_)
             | ExchangeError::HeadTimedOut
+            | ExchangeError::BudgetExceeded(_)
             | ExchangeError::TimedOut
             | ExchangeError::BodyTooLarge(_) => false,
         }
@@ -209,7 +220,9 @@
     ) -> Result<ResponseStream, ExchangeError> {
         let progress = Arc::new(HeadProgress::default());
         let stream = HeadGuard::new(self.stream, progress.clone());
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let handshake =
+            http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream));
+        let (mut sender, connection) = handshake.await?;
         // A failure of the connection is ignored here, since `send_request` or the body returns it.
         let connection_task = ConnectionTask(tokio::spawn(async move { drop(connection.await) }));
         let response = tokio::select! {
@@ -246,15 +259,19 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection failed before the end of the body, or if the body is
-    /// larger than `max_bytes`.
-    pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
-        let mut body = BytesMut::new();
+    /// Returns an error if the connection failed before the end of the body, if the body is larger
+    /// than `max_bytes`, or if `budget` has no room for it.
+    pub async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        budget: &BufferBudget,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut body = BodyBuffer::new(budget);
         while let Some(chunk) = self.next_chunk().await? {
             if body.len() + chunk.len() > max_bytes {
                 return Err(ExchangeError::BodyTooLarge(max_bytes));
             }
-            body.extend_from_slice(&chunk);
+            body.push(&chunk)?;
         }
         Ok(body.freeze())
     }
@@ -292,7 +309,8 @@
     let exchange = async {
         let connection = Connection::open(address, timeout_ms, TcpTimeouts::Short).await?;
         let mut response = connection.send(request).await?;
-        let body = response.read_body(max_bytes).await?;
+        // The size is bounded by `max_bytes`, and the system makes few such calls at a time.
+        let body = response.read_body(max_bytes, &BufferBudget::new(2 * max_bytes)).await?;
         Ok((response.head, body))
     };
     match timeout(Duration::from_millis(timeout_ms), exchange).await {
--- a/crates/exchange/tests/testsuite/main.rs
+++ b/crates/exchange/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
-//! Integration tests. The crate has none yet.
+//! Integration tests of the exchange crate.
+
+mod body_buffer;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,10 +4,12 @@
 mod cli;
 mod cold;
 mod configuration;
+mod daemons;
 mod end_to_end;
 mod idempotency;
 mod keys;
 mod limits;
+mod memory;
 mod model_loading;
 mod poison;
 mod shutdown;
--- /dev/null
+++ b/tests/testsuite/memory.rs
@@ -0,0 +1,67 @@
+//! Memory of the daemon under responses that are larger than it can hold at once.
+
+use crate::daemons::DaemonFleet;
+use crate::support::wait_until;
+use gypsumchute_platform_standin::fixtures::{API_KEY, configuration};
+use gypsumchute_platform_standin::{CallerRequest, RawEndpoint, RawResponse, Store};
+use std::thread;
+use std::time::Duration;
+
+/// Memory of the smallest VM that the users have, in kilobytes.
+const SMALLEST_VM_KB: u64 = 88 << 10;
+/// Number of concurrent requests, half of those that a VM carries at the planned size.
+const CONCURRENT_REQUESTS: usize = 80;
+/// Time until a started daemon is ready.
+const START_LIMIT: Duration = Duration::from_secs(15);
+
+/// Starts a daemon in front of `endpoint`, sends concurrent requests, and returns the peak memory in
+/// kilobytes.
+fn peak_memory_kb(subnet: u8, service: &str, endpoint: RawResponse, path: &str) -> u64 {
+    let store = Store::start();
+    store.configure(&configuration(7, &[API_KEY]));
+    let raw: Vec<_> =
+        (0..10).map(|n| RawEndpoint::start(&format!("raw-{n}"), endpoint.clone())).collect();
+    for raw in &raw {
+        store.put(&format!("servers/{}", raw.id), &raw.registry_entry(service, "a"));
+    }
+    let fleet = DaemonFleet::start(store.address(), subnet, &["a"]);
+    let daemon = &fleet.daemons[0];
+    assert!(wait_until(START_LIMIT, || daemon.is_ready()), "the daemon is not ready");
+    let address = daemon.callers();
+    let callers: Vec<_> = (0..CONCURRENT_REQUESTS)
+        .map(|_| {
+            let request = CallerRequest::new(&format!("POST {path}"), "r", API_KEY)
+                .header("X-Token-Usage", "100,100")
+                .body("a request");
+            thread::spawn(move || drop(request.try_send(address).map(|r| r.read_to_end())))
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| caller.join().expect("caller"));
+    assert!(raw.iter().map(RawEndpoint::request_count).sum::<usize>() >= CONCURRENT_REQUESTS / 2);
+    daemon.peak_memory_kb()
+}
+
+/// Returns a response whose body grows by 64 KB each 10 ms.
+fn growing_body(content: &str) -> RawResponse {
+    let head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Signature: s\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    RawResponse {
+        first: head.as_bytes().to_vec(),
+        repeated: format!("10000\r\n{}\r\n", content.repeat(65_536 / content.len())).into_bytes(),
+        pause: Duration::from_millis(10),
+    }
+}
+
+/// Guards against many large responses at once, which would end the process.
+#[test]
+fn large_responses_of_services_fit_into_the_smallest_vm() {
+    let peak_kb = peak_memory_kb(210, "books", growing_body("x"), "/orders/new");
+    assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
+}
+
+/// Guards against many large events at once, which would end the process.
+#[test]
+fn large_events_of_engines_fit_into_the_smallest_vm() {
+    let peak_kb = peak_memory_kb(211, "engines", growing_body("x"), "/surveys/write");
+    assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
+}
