Soak: its daemons listen on loopback addresses of their own

The soak now starts its daemons through DaemonFleet, as the tests of memory do: all ports of a daemon are on an IP address of its own, which nothing else binds or connects from. No check changes; the ways to start a daemon in the root package are one.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -19,7 +19,8 @@
 //! `GYPSUMCHUTE_SOAK_SEEDS=1-50` selects the seeds 1 to 50. The default is [`REGRESSION_SEEDS`] and
 //! [`DEFAULT_SEEDS`].
 
-use crate::support::{Process, wait_until};
+use crate::daemons::{DaemonFleet, DaemonProcess};
+use crate::support::wait_until;
 use gypsumchute::util::ports::free_address;
 use gypsumchute_platform_standin::fixtures::{configuration, generation_request};
 use gypsumchute_platform_standin::{
@@ -29,14 +30,12 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
-use serde_json::{Value, json};
-use std::fs;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
-use tempfile::TempDir;
 
 /// Seeds that have failed before and run by default, each with a comment on the cause.
 const REGRESSION_SEEDS: [u64; 0] = [];
@@ -57,32 +56,6 @@
 /// Zone of the daemon and of the endpoints with the same index.
 const ZONES: [&str; 3] = ["a", "a", "b"];
 
-/// A daemon process with its settings.
-struct Daemon {
-    settings: Value,
-    /// Path of the settings file.
-    path: String,
-    process: Process,
-}
-
-impl Daemon {
-    /// Returns the address in this field of the settings.
-    fn address(&self, field: &str) -> SocketAddr {
-        self.settings[field].as_str().unwrap().parse().unwrap()
-    }
-
-    /// Starts a new process with the same settings, and kills the old one if it still runs.
-    fn restart(&mut self) {
-        self.process = Process::start(env!("CARGO_BIN_EXE_gypsumchute-daemon"), &[&self.path]);
-    }
-
-    /// Reports whether the daemon passes the readiness check.
-    fn is_ready(&self) -> bool {
-        let response = CallerRequest::readiness_check().try_send(self.address("readiness_listen"));
-        response.is_ok_and(|response| response.status == 200)
-    }
-}
-
 /// An endpoint behind a proxy.
 struct ProxiedEndpoint {
     endpoint: Endpoint,
@@ -101,10 +74,9 @@
     /// State that the endpoints share, with the requests that reached them.
     endpoint_state: SharedEndpointState,
     endpoints: Vec<ProxiedEndpoint>,
-    daemons: Vec<Daemon>,
+    fleet: DaemonFleet,
     /// Newest configuration version, shared with the callers.
     version: Arc<AtomicU64>,
-    _settings_dir: TempDir,
 }
 
 /// A caller's request and the response to it.
@@ -124,8 +96,7 @@
 impl Soak {
     /// Starts the store, endpoints and daemons, and waits until every daemon is ready.
     fn start(seed: u64) -> Self {
-        let (store, endpoint_state, settings_dir) =
-            (Store::start(), SharedEndpointState::default(), TempDir::new().unwrap());
+        let (store, endpoint_state) = (Store::start(), SharedEndpointState::default());
         let start_endpoint = |index: usize, service, healthy_behaviour| {
             let endpoint =
                 Endpoint::start(&endpoint_state, &format!("{service}-{index}"), healthy_behaviour);
@@ -135,28 +106,9 @@
         let engines = (0..3).map(|index| start_endpoint(index, "engines", ENGINE_BEHAVIOUR));
         let books = (0..3).map(|index| start_endpoint(index, "books", Behaviour::Succeeds));
         let endpoints: Vec<ProxiedEndpoint> = engines.chain(books).collect();
-        let port = free_address().unwrap().port();
-        // Loopback subnet of the daemons' peer addresses, which differs between seeds.
-        let subnet = seed % 200 + 20;
-        let start_daemon = |index: usize| {
-            let new_address = || free_address().unwrap().to_string();
-            let settings = json!({
-                "vm": format!("vm-{index}"), "zone": ZONES[index], "zone_regions": {},
-                "callers_listen": new_address(), "readiness_listen": new_address(),
-                "metrics_listen": new_address(),
-                "peers_listen": format!("127.0.{subnet}.{}:{port}", index + 1),
-                "seeds": [format!("127.0.{subnet}.1:{port}"), format!("127.0.{subnet}.2:{port}")],
-                "configuration": { "store": store.address() }, "shutdown_grace_s": 3.0,
-                "retry_ratio": 0.2, "retry_fixed": 50.0, "retry_window_s": 10.0,
-            });
-            let path = settings_dir.path().join(format!("vm-{index}.json"));
-            fs::write(&path, settings.to_string()).unwrap();
-            let path = path.to_str().unwrap().to_owned();
-            let process = Process::start(env!("CARGO_BIN_EXE_gypsumchute-daemon"), &[&path]);
-            Daemon { settings, path, process }
-        };
         store.configure(&configuration(1, &[&api_key_of(1)]));
-        let daemons = (0..3).map(start_daemon).collect();
+        // Seeds that run at the same time use different subnets.
+        let fleet = DaemonFleet::start(store.address(), (seed % 200) as u8 + 1, &ZONES);
         let rng = StdRng::seed_from_u64(seed);
         let soak = Soak {
             seed,
@@ -164,9 +116,8 @@
             store,
             endpoint_state,
             endpoints,
-            daemons,
+            fleet,
             version: Arc::new(AtomicU64::new(1)),
-            _settings_dir: settings_dir,
         };
         soak.endpoints.iter().for_each(|proxied| soak.register(proxied, "ready"));
         assert!(soak.all_ready(), "seed {seed}: daemons not ready after the start");
@@ -182,35 +133,35 @@
 
     /// Waits until every daemon is ready, and returns false if one is not ready in time.
     fn all_ready(&self) -> bool {
-        wait_until(RECOVERY_LIMIT, || self.daemons.iter().all(Daemon::is_ready))
+        wait_until(RECOVERY_LIMIT, || self.fleet.daemons.iter().all(DaemonProcess::is_ready))
     }
 
     /// Injects one random fault, and ends it after a random time.
     fn inject_fault(&mut self) {
         let duration = Duration::from_millis(self.rng.random_range(100..1_200));
-        let daemon_index = self.rng.random_range(0..self.daemons.len());
+        let daemon_index = self.rng.random_range(0..self.fleet.daemons.len());
         let endpoint_index = self.rng.random_range(0..self.endpoints.len());
         match self.rng.random_range(0..9) {
             0 => {
-                self.daemons[daemon_index].process.suspend();
+                self.fleet.daemons[daemon_index].process.suspend();
                 thread::sleep(duration);
-                self.daemons[daemon_index].process.resume();
+                self.fleet.daemons[daemon_index].process.resume();
             }
             1 => {
-                self.daemons[daemon_index].process.kill();
+                self.fleet.daemons[daemon_index].process.kill();
                 thread::sleep(duration / 2);
-                self.daemons[daemon_index].restart();
+                self.fleet.daemons[daemon_index].restart();
             }
             2 => {
-                self.daemons[daemon_index].process.terminate();
+                self.fleet.daemons[daemon_index].process.terminate();
                 let exited =
-                    self.daemons[daemon_index].process.exits_within(Duration::from_secs(4));
+                    self.fleet.daemons[daemon_index].process.exits_within(Duration::from_secs(4));
                 assert!(
                     exited,
                     "seed {}: a daemon did not exit within its shutdown grace period",
                     self.seed
                 );
-                self.daemons[daemon_index].restart();
+                self.fleet.daemons[daemon_index].restart();
             }
             3 => {
                 let modes = [
@@ -276,8 +227,7 @@
     /// Injects faults while callers send requests, and returns the records of all callers.
     fn run_with_faults(&mut self) -> Vec<RequestRecord> {
         let stop = Arc::new(AtomicBool::new(false));
-        let addresses: Vec<_> =
-            self.daemons.iter().map(|daemon| daemon.address("callers_listen")).collect();
+        let addresses: Vec<_> = self.fleet.daemons.iter().map(DaemonProcess::callers).collect();
         let callers: Vec<_> = (0..CALLER_COUNT)
             .map(|caller| {
                 let (stop, addresses) = (stop.clone(), addresses.clone());
@@ -337,8 +287,8 @@
     /// the newest key and rejects the key that was withdrawn last.
     fn check_recovery(&self) {
         assert!(self.all_ready(), "seed {}: daemons not ready after the faults", self.seed);
-        for (index, daemon) in self.daemons.iter().enumerate() {
-            let address = daemon.address("callers_listen");
+        for (index, daemon) in self.fleet.daemons.iter().enumerate() {
+            let address = daemon.callers();
             let status = |api_key: &str| {
                 let response =
                     CallerRequest::new("GET /reads/x", "last", api_key).try_send(address);
