Events that a caller does not read are limited in bytes

Cause: a stream buffers up to 256 events, whatever their size, and an event that arrived whole in one read could exceed the maximum size.

A stream's buffer holds 128 KB now besides its 256 events, and the size of an event is checked whether its end has arrived or not. A caller that reads slowly holds up its engine as before.

Test: memory::streams_that_nobody_reads_fit_into_the_smallest_vm, red before.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -13,7 +13,7 @@
     /// Reason why an event stream cannot continue.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum EventError {
-        /// The event exceeds the maximum size without a terminating blank line.
+        /// The event, or its beginning, exceeds the maximum size.
         TooLarge {
             display("event exceeds {} bytes", MAX_EVENT_BYTES)
         }
@@ -52,14 +52,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`EventError::TooLarge`] if the event exceeds the maximum size without an end.
+    /// Returns [`EventError::TooLarge`] if the event exceeds the maximum size.
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
-        let Some(end) = self.find_event_end() else {
-            return match self.pending.len() > MAX_EVENT_BYTES {
-                true => Err(EventError::TooLarge),
-                false => Ok(None),
-            };
-        };
+        let end = self.find_event_end();
+        if end.unwrap_or(self.pending.len()) > MAX_EVENT_BYTES {
+            return Err(EventError::TooLarge);
+        }
+        let Some(end) = end else { return Ok(None) };
         let bytes = self.pending.split_to(end).freeze();
         self.scanned = 0;
         Ok(Some(Event { id: parse_event_id(&bytes), bytes }))
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -33,13 +33,17 @@
 use log::info;
 use std::collections::BTreeSet;
 use std::future::pending;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Maximum number of events buffered for a caller that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 256;
+/// Maximum size of the events that are buffered for a caller that reads slowly, in bytes. It is
+/// larger than any event.
+const MAX_BUFFERED_BYTES: usize = 128 << 10;
 /// Maximum size of an engine's error body that is forwarded to the caller, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 1 << 20;
 /// Time within which an engine's error body must arrive after its head, in milliseconds. TCP
@@ -56,7 +60,8 @@
 pub async fn handle(call: Call) -> Reply {
     let (head, head_rx) = oneshot::channel();
     let (events, events_rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
-    let response_sender = ResponseSender { head: Some(head), events };
+    let buffer = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES));
+    let response_sender = ResponseSender { head: Some(head), events, buffer };
     spawn_local(Generation::new(call, response_sender).run());
     match head_rx.await {
         Ok(Ok(head)) => Response::from_parts(head, ReplyBody::Stream(events_rx)),
@@ -462,7 +467,7 @@
             run.load_guard.release_prefill_load();
             self.send_response_head(run);
             self.delivered_events += 1;
-            if self.response_sender.events.send(Ok(event.bytes)).await.is_err() {
+            if !self.response_sender.send_event(event.bytes).await {
                 // The caller has disconnected, so this task is about to be cancelled.
                 pending::<()>().await;
             }
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -2,7 +2,7 @@
 
 use crate::context::LoadGuard;
 use crate::events::{EventError, EventReader};
-use crate::reply::{Reply, StreamAborted};
+use crate::reply::{QueuedChunk, Reply, StreamAborted};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
 use gypsumchute_platform::KvSource;
@@ -13,7 +13,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use tokio::sync::{mpsc, oneshot};
+use std::sync::Arc;
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::Instant;
 
 /// Sends the response head and the events to the caller.
@@ -22,7 +23,23 @@
     /// used.
     pub(super) head: Option<oneshot::Sender<Result<Parts, Reply>>>,
     /// Channel for the body: complete events, or an error that aborts the stream.
-    pub(super) events: mpsc::Sender<Result<Bytes, StreamAborted>>,
+    pub(super) events: mpsc::Sender<Result<QueuedChunk, StreamAborted>>,
+    /// Room for events that the caller has not read, in bytes.
+    pub(super) buffer: Arc<Semaphore>,
+}
+
+impl ResponseSender {
+    /// Queues an event for the caller, and waits for room if the caller reads slowly. Returns false
+    /// if the caller has disconnected.
+    pub(super) async fn send_event(&self, bytes: Bytes) -> bool {
+        let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let room = tokio::select! {
+            room = self.buffer.clone().acquire_many_owned(length) => room,
+            () = self.events.closed() => return false,
+        };
+        let Ok(permit) = room else { return false };
+        self.events.send(Ok(QueuedChunk { bytes, permit })).await.is_ok()
+    }
 }
 
 /// A run's KV cache at another engine, from which the generation can resume: the backup that the
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 /// Aborts a response stream, so that the caller can tell that the stream is incomplete.
 #[derive(Debug, Clone, Copy)]
@@ -29,12 +29,21 @@
     }
 }
 
+/// A part of a stream that waits for the caller to read it.
+#[derive(Debug)]
+pub struct QueuedChunk {
+    /// Bytes for the caller.
+    pub bytes: Bytes,
+    /// Room that the bytes occupy in the stream's buffer.
+    pub permit: OwnedSemaphorePermit,
+}
+
 /// Body of a reply.
 pub enum ReplyBody {
     /// The complete body; `None` once it was sent.
     Full(Option<Bytes>),
     /// Chunks as they arrive. The sender is notified when the caller disconnects.
-    Stream(mpsc::Receiver<Result<Bytes, StreamAborted>>),
+    Stream(mpsc::Receiver<Result<QueuedChunk, StreamAborted>>),
 }
 
 impl Body for ReplyBody {
@@ -48,7 +57,8 @@
         match self.get_mut() {
             ReplyBody::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
             ReplyBody::Stream(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                let chunk = chunks.poll_recv(cx);
+                chunk.map(|chunk| chunk.map(|chunk| chunk.map(|queued| Frame::data(queued.bytes))))
             }
         }
     }
--- a/crates/daemon/tests/testsuite/events.rs
+++ b/crates/daemon/tests/testsuite/events.rs
@@ -42,6 +42,9 @@
     let mut reader = EventReader::default();
     reader.push(&vec![b'x'; (1 << 20) + 1]);
     assert_eq!(reader.next_event(), Err(EventError::TooLarge));
+    let mut reader = EventReader::default();
+    reader.push(format!("id: 1\ndata: {}\n\n", "x".repeat(100_000)).as_bytes());
+    assert_eq!(reader.next_event(), Err(EventError::TooLarge));
 }
 
 #[test]
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -65,3 +65,42 @@
     let peak_kb = peak_memory_kb(211, "engines", growing_body("x"), "/surveys/write");
     assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
 }
+
+/// Guards against callers that don't read their streams, whose events would pile up.
+#[test]
+fn streams_that_nobody_reads_fit_into_the_smallest_vm() {
+    let head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Signature: s\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    let event = |id: u64| format!("id: {id}\ndata: {}\n\n", "x".repeat(60_000));
+    let events = (1..=400).map(event).map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+    let first = format!("{head}{}", events.collect::<String>());
+    let engine = RawResponse {
+        first: first.into_bytes(),
+        repeated: b"1\r\n \r\n".to_vec(),
+        pause: Duration::from_millis(100),
+    };
+    let store = Store::start();
+    store.configure(&configuration(7, &[API_KEY]));
+    let raw: Vec<_> =
+        (0..10).map(|n| RawEndpoint::start(&format!("raw-{n}"), engine.clone())).collect();
+    for raw in &raw {
+        store.put(&format!("servers/{}", raw.id), &raw.registry_entry("engines", "a"));
+    }
+    let fleet = DaemonFleet::start(store.address(), 212, &["a"]);
+    let daemon = &fleet.daemons[0];
+    assert!(wait_until(START_LIMIT, || daemon.is_ready()), "the daemon is not ready");
+    let callers: Vec<_> = (0..40)
+        .map(|_| {
+            let request = CallerRequest::new("POST /surveys/write", "r", API_KEY)
+                .header("X-Token-Usage", "100,100")
+                .timeout_ms(20_000)
+                .body("a request");
+            request.send_only(daemon.callers())
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(3));
+    let peak_kb = daemon.peak_memory_kb();
+    assert!(raw.iter().map(RawEndpoint::request_count).sum::<usize>() >= 30);
+    assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
+    drop(callers);
+}
