Large request bodies share a memory budget

80 callers that send bodies of 4 MB at once, as their limit allows, took a daemon to 226,368 KB; the smallest VM has 88 MB (look for the same cause elsewhere: a limit on each body and none on their sum).

Request bodies beyond 64 KB draw on a budget of 24 MB. A request for which there is no room is refused as overloaded, not run, with a time to return.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -32,6 +32,8 @@
 /// Time for which a crash counts against a request, in milliseconds: callers may return minutes
 /// later. Also the time for which a poison request is refused.
 pub const CRASH_RETENTION_MS: u64 = 600_000;
+/// Memory for large request bodies that are buffered at once, in bytes. The smallest VMs have 88 MB.
+const REQUEST_BUFFER_BYTES: usize = 24 << 20;
 /// Memory for large responses that are buffered at once, in bytes. The smallest VMs have 88 MB.
 const RESPONSE_BUFFER_BYTES: usize = 16 << 20;
 /// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
@@ -108,6 +110,8 @@
     pub settings: DaemonSettings,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Memory for request bodies, which are buffered as a whole.
+    pub request_buffers: BufferBudget,
     /// Memory for responses that are buffered as a whole.
     pub response_buffers: BufferBudget,
     /// Signals that a heartbeat should be sent ahead of schedule.
@@ -163,6 +167,7 @@
         Rc::new(Context {
             settings,
             metrics: Metrics::new(),
+            request_buffers: BufferBudget::new(REQUEST_BUFFER_BYTES),
             response_buffers: BufferBudget::new(RESPONSE_BUFFER_BYTES),
             heartbeat_due: Notify::new(),
             load_notes_due: Notify::new(),
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -4,8 +4,10 @@
 use crate::context::Context;
 use crate::reply::{self, Reply};
 use crate::{generation, plain};
-use bytes::{Bytes, BytesMut};
-use gypsumchute_exchange::{TcpTimeouts, set_tcp_timeouts};
+use bytes::Bytes;
+use gypsumchute_exchange::{
+    BodyBuffer, BudgetExceeded, BufferBudget, TcpTimeouts, set_tcp_timeouts,
+};
 use gypsumchute_platform::RequestHead;
 use gypsumchute_routing::shutdown::may_start;
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
@@ -175,8 +177,8 @@
         fingerprint: None,
         close_connection: false,
     };
-    let close = |reason| RejectedRequest {
-        refusal: Refusal::not_run(reason),
+    let close = |refusal| RejectedRequest {
+        refusal,
         request_id: request_id.clone(),
         fingerprint: None,
         close_connection: true,
@@ -191,11 +193,11 @@
     let (route, service) = resolve_route(context, &table, &head, random_value).map_err(reject)?;
     let customer = authenticate(context, &table, &route, &caller).map_err(reject)?;
     let limits = ingress_limits(Some(&table));
-    let reading = read_body(body, limits.max_body_bytes);
+    let reading = read_body(body, limits.max_body_bytes, &context.request_buffers);
     let body = match timeout(Duration::from_millis(BODY_TIMEOUT_MS), reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(reason)) => return Err(close(reason)),
-        Err(_) => return Err(close(RefusalReason::Malformed)),
+        Ok(Err(refusal)) => return Err(close(refusal)),
+        Err(_) => return Err(close(Refusal::not_run(RefusalReason::Malformed))),
     };
     let fingerprint = fingerprint(head.uri.path(), customer.as_ref(), &body);
     let now = boot_now();
@@ -285,15 +287,26 @@
 }
 
 /// Reads the request body, up to `limit_bytes`.
-async fn read_body(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, RefusalReason> {
-    let mut received = BytesMut::new();
+///
+/// # Errors
+///
+/// Returns the refusal if the body is malformed or too large, or if `budget` has no room for it.
+async fn read_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    budget: &BufferBudget,
+) -> Result<Bytes, Refusal> {
+    let mut received = BodyBuffer::new(budget);
     while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::not_run(RefusalReason::Malformed))?;
         // Trailers are ignored and are not forwarded.
-        let chunk = frame.map_err(|_| RefusalReason::Malformed)?.into_data().unwrap_or_default();
+        let chunk = frame.into_data().unwrap_or_default();
         if received.len() + chunk.len() > limit_bytes {
-            return Err(RefusalReason::BodyTooLarge);
+            return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
         }
-        received.extend_from_slice(&chunk);
+        received.push(&chunk).map_err(|BudgetExceeded::Exhausted| {
+            Refusal::not_run_retry_after(RefusalReason::Overloaded, DEFAULT_RETRY_AFTER_MS)
+        })?;
     }
     Ok(received.freeze())
 }
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -4,6 +4,8 @@
 use crate::support::wait_until;
 use gypsumchute_platform_standin::fixtures::{API_KEY, configuration};
 use gypsumchute_platform_standin::{CallerRequest, RawEndpoint, RawResponse, Store};
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
@@ -104,3 +106,40 @@
     assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
     drop(callers);
 }
+
+/// Guards against many large requests at once, which would end the process.
+#[test]
+fn large_requests_of_callers_fit_into_the_smallest_vm() {
+    let store = Store::start();
+    let mut configuration = configuration(7, &[API_KEY]);
+    configuration["limits"]["maxBodyBytes"] = (4 << 20).into();
+    store.configure(&configuration);
+    let fleet = DaemonFleet::start(store.address(), 213, &["a"]);
+    let daemon = &fleet.daemons[0];
+    assert!(wait_until(START_LIMIT, || daemon.is_ready()), "the daemon is not ready");
+    let address = daemon.callers();
+    let callers: Vec<_> = (0..CONCURRENT_REQUESTS)
+        .map(|_| {
+            thread::spawn(move || -> std::io::Result<()> {
+                let mut stream = TcpStream::connect(address)?;
+                let head = format!(
+                    "POST /orders/new HTTP/1.1\r\nHost: models.example\r\nX-Attempt-Id: r\r\n\
+                     Authorization: Bearer {API_KEY}\r\nContent-Length: {}\r\n\r\n",
+                    4 << 20
+                );
+                stream.write_all(head.as_bytes())?;
+                for _ in 0..60 {
+                    stream.write_all(&[b'x'; 65_536])?;
+                    thread::sleep(Duration::from_millis(10));
+                }
+                Ok(())
+            })
+        })
+        .collect();
+    // Callers that are refused find their connection closed.
+    callers.into_iter().for_each(|caller| drop(caller.join().expect("caller")));
+    let peak_kb = daemon.peak_memory_kb();
+    assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
+    let small = CallerRequest::new("GET /elsewhere/x", "r", API_KEY).send_and_read(address);
+    assert_eq!(small.status, 404, "the daemon serves on");
+}
