A VM that starts takes its part of the retry budget as it discovers the fleet

Cause: the fixed number is divided by the VMs that are known, and a VM that has just started knows itself and its seeds.

A VM without seeds has no others to look for. The part of a VM's own requests is as before.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,7 +4,7 @@
 use gypsumchute_exchange::BufferBudget;
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
-use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
+use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReport, CrashReports};
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
@@ -294,8 +294,11 @@
             window_ms: self.settings.retry_window_ms(),
         };
         let taken = self.with(|state| {
-            let vms = state.members.known_vms().len();
-            state.retries.try_take_retry(boot_now(), service, allowance, vms)
+            let fleet = KnownFleet {
+                vms: state.members.known_vms().len(),
+                since_ms: state.members.discovered_ms(),
+            };
+            state.retries.try_take_retry(boot_now(), service, allowance, fleet)
         });
         match taken {
             true => self.metrics.count_retry(reason),
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -10,6 +10,8 @@
 mod peer_sync;
 mod plain;
 mod poison;
+mod retry_budget;
 mod shutdown;
+mod simulated_fleet;
 mod store_reader;
 mod support;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -239,6 +239,15 @@
         self.members.keys().cloned().chain([self.me.vm.clone()]).collect()
     }
 
+    /// Returns when this VM first heard from another one, or `None` if it has not yet. A VM without
+    /// seeds looks for no others, and has known that since its start.
+    pub fn discovered_ms(&self) -> Option<BootMs> {
+        match self.seeds.is_empty() {
+            true => Some(BootMs(0)),
+            false => self.first_heartbeat_ms,
+        }
+    }
+
     /// Returns the addresses of the recipients of the next heartbeat, and updates the heartbeat
     /// interval.
     pub fn next_heartbeat_targets(&mut self, now: BootMs) -> Vec<SocketAddrV4> {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! Guards against retry storms when endpoints fail. In each time window, all VMs together may retry
 //! a fraction of a service's requests plus a fixed number. The fixed number is divided by the
-//! number of known VMs, so that the limit on the total holds without coordination.
+//! number of known VMs, so that the limit on the total holds without coordination. A VM that starts
+//! knows few others, so its part of the fixed number grows from zero while it discovers them.
 
 use gypsumchute_units::{BootMs, ServiceId};
 use std::collections::{BTreeMap, VecDeque};
@@ -11,6 +12,28 @@
 /// known to this VM yet.
 const SAFETY_FACTOR: f64 = 0.8;
 
+/// Time in which a VM that has heard of one other hears of most of them, in milliseconds.
+const DISCOVERY_MS: u64 = 2_000;
+
+/// What a VM knows of the fleet that shares the budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownFleet {
+    /// Number of VMs, including this one.
+    pub vms: usize,
+    /// When this VM first heard of another one; `None` if it has not yet. A VM that has no others
+    /// to look for knows its fleet from the start.
+    pub since_ms: Option<BootMs>,
+}
+
+impl KnownFleet {
+    /// Returns this VM's part of what all VMs share.
+    fn part(self, now: BootMs) -> f64 {
+        let Some(since_ms) = self.since_ms else { return 0.0 };
+        let discovered = now.since(since_ms).min(DISCOVERY_MS) as f64 / DISCOVERY_MS as f64;
+        discovered / self.vms.max(1) as f64
+    }
+}
+
 /// Fleet-wide limit on retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryAllowance {
@@ -52,18 +75,17 @@
         self.by_service.entry(service.clone()).or_default().requests.push_back(now);
     }
 
-    /// Takes one retry from the budget for `service`. Returns whether a retry was left for this VM,
-    /// one of `vm_count` VMs.
+    /// Takes one retry from the budget for `service`. Returns whether a retry was left for this VM.
     pub fn try_take_retry(
         &mut self,
         now: BootMs,
         service: &ServiceId,
         allowance: RetryAllowance,
-        vm_count: usize,
+        fleet: KnownFleet,
     ) -> bool {
         let window = self.by_service.entry(service.clone()).or_default();
         window.drop_before(BootMs(now.0.saturating_sub(allowance.window_ms)));
-        let fixed = allowance.fixed_retries / vm_count.max(1) as f64;
+        let fixed = allowance.fixed_retries * fleet.part(now);
         let allowed =
             SAFETY_FACTOR * (allowance.retries_per_request * window.requests.len() as f64 + fixed);
         let is_allowed = (window.retries.len() + 1) as f64 <= allowed;
--- a/crates/routing/tests/testsuite/budget.rs
+++ b/crates/routing/tests/testsuite/budget.rs
@@ -1,12 +1,17 @@
 //! Tests that the retry budget holds for the whole fleet without coordination between VMs.
 
 use crate::support::NOW;
-use gypsumchute_routing::budget::{RetryAllowance, RetryBudget};
+use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_units::BootMs;
 
 const ALLOWANCE: RetryAllowance =
     RetryAllowance { retries_per_request: 0.2, fixed_retries: 54.0, window_ms: 10_000 };
 
+/// Returns a fleet of `vms` VMs that have known each other for long.
+fn known_fleet(vms: usize) -> KnownFleet {
+    KnownFleet { vms, since_ms: Some(BootMs(0)) }
+}
+
 #[test]
 fn all_vms_together_stay_within_the_budget_in_every_window() {
     const VMS: usize = 7;
@@ -19,7 +24,7 @@
         budget.count_request(now, &service);
         requests.push(now);
         for _ in 0..3 {
-            if budget.try_take_retry(now, &service, ALLOWANCE, VMS) {
+            if budget.try_take_retry(now, &service, ALLOWANCE, known_fleet(VMS)) {
                 retries.push(now);
             }
         }
@@ -43,7 +48,7 @@
         ("books".parse().expect("valid id"), "engines".parse().expect("valid id"));
     let mut budget = RetryBudget::default();
     let allowance = RetryAllowance { fixed_retries: 2.0, ..ALLOWANCE };
-    assert!(budget.try_take_retry(NOW, &books, allowance, 1));
-    assert!(!budget.try_take_retry(NOW, &books, allowance, 1));
-    assert!(budget.try_take_retry(NOW, &engines, allowance, 1));
+    assert!(budget.try_take_retry(NOW, &books, allowance, known_fleet(1)));
+    assert!(!budget.try_take_retry(NOW, &books, allowance, known_fleet(1)));
+    assert!(budget.try_take_retry(NOW, &engines, allowance, known_fleet(1)));
 }
