Retry budget: retries outlast the requests that caused them

expire dropped the record of a service by its requests alone. It now keeps it while either is in the window.

Test: budget::retries_in_the_window_count_although_no_request_arrived_in_it, red before.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -99,6 +99,7 @@
     pub fn expire(&mut self, now: BootMs, window_ms: u64) {
         let start = BootMs(now.0.saturating_sub(window_ms));
         self.by_service.values_mut().for_each(|window| window.drop_before(start));
-        self.by_service.retain(|_, window| !window.requests.is_empty());
+        self.by_service
+            .retain(|_, window| !window.requests.is_empty() || !window.retries.is_empty());
     }
 }
--- a/crates/routing/tests/testsuite/budget.rs
+++ b/crates/routing/tests/testsuite/budget.rs
@@ -52,3 +52,18 @@
     assert!(!budget.try_take_retry(NOW, &books, allowance, known_fleet(1)));
     assert!(budget.try_take_retry(NOW, &engines, allowance, known_fleet(1)));
 }
+
+/// Guards against retries that are forgotten because their requests arrived before the window.
+#[test]
+fn retries_in_the_window_count_although_no_request_arrived_in_it() {
+    let service = "engines".parse().expect("valid id");
+    let mut budget = RetryBudget::default();
+    let allowance = RetryAllowance { fixed_retries: 2.0, ..ALLOWANCE };
+    budget.count_request(NOW, &service);
+    let retried_ms = NOW + 9_900;
+    assert!(budget.try_take_retry(retried_ms, &service, allowance, known_fleet(1)));
+    budget.expire(NOW + 10_200, allowance.window_ms);
+    assert!(!budget.try_take_retry(NOW + 10_300, &service, allowance, known_fleet(1)));
+    let after_window_ms = retried_ms + allowance.window_ms + 1;
+    assert!(budget.try_take_retry(after_window_ms, &service, allowance, known_fleet(1)));
+}
