Heartbeats over 8 KB are received

Cause: the buffer for datagrams had 8 KB, and a longer datagram is cut off by the system, so that it can't be decoded.

The buffer has the 64 KB of the largest UDP datagram; one that can't be sent because it is larger is logged.

Test: poison::the_heartbeat_of_a_vm_that_uses_many_endpoints_is_received, red before.

--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -21,8 +21,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Maximum size of a datagram, in bytes: the limit of UDP. What does not fit would be cut off.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Delay after a failed receive, in milliseconds.
 const RECEIVE_RETRY_DELAY_MS: u64 = 40;
 /// Minimum interval between heartbeats that are sent ahead of schedule, in milliseconds per target
@@ -90,7 +90,7 @@
     send_datagram(context, socket, Body::Heartbeat(heartbeat), targets).await;
 }
 
-/// Sends a datagram to each target. Send errors are ignored.
+/// Sends a datagram to each target.
 async fn send_datagram(
     context: &Context,
     socket: &UdpSocket,
@@ -101,9 +101,13 @@
     for target in targets {
         // A failed send is treated like a datagram lost on the network: the next datagram replaces
         // it.
-        let sent = socket.send_to(&bytes, SocketAddr::V4(*target)).await;
-        if sent.is_ok() {
-            context.metrics.count_peer_message(bytes.len() as u64);
+        match socket.send_to(&bytes, SocketAddr::V4(*target)).await {
+            Ok(_) => context.metrics.count_peer_message(bytes.len() as u64),
+            Err(err) if bytes.len() > MAX_DATAGRAM_BYTES => {
+                warn!(error:% = err, bytes = bytes.len(), to:% = target;
+                    "datagram is too large to be sent");
+            }
+            Err(_) => {}
         }
     }
 }
--- a/crates/daemon/tests/testsuite/poison.rs
+++ b/crates/daemon/tests/testsuite/poison.rs
@@ -4,7 +4,7 @@
 use crate::support::{
     API_KEY, Daemon, TestEnv, configuration, eventually, generation_request, register_endpoint,
 };
-use gypsumchute_fleet::messages::{Datagram, Heartbeat, PoisonRequest, datagram};
+use gypsumchute_fleet::messages::{Datagram, EndpointLoad, Heartbeat, PoisonRequest, datagram};
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, CompleteResponse, Endpoint, RawEndpoint, RawResponse,
     SharedEndpointState, Store,
@@ -148,10 +148,22 @@
 
 /// Tells `daemon` in a heartbeat that another VM refuses the request with this path and body.
 fn report_refusal(daemon: &Daemon, path: &str, body: &str) {
+    report_refusal_with_loads(daemon, path, body, 0);
+}
+
+/// Tells `daemon` of a refusal in the heartbeat of a VM that uses `endpoint_count` endpoints.
+fn report_refusal_with_loads(daemon: &Daemon, path: &str, body: &str, endpoint_count: u32) {
     let fingerprint = hash64(&[path.as_bytes(), b"acme", body.as_bytes()]);
+    let load = |n| EndpointLoad {
+        endpoint: format!("i-{n:010x}"),
+        requests: 3,
+        tokens: 12_345,
+        ..EndpointLoad::default()
+    };
     let heartbeat = Heartbeat {
         vm: "vm-9".to_owned(),
         zone: "a".to_owned(),
+        loads: (0..endpoint_count).map(load).collect(),
         poison_requests: vec![PoisonRequest { fingerprint, refused_for_ms: 60_000 }],
         ..Heartbeat::default()
     };
@@ -353,3 +365,13 @@
         assert_eq!(served.status, 200, "{}", served.body);
     }
 }
+
+/// Guards against a busy VM whose heartbeats are cut off by the receiver and lost.
+#[test]
+fn the_heartbeat_of_a_vm_that_uses_many_endpoints_is_received() {
+    let (env, _endpoints) = TestEnv::start(|endpoint_state| {
+        vec![(Endpoint::start(endpoint_state, "book-1", Behaviour::Succeeds), "books", "a")]
+    });
+    report_refusal_with_loads(&env.daemon, "/reads/x", "poison", 600);
+    eventually("the refusal", || read(&env.daemon, "poison").body.contains("poison_request"));
+}
--- a/crates/daemon/tests/testsuite/retry_budget.rs
+++ b/crates/daemon/tests/testsuite/retry_budget.rs
@@ -31,7 +31,7 @@
             fleet.run(STEP_MS);
             let now = fleet.now;
             for (address, budget) in &mut budgets {
-                if now.since(START) % REQUEST_INTERVAL_MS == 0 {
+                if now.since(START).is_multiple_of(REQUEST_INTERVAL_MS) {
                     budget.count_request(now, &service);
                     requests.push(now);
                 }
