--- a/tests/testsuite/daemons.rs
+++ b/tests/testsuite/daemons.rs
@@ -21,11 +21,12 @@
     peers: u16,
 }
 
-/// Daemons that read the same store.
+/// Daemons that know each other.
 pub struct DaemonFleet {
     /// The daemons, in the order of their IP addresses.
     pub daemons: Vec<DaemonProcess>,
-    _settings_dir: TempDir,
+    /// Folder of their settings, which they read again when they restart.
+    pub settings_dir: TempDir,
 }
 
 /// A daemon process with its settings.
@@ -38,9 +39,15 @@
 }
 
 impl DaemonFleet {
-    /// Starts a daemon for each element of `zones`. Daemons of fleets that run at the same time
-    /// need a different `subnet`, which is the third byte of their IP addresses.
+    /// Starts a daemon for each element of `zones`, which reads the store at `store`. Fleets that
+    /// run at the same time need a different `subnet`, the second byte of their IP addresses.
     pub fn start(store: SocketAddr, subnet: u8, zones: &[&str]) -> Self {
+        DaemonFleet::start_with(|_| store, subnet, zones)
+    }
+
+    /// Starts daemons like [`DaemonFleet::start`]. `store` returns the address through which the
+    /// daemon with this index reads the store.
+    pub fn start_with(store: impl Fn(usize) -> SocketAddr, subnet: u8, zones: &[&str]) -> Self {
         let settings_dir = TempDir::new().expect("a directory can be created");
         let port = || free_address().expect("free port").port();
         let ports = Ports { callers: port(), readiness: port(), metrics: port(), peers: port() };
@@ -58,7 +65,7 @@
                 "readiness_listen": address(index, ports.readiness),
                 "metrics_listen": address(index, ports.metrics),
                 "peers_listen": address(index, ports.peers), "seeds": seeds,
-                "configuration": { "store": store }, "shutdown_grace_s": 3.0,
+                "configuration": { "store": store(index) }, "shutdown_grace_s": 3.0,
                 "retry_ratio": 0.2, "retry_fixed": 50.0, "retry_window_s": 10.0,
             });
             let path = settings_dir.path().join(format!("vm-{index}.json"));
@@ -68,7 +75,7 @@
             DaemonProcess { settings, path, process }
         };
         let daemons = zones.iter().enumerate().map(start).collect();
-        DaemonFleet { daemons, _settings_dir: settings_dir }
+        DaemonFleet { daemons, settings_dir }
     }
 }
 
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -80,6 +80,11 @@
         self.send_signal("-TERM");
     }
 
+    /// Sends SIGHUP, on which the process reads its settings again.
+    pub fn reload(&self) {
+        self.send_signal("-HUP");
+    }
+
     /// Reports whether the process exits within `timeout`.
     pub fn exits_within(&mut self, timeout: Duration) -> bool {
         wait_until(timeout, || matches!(self.child.try_wait(), Ok(Some(_))))
