Requests in flight are answered before a daemon exits

Cause: the process exits at its deadline whatever is open; requests had no deadline of their own for that.

Plain requests and generations whose stream has not begun now end 150 ms before the exit, as may_have_run, or as not run and to be sent elsewhere if nothing was sent. Streams that have begun are aborted, as before.

Test: shutdown::a_request_without_a_response_is_answered_before_the_daemon_ exits, red before (unexpected EOF).

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -23,7 +23,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 /// Number of endpoint crashes after which a request counts as a poison request and is refused on
 /// all VMs. After two crashes, the request could still be an innocent one that ran next to the
@@ -36,6 +38,8 @@
 const REQUEST_BUFFER_BYTES: usize = 24 << 20;
 /// Memory for large responses that are buffered at once, in bytes. The smallest VMs have 88 MB.
 const RESPONSE_BUFFER_BYTES: usize = 16 << 20;
+/// Time before the exit of the process at which requests in flight are answered, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 150;
 /// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
 /// duration of several heartbeats.
 const ANNOUNCE_MS: u64 = 2_500;
@@ -224,6 +228,16 @@
         *self.shutdown.borrow()
     }
 
+    /// Completes shortly before the process exits, when requests that are still in flight must be
+    /// answered. Never completes unless the shutdown begins.
+    pub async fn last_answers_due(&self) {
+        // The sender is a field of the context, so it is not dropped.
+        drop(self.shutdown.subscribe().wait_for(|closing| *closing).await);
+        let exit_ms = self.shutdown_deadline_ms().unwrap_or_default();
+        let left_ms = boot_now().until(exit_ms).saturating_sub(LAST_ANSWERS_MS);
+        sleep(Duration::from_millis(left_ms)).await;
+    }
+
     /// Returns a receiver whose value becomes `true` when the shutdown begins.
     pub fn shutdown_signal(&self) -> watch::Receiver<bool> {
         self.shutdown.subscribe()
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -118,11 +118,13 @@
     /// Drives the generation until it completes, the caller disconnects or the deadline expires.
     async fn run(mut self) {
         let events = self.response_sender.events.clone();
+        let context = self.call.context.clone();
         let left = Duration::from_millis(self.call.remaining_ms());
         let end = tokio::select! {
             end = self.run_to_completion() => end,
             () = events.closed() => GenerationEnd::CallerDisconnected,
             () = sleep(left) => GenerationEnd::TimedOut,
+            () = context.last_answers_due() => GenerationEnd::TimedOut,
         };
         if matches!(end, GenerationEnd::CallerDisconnected | GenerationEnd::TimedOut) {
             self.record_silent_run();
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -49,7 +49,11 @@
         in_flight: None,
         is_answered: false,
     };
-    let reply = request.run().await;
+    let reply = tokio::select! {
+        reply = request.run() => Some(reply),
+        () = call.context.last_answers_due() => None,
+    };
+    let reply = reply.unwrap_or_else(|| request.refuse_at_shutdown());
     request.is_answered = true;
     let outcome = if reply.status().is_success() { "answered" } else { "failed" };
     request.log_completion(outcome, reply.status().as_u16());
@@ -222,6 +226,14 @@
         }
     }
 
+    /// Refuses a request that is still in flight when the process exits.
+    fn refuse_at_shutdown(&self) -> Reply {
+        match (self.possible_runs, &self.in_flight) {
+            (0, None) => self.refuse(self.call.retryable_refusal(RefusalReason::Draining, 0)),
+            _ => self.refuse_may_have_run(RefusalReason::EndpointTimeout),
+        }
+    }
+
     /// Counts `refusal` in the metrics and builds the reply for it.
     fn refuse(&self, refusal: Refusal) -> Reply {
         self.call.context.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
--- a/crates/daemon/tests/testsuite/shutdown.rs
+++ b/crates/daemon/tests/testsuite/shutdown.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown: requests in flight complete.
 
-use crate::support::{TestEnv, complete_stream, generation_request};
+use crate::support::{TestEnv, complete_stream, eventually, generation_request};
 use gypsumchute_platform_standin::{Behaviour, Endpoint};
+use std::thread;
 
 #[test]
 fn a_stream_longer_than_the_minimum_drain_time_completes() {
@@ -40,3 +41,20 @@
     assert_eq!(short.send_and_read(env.daemon.address()).status, 200);
     assert_eq!(env.endpoint_state.received_requests().len(), 1);
 }
+
+/// Guards against callers whose connection is closed without an answer, because the endpoint of
+/// their request does not respond before the daemon exits.
+#[test]
+fn a_request_without_a_response_is_answered_before_the_daemon_exits() {
+    let (mut env, _engines) = TestEnv::start(|endpoint_state| {
+        vec![(Endpoint::start(endpoint_state, "engine-1", Behaviour::Hangs), "engines", "a")]
+    });
+    let request = generation_request("surveys", "r1").timeout_ms(20_000);
+    let address = env.daemon.address();
+    let caller = thread::spawn(move || request.try_send(address).map(|r| r.read_to_end()));
+    eventually("the request to run", || env.endpoint_state.active_executions("r1") == 1);
+    env.daemon.stop();
+    let reply = caller.join().expect("caller").expect("a final answer");
+    assert_eq!(reply.status, 504, "{}", reply.body);
+    assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+}
--- a/tests/testsuite/soak/checks.rs
+++ b/tests/testsuite/soak/checks.rs
@@ -1,8 +1,8 @@
 //! What must hold for the callers' requests, whatever failed meanwhile.
 
+use super::STREAM_EVENTS;
 use super::callers::RequestRecord;
 use super::faults::Impairment;
-use super::STREAM_EVENTS;
 use gypsumchute_platform_standin::ReceivedRequest;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -7,12 +7,13 @@
 use gypsumchute_standins::platform::{ListedVm, Platform};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::fs;
+use std::fs::{self, File};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tempfile::{NamedTempFile, TempDir};
 
 /// Salt of the hashes of API keys in the test configuration.
@@ -26,6 +27,8 @@
 ///
 /// The standard error of the process goes to a log file. On drop, a panic message in that log fails
 /// the test. If the test has failed already and `GYPSUMCHUTE_TEST_LOGS` is set, the log is printed.
+/// If `GYPSUMCHUTE_LOG_DIR` is set, the standard output goes to a file of this folder, named after
+/// the last argument and the time of the start.
 pub struct Process {
     child: Child,
     log: NamedTempFile,
@@ -39,7 +42,7 @@
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(stdout_of(args))
             .stderr(stderr)
             .spawn()
             .expect("the binary can be started");
@@ -91,6 +94,16 @@
     }
 }
 
+/// Returns where the standard output of a process with these arguments goes.
+fn stdout_of(args: &[&str]) -> Stdio {
+    let Some(dir) = std::env::var_os("GYPSUMCHUTE_LOG_DIR") else { return Stdio::null() };
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let settings = args.last().and_then(|path| Path::new(path).file_stem());
+    let name = settings.unwrap_or_default().to_string_lossy();
+    let path = Path::new(&dir).join(format!("{name}-{}.log", since_epoch.as_millis()));
+    File::create(path).expect("a log file can be created").into()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
