Entry and control: notices of poison requests are repeated

A crash was told to every listed VM once, when it was seen. A control process that refuses requests now repeats their crashes to one random VM each 0.5 s; the notices are the ones of before.

The setup of the two tests of poison is one function.

--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -83,6 +83,8 @@
 /// Interval between `Hello` messages of a VM whose process started less than
 /// [`JOIN_TIMEOUT_MS`] ago.
 pub const STARTUP_HELLO_INTERVAL_MS: u64 = 100;
+/// Interval between repetitions of the notices of poison requests, each sent to one random VM.
+pub const CRASH_NOTICE_INTERVAL_MS: u64 = 500;
 /// Age of the configuration at which a VM that is not a regular reader starts to read the platform,
 /// and the time for which it then reads.
 pub const FALLBACK_READ_AGE_MS: u64 = 4_000;
--- a/crates/decide/src/node.rs
+++ b/crates/decide/src/node.rs
@@ -8,7 +8,8 @@
 use crate::event::{Action, Event};
 use crate::idempotency::Idempotency;
 use crate::limits::{
-    HELLO_INTERVAL_MS, JOIN_TIMEOUT_MS, SHARE_LEASE_MS, STARTUP_HELLO_INTERVAL_MS,
+    CRASH_NOTICE_INTERVAL_MS, HELLO_INTERVAL_MS, JOIN_TIMEOUT_MS, SHARE_LEASE_MS,
+    STARTUP_HELLO_INTERVAL_MS,
 };
 use crate::membership::{Activity, Membership};
 use crate::permits::Permits;
@@ -22,6 +23,7 @@
 use gypsumchute_routing::poison::PoisonTracker;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint, VmId, ZoneId};
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -59,6 +61,8 @@
     peer_incarnations: BTreeMap<VmId, u64>,
     /// Time at which the next hello to another zone is due.
     next_hello_ms: BootMs,
+    /// Time at which the notices of poison requests are repeated next.
+    next_crash_notices_ms: BootMs,
     /// Endpoints in the last [`Action::PollLoad`].
     polled_endpoints: Vec<(EndpointId, SocketAddr)>,
     /// Time from which this VM may use the base shares that it owned when it first became active;
@@ -103,6 +107,7 @@
             retry_budget: MAX_RETRY_BUDGET,
             peer_incarnations: BTreeMap::new(),
             next_hello_ms: now,
+            next_crash_notices_ms: now,
             polled_endpoints: Vec::new(),
             shares_usable_from_ms: None,
             identity,
@@ -170,6 +175,7 @@
         self.actions.extend(orders);
         self.update_free_slots();
         self.send_hello();
+        self.repeat_crash_notices();
     }
 
     /// Updates the number of free slots at the endpoints that this VM owns.
@@ -330,13 +336,38 @@
         self.refuse_poisoned(fingerprint);
     }
 
-    /// Sends the known crashes of a request to every other VM. Crashes are rare, so one message
-    /// per VM is affordable.
-    pub(crate) fn broadcast_crash(&mut self, fingerprint: Fingerprint) {
+    /// Returns the notice of the known crashes of a request.
+    fn crash_notice(&self, fingerprint: Fingerprint) -> CrashNotice {
         let (crashes, keep_ms) = self.poison.crashes(self.now, fingerprint);
         let crashes =
             crashes.into_iter().map(|(id, endpoint)| (id, endpoint.to_string())).collect();
-        let notice = CrashNotice { fingerprint: fingerprint.0, crashes, keep_ms };
+        CrashNotice { fingerprint: fingerprint.0, crashes, keep_ms }
+    }
+
+    /// Repeats the notices of poison requests to a random VM when that is due. A VM that was down
+    /// or cut off when the endpoints crashed learns of them in this way.
+    fn repeat_crash_notices(&mut self) {
+        if self.now < self.next_crash_notices_ms {
+            return;
+        }
+        self.next_crash_notices_ms = self.now + CRASH_NOTICE_INTERVAL_MS;
+        let refused = self.poison.refused_requests(self.now);
+        let refused: Vec<_> = refused.map(|(poison, _)| poison.fingerprint).collect();
+        if refused.is_empty() {
+            return;
+        }
+        let others = self.adoption.list().vms.keys().filter(|vm| **vm != self.identity.vm);
+        let Some(to) = others.choose(&mut self.rng).cloned() else { return };
+        for fingerprint in refused {
+            let body = Body::CrashNotice(self.crash_notice(fingerprint));
+            self.outbox.push_back(OutgoingMessage { to: to.clone(), body });
+        }
+    }
+
+    /// Sends the known crashes of a request to every other VM. Crashes are rare, so one message
+    /// per VM is affordable.
+    pub(crate) fn broadcast_crash(&mut self, fingerprint: Fingerprint) {
+        let notice = self.crash_notice(fingerprint);
         let others = self.adoption.list().vms.keys().filter(|vm| **vm != self.identity.vm);
         for to in others {
             let body = Body::CrashNotice(notice.clone());
--- a/tests/testsuite/poison.rs
+++ b/tests/testsuite/poison.rs
@@ -2,8 +2,8 @@
 //! after two crashes.
 
 use crate::support::{
-    Fleet, base_config_files, customer_config, customers_file, endpoint_config, endpoints_file,
-    request_completion, start_engine,
+    Fleet, Process, base_config_files, customer_config, customers_file, endpoint_config,
+    endpoints_file, request_completion, start_engine,
 };
 use gypsumchute::util::ports::free_address;
 use serde_json::json;
@@ -12,10 +12,10 @@
 const API_KEY: &str = "key-of-lens-trust";
 const VM_ZONES: [&str; 3] = ["north", "north", "south"];
 
-#[test]
-fn a_poison_request_is_rejected_after_it_crashed_two_endpoints() {
+/// Starts three VMs and five engines.
+fn start() -> (Fleet, Vec<Process>) {
     let addresses: Vec<_> = (0..5).map(|_| free_address().unwrap()).collect();
-    let mut engines: Vec<_> =
+    let engines: Vec<_> =
         addresses.iter().map(|address| start_engine(*address, json!({ "step_ms": 10 }))).collect();
     let endpoints: Vec<_> = addresses
         .iter()
@@ -30,7 +30,17 @@
         customers_file(&[customer_config("lens-trust", API_KEY, 100.0, 100)]),
         endpoints_file(&endpoints),
     ]);
-    let fleet = Fleet::start(&VM_ZONES, files);
+    (Fleet::start(&VM_ZONES, files), engines)
+}
+
+/// Returns the number of engines that still run.
+fn running_count(engines: &mut [Process]) -> usize {
+    engines.iter_mut().filter_map(|e| (!e.exits_within(Duration::ZERO)).then_some(())).count()
+}
+
+#[test]
+fn a_poison_request_is_rejected_after_it_crashed_two_endpoints() {
+    let (fleet, mut engines) = start();
     let poison = "This one <poison>";
     let first = request_completion(fleet.caller_address(0), API_KEY, "survey", poison).unwrap();
     assert_eq!(first.error_code(), "poison_request", "{first:?}");
@@ -45,13 +55,29 @@
             "the rejection of a known poison request took 500 ms or more"
         );
     }
-    let running = engines
-        .iter_mut()
-        .filter_map(|engine| (!engine.exits_within(Duration::ZERO)).then_some(()));
-    assert_eq!(running.count(), 3, "engines of 5 that still run");
+    assert_eq!(running_count(&mut engines), 3, "engines of 5 that still run");
     for vm in [0, 1, 2] {
         let response =
             request_completion(fleet.caller_address(vm), API_KEY, "survey", "A good one").unwrap();
         assert_eq!(response.status, 200, "{response:?}");
     }
 }
+
+/// Guards against a VM that restarts after the crashes were reported and never learns of them.
+#[test]
+fn a_vm_that_restarts_later_rejects_a_known_poison_request() {
+    let (mut fleet, mut engines) = start();
+    let poison = "This one <poison>";
+    let send = |fleet: &Fleet, vm: usize| {
+        request_completion(fleet.caller_address(vm), API_KEY, "survey", poison).unwrap()
+    };
+    assert_eq!(send(&fleet, 0).error_code(), "poison_request");
+    let plan = fleet.vms[2].plan.clone();
+    fleet.vms[2].control.kill();
+    fleet.vms[2].control = fleet.start_control(&plan);
+    fleet.wait_ready();
+    std::thread::sleep(Duration::from_secs(2));
+    let retried = send(&fleet, 2);
+    assert_eq!((retried.status, retried.error_code()), (503, "poison_request"), "{retried:?}");
+    assert_eq!(running_count(&mut engines), 3, "engines of 5 that still run");
+}
