--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -14,7 +14,7 @@
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{
-    BootMs, EndpointId, Fingerprint, Refusal, RefusalReason, RequestId, ZoneId,
+    BootMs, EndpointId, Fingerprint, Refusal, RefusalReason, RequestId, SegmentId, ZoneId,
 };
 use http::{HeaderMap, Method, Uri};
 use log::info;
@@ -364,10 +364,16 @@
     pub fn record_crash(&self, endpoint: &EndpointId, cause: &str) {
         let crashes = self.context.record_crash(self.fingerprint, endpoint);
         info!(request = self.id(), fingerprint:% = self.fingerprint, endpoint = endpoint.as_str(),
-            cause, crashes;
+            segments = self.shared_segments_text(), cause, crashes;
             "endpoint crash held against request");
     }
 
+    /// Returns the ids of the prompt segments that other requests may share, for log lines.
+    fn shared_segments_text(&self) -> String {
+        let ids = self.caller.shared_segments.iter().map(SegmentId::as_str);
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Records that an endpoint has completed this request, which is therefore not poison.
     pub fn record_completed(&self) {
         self.context.with(|state| state.poison.on_completed(boot_now(), self.fingerprint));
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -132,29 +132,42 @@
     }
 }
 
-/// Identifies one request attempt of a caller.
-///
-/// Any string is valid, because the id is only compared and forwarded.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(Arc<str>);
-
-impl RequestId {
-    /// Returns the id as a string slice.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
+/// Defines an id that is only compared and forwarded, so that any string is valid.
+macro_rules! opaque_id_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
 
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+        impl $name {
+            /// Returns the id as a string slice.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
 
-impl FromStr for RequestId {
-    type Err = std::convert::Infallible;
+        impl FromStr for $name {
+            type Err = std::convert::Infallible;
 
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        Ok(RequestId(text.into()))
-    }
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                Ok($name(text.into()))
+            }
+        }
+    };
+}
+
+opaque_id_type! {
+    /// Identifies a segment of a prompt, such as a system prompt or a document, that requests may
+    /// share.
+    SegmentId
+}
+opaque_id_type! {
+    /// Identifies one request attempt of a caller.
+    RequestId
 }
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -10,8 +10,8 @@
 pub mod time;
 
 pub use ids::{
-    CustomerId, EndpointId, Fingerprint, KeyId, RegionId, RequestId, RouteId, ServiceId, VmId,
-    ZoneId,
+    CustomerId, EndpointId, Fingerprint, KeyId, RegionId, RequestId, RouteId, SegmentId, ServiceId,
+    VmId, ZoneId,
 };
 pub use rate::{NanoTokens, RequestRate};
 pub use refusal::{Refusal, RefusalReason, Verdict};
