Known red: requests that share a poison prompt segment are not stopped

A test with two daemons, eight engines that are replaced when they crash, sound callers, and poison requests of which no two are alike.

--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod peer_sync;
 mod plain;
 mod poison;
+mod poison_segments;
 mod retry_budget;
 mod shutdown;
 mod simulated_fleet;
