--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,6 +10,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{Placement, PlacementRequest, choose_endpoint};
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::SilentRun;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
@@ -63,6 +64,8 @@
     pub deadline_ms: BootMs,
     /// Hash of path, customer and body, which identifies retries of the same request.
     pub fingerprint: Fingerprint,
+    /// Hashes of the shared segments of the prompt, in order.
+    pub segments: Vec<Fingerprint>,
     /// Uniformly distributed random number that spreads requests over equally good choices.
     pub random_value: u64,
 }
@@ -158,8 +161,9 @@
     /// endpoints may have crashed while this request was waiting or running elsewhere.
     pub fn poison_refusal(&self) -> Option<Refusal> {
         let now = boot_now();
-        let refused_for_ms =
-            self.context.with(|state| state.poison.refused_for_ms(now, self.fingerprint))?;
+        let refused_for_ms = self
+            .context
+            .with(|state| state.suspects.refused_for_ms(now, self.fingerprint, &self.segments))?;
         Some(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, refused_for_ms))
     }
 
@@ -359,12 +363,14 @@
         }
     }
 
-    /// Records that `endpoint` crashed while it ran this request. `cause` is the failure that the
-    /// crash is inferred from.
-    pub fn record_crash(&self, endpoint: &EndpointId, cause: &str) {
-        let crashes = self.context.record_crash(self.fingerprint, endpoint);
+    /// Records that `endpoint` crashed during this run. `cause` is the failure that the crash is
+    /// inferred from.
+    pub fn record_crash(&self, endpoint: &EndpointId, run: SuspectRun, cause: &str) {
+        let (answer_began, is_suspect) = (run.answer_began, !run.segments.is_empty());
+        let crashes = self.context.record_crash(run, endpoint);
         info!(request = self.id(), fingerprint:% = self.fingerprint, endpoint = endpoint.as_str(),
-            segments = self.shared_segments_text(), cause, crashes;
+            segments = self.shared_segments_text(), answer_began, segments_suspect = is_suspect,
+            cause, crashes;
             "endpoint crash held against request");
     }
 
@@ -376,16 +382,32 @@
 
     /// Records that an endpoint has completed this request, which is therefore not poison.
     pub fn record_completed(&self) {
-        self.context.with(|state| state.poison.on_completed(boot_now(), self.fingerprint));
+        let now = boot_now();
+        self.context.with(|state| state.suspects.requests.on_completed(now, self.fingerprint));
+    }
+
+    /// Records that an answer on the segments of this prompt was completed or went on.
+    pub fn record_sound_segments(&self) {
+        self.context.with(|state| state.suspects.segments.on_sound(boot_now(), &self.segments));
+    }
+
+    /// Returns a run of this request whose answer has not begun.
+    pub fn unanswered_run(&self) -> SuspectRun {
+        let (request, segments) = (self.fingerprint, self.segments.clone());
+        SuspectRun { request, segments, answer_began: false }
     }
 
     /// Records that a run at `endpoint` ended without a response, the last sign of life of which was
     /// at `silent_since_ms`. The endpoint may have crashed.
-    pub fn record_silent_run(&self, endpoint: &EndpointId, silent_since_ms: BootMs) {
-        let fingerprint = self.fingerprint;
-        let run = SilentRun { fingerprint, endpoint: endpoint.clone(), silent_since_ms };
-        if self.context.record_silent_run(run) {
-            self.record_crash(endpoint, "unregistered without notice, then no response");
+    pub fn record_silent_run(
+        &self,
+        endpoint: &EndpointId,
+        run: SuspectRun,
+        silent_since_ms: BootMs,
+    ) {
+        let silent = SilentRun { run: run.clone(), endpoint: endpoint.clone(), silent_since_ms };
+        if self.context.record_silent_run(silent) {
+            self.record_crash(endpoint, run, "unregistered without notice, then no response");
         }
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,11 +5,12 @@
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
-use gypsumchute_routing::crash_reports::{CrashReport, CrashReports};
+use gypsumchute_routing::crash_reports::{CrashReport, CrashReports, Suspects};
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::{SilentRun, SilentRuns};
 use gypsumchute_routing::warmup::ColdStartLimiter;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
@@ -68,8 +69,8 @@
     pub retries: RetryBudget,
     /// Requests sent to endpoints that are still warming up.
     pub warmups: ColdStartLimiter,
-    /// Requests that crashed endpoints.
-    pub poison: PoisonTracker,
+    /// Requests and segments of prompts that may have crashed endpoints.
+    pub suspects: Suspects,
     /// Runs that ended without a response, whose endpoints may have crashed.
     silent_runs: SilentRuns,
     /// Endpoints that have vanished from the registry without notice since the last call of
@@ -153,7 +154,10 @@
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
             warmups: ColdStartLimiter::default(),
-            poison: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
+            suspects: Suspects {
+                requests: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
+                ..Suspects::default()
+            },
             silent_runs: SilentRuns::default(),
             vanished_endpoints: Vec::new(),
             admission_queue: AdmissionQueue::default(),
@@ -348,8 +352,9 @@
         for endpoint in self.with(|state| std::mem::take(&mut state.vanished_endpoints)) {
             let now = boot_now();
             let crashed = self.with(|state| state.silent_runs.on_endpoint_vanished(now, &endpoint));
-            for fingerprint in crashed {
-                let crashes = self.record_crash(fingerprint, &endpoint);
+            for run in crashed {
+                let fingerprint = run.request;
+                let crashes = self.record_crash(run, &endpoint);
                 info!(fingerprint:% = fingerprint, endpoint = endpoint.as_str(),
                     cause = "no response, then unregistered without notice", crashes;
                     "endpoint crash held against request");
@@ -357,24 +362,34 @@
         }
     }
 
-    /// Records that `endpoint` crashed while it ran the request with `fingerprint`. Returns the
-    /// number of known crashes of the request.
-    pub fn record_crash(&self, fingerprint: Fingerprint, endpoint: &EndpointId) -> usize {
-        let now = boot_now();
-        let (is_new, crashes) = self.with(|state| {
+    /// Records that `endpoint` crashed during this run. Returns the number of known crashes of the
+    /// request.
+    pub fn record_crash(&self, run: SuspectRun, endpoint: &EndpointId) -> usize {
+        let (now, fingerprint) = (boot_now(), run.request);
+        let (recorded, crashes) = self.with(|state| {
             let started_ms = state.endpoints.get(endpoint).and_then(|e| e.entry.started_wall_ms);
-            let number = state.poison.crash_number(now, fingerprint, endpoint, started_ms);
+            let requests = &state.suspects.requests;
+            let number = requests.crash_number(now, fingerprint, endpoint, started_ms);
             let keep_ms = CRASH_RETENTION_MS;
-            let crash = CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms };
-            let is_new = state.crash_reports.record(now, &mut state.poison, crash, true);
-            (is_new, state.poison.crash_count(now, fingerprint))
+            let crash = CrashReport { run, endpoint: endpoint.clone(), number, keep_ms };
+            let recorded = state.crash_reports.record(now, &mut state.suspects, crash, true);
+            (recorded, state.suspects.requests.crash_count(now, fingerprint))
         });
-        if is_new {
+        if let Some(segment) = recorded.poison_segment {
+            self.on_poison_segment(segment);
+        }
+        if recorded.is_new {
             self.metrics.count_endpoint_crash("local");
             self.heartbeat_due.notify_one();
         }
         crashes
     }
+
+    /// Logs that a prompt segment is refused from now on, and wakes the requests that wait.
+    pub fn on_poison_segment(&self, segment: Fingerprint) {
+        info!(segment:% = segment; "prompt segment refused: it crashes endpoints");
+        self.notify_changed();
+    }
 }
 
 impl State {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -13,7 +13,8 @@
 mod run;
 
 use self::run::{
-    Backup, GenerationEnd, RelayEnd, ResponseSender, Run, RunFailure, StartFrom, StartOutcome,
+    Backup, GenerationEnd, RelayEnd, ResponseSender, Run, RunFailure, RunProgress, StartFrom,
+    StartOutcome,
 };
 use crate::call::{Call, EndpointConnection, SendOptions};
 use crate::events::{EventAction, EventReader, EventSequence};
@@ -27,6 +28,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{PlacementRequest, choose_backup_engine, needs_backup};
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason};
 use http::Response;
@@ -95,6 +97,8 @@
     /// Last sign of life of the run at `last_endpoint`: when the request was sent, or the last event
     /// arrived. `None` if there is no run.
     run_alive_ms: Option<BootMs>,
+    /// How far the last run came.
+    progress: RunProgress,
 }
 
 impl Generation {
@@ -112,6 +116,7 @@
             rejections: 0,
             last_endpoint: None,
             run_alive_ms: None,
+            progress: RunProgress::Waiting,
         }
     }
 
@@ -135,10 +140,20 @@
     /// Records that the run ends without a response, unless there was a sign of life just now.
     fn record_silent_run(&mut self) {
         if let (Some(endpoint), Some(alive_ms)) = (&self.last_endpoint, self.run_alive_ms.take()) {
-            self.call.record_silent_run(endpoint, alive_ms);
+            self.call.record_silent_run(endpoint, self.suspect_run(alive_ms), alive_ms);
         }
     }
 
+    /// Describes the last run, the last sign of life of which was at `alive_ms`.
+    fn suspect_run(&self, alive_ms: BootMs) -> SuspectRun {
+        let mut run = self.call.unanswered_run();
+        run.answer_began = self.progress != RunProgress::Waiting;
+        if self.progress.has_gone_on(alive_ms) {
+            run.segments.clear();
+        }
+        run
+    }
+
     /// Logs the outcome and sends the final reply, or aborts a stream that has already started.
     async fn finish(&mut self, end: GenerationEnd) {
         let (outcome, reply) = match end {
@@ -325,6 +340,7 @@
         let EndpointConnection { endpoint, address, connection, load_guard } = placed;
         self.last_endpoint = Some(endpoint.clone());
         self.run_alive_ms = Some(boot_now());
+        self.progress = RunProgress::Waiting;
         let sent = self.call.send(connection, &endpoint, options).await;
         drop(backup_load_guard);
         let (mut response, kind) = match sent {
@@ -343,8 +359,9 @@
             tokens = self.call.load().reserved_tokens,
             elapsed_ms = boot_now().since(self.call.arrived_ms);
             "engine answered");
-        if kind != ResponseKind::Success {
-            self.run_alive_ms = None;
+        match kind {
+            ResponseKind::Success => self.progress = RunProgress::Began,
+            _ => self.run_alive_ms = None,
         }
         match kind {
             ResponseKind::Success => StartOutcome::Running(Box::new(Run {
@@ -404,11 +421,12 @@
         match failure {
             // An engine that sent a termination notice or was unregistered may end as planned.
             RunFailure::Disconnected(cause) if !self.is_terminating(endpoint) => {
-                self.call.record_crash(endpoint, cause);
+                let run = self.suspect_run(alive_ms.unwrap_or(boot_now()));
+                self.call.record_crash(endpoint, run, cause);
             }
             RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
                 if let (RunFailure::Disconnected(_), Some(alive_ms)) = (failure, alive_ms) {
-                    self.call.record_silent_run(endpoint, alive_ms);
+                    self.call.record_silent_run(endpoint, self.suspect_run(alive_ms), alive_ms);
                 }
                 info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
                     endpoint = endpoint.as_str(), cause = failure.cause();
@@ -465,7 +483,7 @@
                 EventAction::Forward => {}
             }
             run.last_event_at = Instant::now();
-            self.run_alive_ms = Some(boot_now());
+            self.record_progress(boot_now());
             run.load_guard.release_prefill_load();
             self.send_response_head(run);
             self.delivered_events += 1;
@@ -477,6 +495,17 @@
         Ok(())
     }
 
+    /// Records that an event arrived.
+    fn record_progress(&mut self, now: BootMs) {
+        self.run_alive_ms = Some(now);
+        if self.progress.has_gone_on(now) {
+            self.call.record_sound_segments();
+        }
+        if let RunProgress::Waiting | RunProgress::Began = self.progress {
+            self.progress = RunProgress::Writing { since_ms: now };
+        }
+    }
+
     /// Sends the response head to the caller if it was not sent yet.
     fn send_response_head(&mut self, run: &Run) {
         let Some(head) = self.response_sender.head.take() else { return };
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -57,6 +57,9 @@
                         Ok(None) => {
                             self.run_alive_ms = None;
                             self.call.record_completed();
+                            if !run.response.ends_with_connection() {
+                                self.call.record_sound_segments();
+                            }
                             self.call
                                 .context
                                 .record_outcome(&run.endpoint, RequestOutcome::Success);
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -8,7 +8,8 @@
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::continuity::Interruption;
-use gypsumchute_units::{EndpointId, Refusal};
+use gypsumchute_routing::poison_segments::BEGINNING_MS;
+use gypsumchute_units::{BootMs, EndpointId, Refusal};
 use http::response::Parts;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -85,6 +86,27 @@
     pub(super) load_guard: LoadGuard,
 }
 
+/// How far a run came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunProgress {
+    /// The engine has not answered.
+    Waiting,
+    /// The response head has arrived.
+    Began,
+    /// Events arrive, the first of them at `since_ms`.
+    Writing { since_ms: BootMs },
+}
+
+impl RunProgress {
+    /// Reports whether the answer had gone on for a while at `alive_ms`.
+    pub(super) fn has_gone_on(self, alive_ms: BootMs) -> bool {
+        match self {
+            RunProgress::Waiting | RunProgress::Began => false,
+            RunProgress::Writing { since_ms } => alive_ms.since(since_ms) >= BEGINNING_MS,
+        }
+    }
+}
+
 /// Where a run takes its state from.
 pub(super) enum StartFrom {
     /// Prefill: a newly chosen engine processes the prompt.
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -11,6 +11,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_routing::poison::{CompletedRequest, PoisonRequest};
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use log::{info, warn};
@@ -124,8 +125,14 @@
             Audience::Newcomer => MEMBERS_PER_JOIN_REPLY,
         };
         let members = state.members.sample_members(now, member_count, &mut state.rng);
-        let HeartbeatReports { crashes, poison_requests, completed_requests } =
-            state.crash_reports.next_reports(now, &state.poison, audience);
+        let reports = state.crash_reports.next_reports(now, &state.suspects, audience);
+        let HeartbeatReports {
+            crashes,
+            poison_requests,
+            completed_requests,
+            poison_segments,
+            sound_segments,
+        } = reports;
         let dropped = state.crash_reports.take_dropped();
         if dropped > 0 {
             warn!(dropped; "too many endpoint crashes at once; some were not reported to peers");
@@ -144,6 +151,8 @@
             leaving: false,
             poison_requests: poison_requests.into_iter().map(encode_poison_request).collect(),
             completed_requests: completed_requests.into_iter().map(encode_completed).collect(),
+            poison_segments: poison_segments.into_iter().map(encode_poison_request).collect(),
+            sound_segments: sound_segments.into_iter().map(encode_completed).collect(),
         }
     })
 }
@@ -287,10 +296,12 @@
 /// Encodes a crash report for a heartbeat.
 fn encode_crash(report: CrashReport) -> Crash {
     Crash {
-        fingerprint: report.fingerprint.0,
+        fingerprint: report.run.request.0,
         endpoint: report.endpoint.to_string(),
         number: report.number,
         keep_ms: report.keep_ms,
+        segments: report.run.segments.iter().map(|segment| segment.0).collect(),
+        answer_began: report.run.answer_began,
     }
 }
 
@@ -304,13 +315,38 @@
 fn apply_poison_request(context: &Context, peer: &PeerAddress, poison: &messages::PoisonRequest) {
     let fingerprint = Fingerprint(poison.fingerprint);
     let poison = PoisonRequest { fingerprint, refused_for_ms: poison.refused_for_ms };
-    if context.with(|state| state.poison.refuse(boot_now(), poison)) {
+    if context.with(|state| state.suspects.requests.refuse(boot_now(), poison)) {
         info!(fingerprint:% = fingerprint, refused_for_ms = poison.refused_for_ms,
             vm = peer.vm.as_str(), zone = peer.zone.as_str();
             "peer VM refuses a poison request");
     }
 }
 
+/// Refuses a prompt segment that a peer refuses.
+fn apply_poison_segment(context: &Context, peer: &PeerAddress, poison: &messages::PoisonRequest) {
+    let segment = Fingerprint(poison.fingerprint);
+    let poison = PoisonRequest { fingerprint: segment, refused_for_ms: poison.refused_for_ms };
+    if context.with(|state| state.suspects.refuse_segment(boot_now(), poison)) {
+        info!(segment:% = segment, refused_for_ms = poison.refused_for_ms,
+            vm = peer.vm.as_str(), zone = peer.zone.as_str();
+            "peer VM refuses a prompt segment");
+    }
+}
+
+/// Accepts a prompt segment that a peer knows to be sound.
+fn apply_sound_segment(
+    context: &Context,
+    peer: &PeerAddress,
+    &messages::CompletedRequest { fingerprint, valid_for_ms }: &messages::CompletedRequest,
+) {
+    let sound = CompletedRequest { fingerprint: Fingerprint(fingerprint), valid_for_ms };
+    if context.with(|state| state.suspects.segments.on_sound_at_peer(boot_now(), sound)) {
+        info!(segment:% = sound.fingerprint, valid_for_ms, vm = peer.vm.as_str(),
+            zone = peer.zone.as_str();
+            "peer VM reported that a refused prompt segment is sound");
+    }
+}
+
 /// Encodes a completed request for a heartbeat.
 fn encode_completed(completed: CompletedRequest) -> messages::CompletedRequest {
     let CompletedRequest { fingerprint, valid_for_ms } = completed;
@@ -324,7 +360,9 @@
     &messages::CompletedRequest { fingerprint, valid_for_ms }: &messages::CompletedRequest,
 ) {
     let completed = CompletedRequest { fingerprint: Fingerprint(fingerprint), valid_for_ms };
-    if context.with(|state| state.poison.on_completed_by_peer(boot_now(), completed)) {
+    let is_news =
+        context.with(|state| state.suspects.requests.on_completed_by_peer(boot_now(), completed));
+    if is_news {
         info!(fingerprint:% = completed.fingerprint, valid_for_ms, vm = peer.vm.as_str(),
             zone = peer.zone.as_str();
             "peer VM reported that an endpoint completed a suspected request");
@@ -334,7 +372,11 @@
 /// Decodes a crash report, or returns `None` if the endpoint id is invalid.
 fn decode_crash(crash: &Crash) -> Option<CrashReport> {
     Some(CrashReport {
-        fingerprint: Fingerprint(crash.fingerprint),
+        run: SuspectRun {
+            request: Fingerprint(crash.fingerprint),
+            segments: crash.segments.iter().map(|segment| Fingerprint(*segment)).collect(),
+            answer_began: crash.answer_began,
+        },
         endpoint: crash.endpoint.parse().ok()?,
         number: crash.number,
         keep_ms: crash.keep_ms,
@@ -350,13 +392,16 @@
         return;
     };
     let now = boot_now();
-    let fingerprint = report.fingerprint;
-    let (is_new, is_gateway, crashes) = context.with(|state| {
+    let fingerprint = report.run.request;
+    let (recorded, is_gateway, crashes) = context.with(|state| {
         let is_gateway = state.members.is_gateway(now);
-        let is_new = state.crash_reports.record(now, &mut state.poison, report, is_gateway);
-        (is_new, is_gateway, state.poison.crash_count(now, fingerprint))
+        let recorded = state.crash_reports.record(now, &mut state.suspects, report, is_gateway);
+        (recorded, is_gateway, state.suspects.requests.crash_count(now, fingerprint))
     });
-    if !is_new {
+    if let Some(segment) = recorded.poison_segment {
+        context.on_poison_segment(segment);
+    }
+    if !recorded.is_new {
         return;
     }
     if is_gateway {
@@ -420,6 +465,10 @@
     heartbeat.crashes.iter().for_each(|crash| apply_crash(context, &peer, crash));
     let poison_requests = heartbeat.poison_requests.iter();
     poison_requests.for_each(|poison| apply_poison_request(context, &peer, poison));
+    let sound_segments = heartbeat.sound_segments.iter();
+    sound_segments.for_each(|sound| apply_sound_segment(context, &peer, sound));
+    let poison_segments = heartbeat.poison_segments.iter();
+    poison_segments.for_each(|poison| apply_poison_segment(context, &peer, poison));
     let completed_requests = heartbeat.completed_requests.iter();
     completed_requests.for_each(|completed| apply_completed(context, &peer, completed));
     notify_waiters(context, any_terminating);
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -13,7 +13,7 @@
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, Fingerprint, Refusal, RefusalReason};
+use gypsumchute_units::{BootMs, Fingerprint, Refusal, RefusalReason, SegmentId};
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request};
@@ -201,7 +201,9 @@
     };
     let fingerprint = fingerprint(head.uri.path(), customer.as_ref(), &body);
     let now = boot_now();
-    let refused_for_ms = context.with(|state| state.poison.refused_for_ms(now, fingerprint));
+    let segments: Vec<_> = caller.shared_segments.iter().map(segment_fingerprint).collect();
+    let refused_for_ms =
+        context.with(|state| state.suspects.refused_for_ms(now, fingerprint, &segments));
     if let Some(after_ms) = refused_for_ms {
         let refusal = Refusal::not_run_retry_after(RefusalReason::PoisonRequest, after_ms);
         return Err(RejectedRequest { fingerprint: Some(fingerprint), ..reject(refusal) });
@@ -226,6 +228,7 @@
         customer,
         arrived_ms,
         fingerprint,
+        segments,
         random_value,
     };
     let tokens = call.max_output_tokens();
@@ -316,3 +319,8 @@
     let customer = customer.map_or("", |customer| customer.id.as_str());
     Fingerprint(hash64(&[path.as_bytes(), customer.as_bytes(), body]))
 }
+
+/// Returns a hash of the segment's id, which identifies the segment in messages between VMs.
+fn segment_fingerprint(segment: &SegmentId) -> Fingerprint {
+    Fingerprint(hash64(&[b"prompt segment", segment.as_str().as_bytes()]))
+}
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -74,7 +74,7 @@
         state.members.expire(now);
         state.loads.expire(now);
         state.outcomes.expire(now);
-        state.poison.expire(now);
+        state.suspects.requests.expire(now);
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
         state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -85,7 +85,7 @@
             return;
         }
         if let Some((endpoint, sent_ms)) = &self.in_flight {
-            self.call.record_silent_run(endpoint, *sent_ms);
+            self.call.record_silent_run(endpoint, self.call.unanswered_run(), *sent_ms);
         }
         self.log_completion("caller_left", 0);
     }
@@ -207,10 +207,10 @@
         if let Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) = &result
             && err.is_disconnect()
         {
-            self.call.record_crash(&endpoint, &cause);
+            self.call.record_crash(&endpoint, self.call.unanswered_run(), &cause);
         }
         if result.is_err() {
-            self.call.record_silent_run(&endpoint, sent_ms);
+            self.call.record_silent_run(&endpoint, self.call.unanswered_run(), sent_ms);
         }
         self.call.context.record_outcome(&endpoint, outcome);
         sent
--- a/crates/daemon/tests/testsuite/crash_spread.rs
+++ b/crates/daemon/tests/testsuite/crash_spread.rs
@@ -56,7 +56,7 @@
     for n in 0..5 {
         let vm = n as usize % 7;
         let address = peer(vm, 4).address;
-        if fleet.vms[&address].poison.refused_for_ms(fleet.now, POISON).is_none() {
+        if fleet.vms[&address].suspects.requests.refused_for_ms(fleet.now, POISON).is_none() {
             fleet.crash(vm, 4, n);
             crashes += 1;
         }
--- a/crates/daemon/tests/testsuite/poison_segments.rs
+++ b/crates/daemon/tests/testsuite/poison_segments.rs
@@ -166,7 +166,7 @@
     let crashes = fleet.endpoint_state.crashes();
     let late = fleet.late_arrivals();
     assert!(late <= MAX_LATE_ARRIVALS, "{} crashes, {late} late arrivals", crashes.len());
-    let last_allowed = crashes.iter().take(MAX_CRASHES).last().map_or(poison_started, |c| c.1);
+    let last_allowed = crashes.iter().take(MAX_CRASHES).next_back().map_or(poison_started, |c| c.1);
     let before = fleet.served_share(fleet_started..poison_started);
     let after = fleet.served_share(last_allowed + 2 * SPREAD_TIME..Instant::now());
     assert!(after >= before / 2.0, "served {before:.2}, then {after:.2} of the sound requests");
--- a/crates/daemon/tests/testsuite/simulated_fleet.rs
+++ b/crates/daemon/tests/testsuite/simulated_fleet.rs
@@ -3,8 +3,9 @@
 use gypsumchute_daemon::context::CRASH_RETENTION_MS;
 use gypsumchute_fleet::members::HeartbeatSender;
 use gypsumchute_fleet::{Membership, PeerAddress};
-use gypsumchute_routing::crash_reports::{Audience, CrashReport, CrashReports};
+use gypsumchute_routing::crash_reports::{Audience, CrashReport, CrashReports, Suspects};
 use gypsumchute_routing::poison::PoisonTracker;
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_units::{BootMs, Fingerprint};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -22,7 +23,7 @@
 /// State of one VM that takes part in the spreading of crash reports.
 pub struct Vm {
     pub members: Membership,
-    pub poison: PoisonTracker,
+    pub suspects: Suspects,
     reports: CrashReports,
     next_heartbeat_ms: BootMs,
 }
@@ -67,7 +68,10 @@
             let me = peer(vm, zones);
             let state = Vm {
                 members: Membership::new(START, me.clone(), seeds.clone()),
-                poison: PoisonTracker::new(MAX_CRASHES),
+                suspects: Suspects {
+                    requests: PoisonTracker::new(MAX_CRASHES),
+                    ..Suspects::default()
+                },
                 reports: CrashReports::default(),
                 next_heartbeat_ms: START,
             };
@@ -114,7 +118,7 @@
             }
         };
         let named = sender.members.sample_members(now, count, &mut self.rng);
-        let reports = sender.reports.next_reports(now, &sender.poison, audience);
+        let reports = sender.reports.next_reports(now, &sender.suspects, audience);
         let me = sender.members.local_vm().clone();
         for target in targets {
             self.reports_sent += reports.crashes.len();
@@ -129,10 +133,10 @@
             named.iter().for_each(|peer| receiver.members.on_mentioned(now, peer.clone()));
             let is_gateway = receiver.members.is_gateway(now);
             for report in reports.crashes.iter().cloned() {
-                receiver.reports.record(now, &mut receiver.poison, report, is_gateway);
+                receiver.reports.record(now, &mut receiver.suspects, report, is_gateway);
             }
             for poison in &reports.poison_requests {
-                receiver.poison.refuse(now, *poison);
+                receiver.suspects.requests.refuse(now, *poison);
             }
             if is_new {
                 self.send_heartbeat(target, Some(me.address));
@@ -148,15 +152,15 @@
     /// Lets an endpoint crash under the poison request of the VM with this number.
     pub fn crash(&mut self, vm: usize, zones: usize, number: u64) {
         let endpoint = format!("engine-{number}").parse().expect("valid id");
-        let crash =
-            CrashReport { fingerprint: POISON, endpoint, number, keep_ms: CRASH_RETENTION_MS };
+        let run = SuspectRun { request: POISON, segments: Vec::new(), answer_began: false };
+        let crash = CrashReport { run, endpoint, number, keep_ms: CRASH_RETENTION_MS };
         let vm = self.vms.get_mut(&peer(vm, zones).address).expect("known VM");
-        vm.reports.record(self.now, &mut vm.poison, crash, true);
+        vm.reports.record(self.now, &mut vm.suspects, crash, true);
     }
 
     /// Returns the number of VMs that would still send the poison request.
     pub fn accepting_vms(&self) -> usize {
-        let accepts = |vm: &&Vm| vm.poison.refused_for_ms(self.now, POISON).is_none();
+        let accepts = |vm: &&Vm| vm.suspects.requests.refused_for_ms(self.now, POISON).is_none();
         self.vms.values().filter(accepts).count()
     }
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,7 +12,7 @@
 pub use self::body_buffer::{BodyBuffer, BudgetExceeded, BufferBudget};
 use self::head_guard::{HeadGuard, HeadProgress};
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HOST};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -237,6 +237,13 @@
 }
 
 impl ResponseStream {
+    /// Reports whether the body has neither a length nor chunks and ends with the connection, so that
+    /// its end does not show whether it is complete.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next non-empty chunk of the body, or `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -68,6 +68,12 @@
     /// Requests that an endpoint has completed although endpoints crashed when they ran them.
     #[prost(message, repeated, tag = "13")]
     pub completed_requests: ::prost::alloc::vec::Vec<CompletedRequest>,
+    /// Prompt segments that the sender refuses because endpoints crashed each time they ran them.
+    #[prost(message, repeated, tag = "14")]
+    pub poison_segments: ::prost::alloc::vec::Vec<PoisonRequest>,
+    /// Prompt segments of runs on endpoints that crashed, which have been sound elsewhere.
+    #[prost(message, repeated, tag = "15")]
+    pub sound_segments: ::prost::alloc::vec::Vec<CompletedRequest>,
 }
 /// Address of a VM, as IPv4 address and port on which the VM listens for other VMs.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -123,8 +129,14 @@
     /// Time for which the receiver keeps the record of the crash, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub keep_ms: u64,
+    /// Hashes of the prompt segments of the request that may have caused the crash, in order.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub segments: ::prost::alloc::vec::Vec<u64>,
+    /// Whether the endpoint had begun to answer the request.
+    #[prost(bool, tag = "6")]
+    pub answer_began: bool,
 }
-/// A request that all VMs refuse.
+/// A request, or a prompt segment, that all VMs refuse.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PoisonRequest {
     /// Hash that identifies the request.
@@ -134,7 +146,7 @@
     #[prost(uint64, tag = "2")]
     pub refused_for_ms: u64,
 }
-/// A request that is not poison, because an endpoint has completed it.
+/// A request, or a prompt segment, that is not poison, because an endpoint has completed it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CompletedRequest {
     /// Hash that identifies the request.
--- a/crates/routing/src/crash_reports.rs
+++ b/crates/routing/src/crash_reports.rs
@@ -16,6 +16,7 @@
 //! the same way.
 
 use crate::poison::{CompletedRequest, PoisonRequest, PoisonTracker};
+use crate::poison_segments::{SegmentTracker, SuspectRun};
 use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
 use std::collections::VecDeque;
 
@@ -34,8 +35,8 @@
 /// A crash of an endpoint, as VMs report it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
-    /// Request that ran on the endpoint.
-    pub fingerprint: Fingerprint,
+    /// Run that may have caused the crash.
+    pub run: SuspectRun,
     /// Endpoint that crashed.
     pub endpoint: EndpointId,
     /// Identifies the crash, so that repeated reports are counted once.
@@ -62,13 +63,57 @@
     pub poison_requests: Vec<PoisonRequest>,
     /// Requests that this VM does not refuse, because endpoints have completed them.
     pub completed_requests: Vec<CompletedRequest>,
+    /// Segments of prompts that this VM refuses.
+    pub poison_segments: Vec<PoisonRequest>,
+    /// Segments of prompts that this VM does not refuse, because answers on them were completed.
+    pub sound_segments: Vec<CompletedRequest>,
+}
+
+/// What is known of requests and of segments of prompts that may crash endpoints.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    /// Requests.
+    pub requests: PoisonTracker,
+    /// Segments of prompts.
+    pub segments: SegmentTracker,
+}
+
+impl Suspects {
+    /// Refuses a segment that a peer refuses. Returns whether it was not refused before.
+    pub fn refuse_segment(&mut self, now: BootMs, poison: PoisonRequest) -> bool {
+        let is_new = self.segments.refuse(now, poison);
+        if is_new {
+            self.requests.disregard(&self.segments.explained_crashes(now));
+        }
+        is_new
+    }
+
+    /// Returns how long a request with this fingerprint and these segments remains refused, in
+    /// milliseconds, or `None` if it is not refused.
+    pub fn refused_for_ms(
+        &self,
+        now: BootMs,
+        request: Fingerprint,
+        segments: &[Fingerprint],
+    ) -> Option<u64> {
+        let by_segment = self.segments.refused_for_ms(now, segments);
+        by_segment.or_else(|| self.requests.refused_for_ms(now, request))
+    }
+}
+
+/// Result of recording a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordedCrash {
+    /// Whether the crash is new to this VM.
+    pub is_new: bool,
+    /// Segment that is refused from now on, because the crash gave it away.
+    pub poison_segment: Option<Fingerprint>,
 }
 
 /// A crash that is being reported.
 #[derive(Debug)]
 struct RecentCrash {
-    fingerprint: Fingerprint,
-    number: u64,
+    report: CrashReport,
     /// When this VM observed the crash or learned of it.
     learned_ms: BootMs,
     /// Number of heartbeats that reported the crash.
@@ -84,6 +129,8 @@
     dropped: u64,
     refusals: RepeatedState,
     completions: RepeatedState,
+    segment_refusals: RepeatedState,
+    sound_segments: RepeatedState,
 }
 
 /// Decides when to repeat facts that stay in force for a while, each about one request.
@@ -128,40 +175,53 @@
 
 impl CrashReports {
     /// Records a crash that this VM observed or that a peer reported, and reports it to peers if
-    /// `report_on` is set. Returns whether the crash is new to this VM.
+    /// `report_on` is set.
+    ///
+    /// A crash that a poison segment has caused does not count against the requests that ran there.
     pub fn record(
         &mut self,
         now: BootMs,
-        tracker: &mut PoisonTracker,
+        suspects: &mut Suspects,
         crash: CrashReport,
         report_on: bool,
-    ) -> bool {
-        let CrashReport { fingerprint, endpoint, number, keep_ms } = crash;
-        let is_new = tracker.record_crashes(now, fingerprint, [(number, endpoint)], keep_ms);
-        if is_new && report_on {
-            let crash = RecentCrash { fingerprint, number, learned_ms: now, times_reported: 0 };
+    ) -> RecordedCrash {
+        let CrashReport { run, endpoint, number, keep_ms } = &crash;
+        let Suspects { requests, segments } = suspects;
+        let crashes = [(*number, endpoint.clone())];
+        let is_new = requests.record_crashes(now, run.request, crashes, *keep_ms);
+        if !is_new {
+            return RecordedCrash { is_new, poison_segment: None };
+        }
+        let poison_segment = segments.record_run(now, *number, run);
+        requests.disregard(&segments.explained_crashes(now));
+        if report_on {
+            let crash = RecentCrash { report: crash, learned_ms: now, times_reported: 0 };
             self.recent.push_back(crash);
         }
-        is_new
+        RecordedCrash { is_new, poison_segment }
     }
 
     /// Returns what the next heartbeat to `audience` reports.
     pub fn next_reports(
         &mut self,
         now: BootMs,
-        tracker: &PoisonTracker,
+        suspects: &Suspects,
         audience: Audience,
     ) -> HeartbeatReports {
+        let Suspects { requests, segments } = suspects;
         self.drop_expired(now);
-        let crashes = self.due_crashes(now, tracker, audience);
-        let refused = tracker.refused_requests(now);
-        let refused = refused.map(|(poison, since_ms)| (poison.fingerprint, since_ms, poison));
-        let completed = tracker.completed_requests(now);
-        let completed = completed.map(|(item, since_ms)| (item.fingerprint, since_ms, item));
+        let poison = |(item, since_ms): (PoisonRequest, _)| (item.fingerprint, since_ms, item);
+        let sound = |(item, since_ms): (CompletedRequest, _)| (item.fingerprint, since_ms, item);
+        let refused = requests.refused_requests(now).map(poison);
+        let completed = requests.completed_requests(now).map(sound);
+        let refused_segments = segments.refused_segments(now).map(poison);
+        let sound_segments = segments.sound_suspects(now).map(sound);
         HeartbeatReports {
-            crashes,
+            crashes: self.due_crashes(now, suspects, audience),
             poison_requests: self.refusals.due(now, audience, refused),
             completed_requests: self.completions.due(now, audience, completed),
+            poison_segments: self.segment_refusals.due(now, audience, refused_segments),
+            sound_segments: self.sound_segments.due(now, audience, sound_segments),
         }
     }
 
@@ -169,17 +229,21 @@
     fn due_crashes(
         &mut self,
         now: BootMs,
-        tracker: &PoisonTracker,
+        suspects: &Suspects,
         audience: Audience,
     ) -> Vec<CrashReport> {
+        let Suspects { requests, segments } = suspects;
         let mut due: Vec<&mut RecentCrash> = self.recent.iter_mut().collect();
         due.sort_by_key(|crash| crash.times_reported);
         due.truncate(MAX_CRASHES_PER_HEARTBEAT);
         let reports = due.into_iter().filter_map(|crash| {
             crash.times_reported += u32::from(audience == Audience::Contacts);
-            let RecentCrash { fingerprint, number, .. } = *crash;
-            let (endpoint, keep_ms) = tracker.crash(now, fingerprint, number)?;
-            Some(CrashReport { fingerprint, endpoint: endpoint.clone(), number, keep_ms })
+            let RecentCrash { report, learned_ms, .. } = crash;
+            let counts = requests.crash(now, report.run.request, report.number).is_some();
+            let keep_ms = report.keep_ms.saturating_sub(now.since(*learned_ms));
+            // The peers learn from an explained crash what else it does not count against.
+            (counts || segments.is_explained(now, report.number))
+                .then(|| CrashReport { keep_ms, ..report.clone() })
         });
         reports.collect()
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outcomes;
 pub mod placement;
 pub mod poison;
+pub mod poison_segments;
 pub mod shutdown;
 pub mod silent_runs;
 pub mod table;
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -139,6 +139,22 @@
         record.crashes.len() > previous_count
     }
 
+    /// Discards these crashes, because something else has caused them. The requests that are refused
+    /// only because of them are accepted again.
+    pub fn disregard(&mut self, numbers: &BTreeSet<u64>) {
+        for record in self.records.values_mut() {
+            let known = record.crashes.len();
+            record.crashes.retain(|number, _| !numbers.contains(number));
+            if record.crashes.len() == known {
+                continue;
+            }
+            record.disproved.extend(numbers);
+            if record.crashes.len() < self.max_crashes {
+                record.refused_since_ms = None;
+            }
+        }
+    }
+
     /// Returns the number of a crash that this VM observes at `endpoint`, which was started at
     /// `started_wall_ms`.
     ///
--- /dev/null
+++ b/crates/routing/src/poison_segments.rs
@@ -0,0 +1,325 @@
+//! Detection of poison segments: parts of a prompt that crash each engine which begins to write an
+//! answer on them, whatever else the prompt contains.
+//!
+//! Load pattern: requests with the same poison segment arrive at all VMs, no two of them alike.
+//! Sound requests share the customer and the other segments, run beside them and end with the same
+//! crashes.
+//!
+//! When an engine crashes, the shared segments of the runs there become suspects. A run narrows the
+//! search: an engine crashes as it begins to write, so a run that has been writing for a while did
+//! not cause the crash, and a run that still waits for its answer is a weak suspect. A segment is
+//! sound if an answer on it was completed or went on; only crashes after that count against it.
+//!
+//! The crashes of a segment that is refused are explained and count against nothing else. Of two
+//! segments that explain the same crashes, the deeper one is refused first: prompts share their
+//! beginnings, and the other requests with the same beginning are sound.
+
+use crate::poison::{CompletedRequest, PoisonRequest};
+use gypsumchute_units::{BootMs, Fingerprint};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time after the first event of a run from which the run has not caused a crash, in milliseconds.
+pub const BEGINNING_MS: u64 = 1_000;
+/// Number of crashes as an answer began after which a segment is refused.
+const MAX_CRASHES: usize = 3;
+/// Number of crashes, of any kind, after which a segment is refused. Also the number of crashes as
+/// an answer began for a segment that was sound before.
+const MAX_DOUBTFUL_CRASHES: usize = 5;
+/// Time between two crashes below which they may have a common cause other than a request, in
+/// milliseconds.
+const MIN_CRASH_GAP_MS: u64 = 100;
+/// Minimum number of different requests that a segment must have crashed engines with. The cause of
+/// crashes under a single request is the request.
+const MIN_REQUESTS: usize = 2;
+/// Time for which a crash counts against a segment, and for which a segment is refused, in
+/// milliseconds.
+const RETENTION_MS: u64 = 600_000;
+/// Time for which a segment is known to have been sound, in milliseconds.
+const SOUND_MS: u64 = 60_000;
+/// Maximum number of crashes that are remembered.
+const MAX_CRASH_RECORDS: usize = 256;
+/// Maximum number of segments that are known to be sound.
+const MAX_SOUND_SEGMENTS: usize = 4_096;
+/// Maximum number of segments that are refused.
+pub const MAX_REFUSED_SEGMENTS: usize = 1_024;
+
+/// A run that may have crashed its endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectRun {
+    /// Request that ran.
+    pub request: Fingerprint,
+    /// Shared segments of the prompt, in order, without those that did not cause the crash.
+    pub segments: Vec<Fingerprint>,
+    /// Whether the endpoint had begun to answer.
+    pub answer_began: bool,
+}
+
+/// A crash and the segments that may have caused it.
+#[derive(Debug)]
+struct SuspectedCrash {
+    /// When this VM first learned of the crash.
+    seen_ms: BootMs,
+    suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+/// A segment that may have caused a crash.
+#[derive(Debug, Default)]
+struct Suspect {
+    /// Position in the prompt.
+    depth: usize,
+    /// Whether the engine had begun an answer on the segment.
+    answer_began: bool,
+    /// Requests with the segment that ran on the engine.
+    requests: BTreeSet<Fingerprint>,
+}
+
+/// What speaks against a segment.
+#[derive(Debug, Default)]
+struct Evidence {
+    depth: usize,
+    /// Crashes as an answer on the segment began.
+    at_beginning: CrashCount,
+    /// Crashes of any kind.
+    in_all: CrashCount,
+    requests: BTreeSet<Fingerprint>,
+}
+
+/// Counts crashes in the order of time. Several engines that are lost at once, as in a power
+/// failure, count as one.
+#[derive(Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct CrashCount {
+    count: usize,
+    last_ms: Option<BootMs>,
+}
+
+impl CrashCount {
+    fn add(&mut self, seen_ms: BootMs) {
+        if self.last_ms.is_none_or(|last_ms| seen_ms.since(last_ms) >= MIN_CRASH_GAP_MS) {
+            self.count += 1;
+            self.last_ms = Some(seen_ms);
+        }
+    }
+}
+
+impl Evidence {
+    /// Reports whether the segment is refused. `was_sound` tells whether it was sound before the
+    /// crashes.
+    fn is_sufficient(&self, was_sound: bool) -> bool {
+        let at_beginning = match was_sound {
+            true => self.at_beginning.count >= MAX_DOUBTFUL_CRASHES,
+            false => self.at_beginning.count >= MAX_CRASHES,
+        };
+        let in_all = !was_sound && self.in_all.count >= MAX_DOUBTFUL_CRASHES;
+        self.requests.len() >= MIN_REQUESTS && (at_beginning || in_all)
+    }
+}
+
+/// A segment that is refused.
+#[derive(Debug, Clone, Copy)]
+struct RefusedSegment {
+    since_ms: BootMs,
+    until_ms: BootMs,
+}
+
+/// Segments of prompts, by what is known of them.
+#[derive(Debug, Default)]
+pub struct SegmentTracker {
+    /// Crashes by number.
+    crashes: BTreeMap<u64, SuspectedCrash>,
+    /// When each segment was last known to be sound.
+    sound: BTreeMap<Fingerprint, BootMs>,
+    refused: BTreeMap<Fingerprint, RefusedSegment>,
+}
+
+impl SegmentTracker {
+    /// Records a run on an engine at the crash with this number. Returns the segment that is refused from now on, if
+    /// the crash gives one away.
+    pub fn record_run(
+        &mut self,
+        now: BootMs,
+        number: u64,
+        run: &SuspectRun,
+    ) -> Option<Fingerprint> {
+        if run.segments.is_empty() {
+            return None;
+        }
+        self.make_room(now);
+        let crash = self
+            .crashes
+            .entry(number)
+            .or_insert_with(|| SuspectedCrash { seen_ms: now, suspects: BTreeMap::new() });
+        for (depth, segment) in run.segments.iter().enumerate() {
+            let suspect = crash.suspects.entry(*segment).or_default();
+            suspect.depth = suspect.depth.max(depth);
+            suspect.answer_began |= run.answer_began;
+            suspect.requests.insert(run.request);
+        }
+        let cause = self.find_cause(now)?;
+        let poison = PoisonRequest { fingerprint: cause, refused_for_ms: RETENTION_MS };
+        self.refuse(now, poison).then_some(cause)
+    }
+
+    /// Returns the segment that explains crashes best, if the evidence against it is sufficient.
+    fn find_cause(&self, now: BootMs) -> Option<Fingerprint> {
+        let evidence = self.evidence(now);
+        let sufficient = evidence.into_iter().filter_map(|(segment, evidence)| {
+            let was_sound = self.sound_since(now, segment).is_some();
+            evidence.is_sufficient(was_sound).then_some((segment, was_sound, evidence))
+        });
+        let best = sufficient.max_by_key(|(_, was_sound, evidence)| {
+            let Evidence { at_beginning, in_all, depth, .. } = evidence;
+            (Reverse(*was_sound), at_beginning.count, in_all.count, *depth)
+        });
+        best.map(|(segment, ..)| segment)
+    }
+
+    /// Returns what speaks against each segment: the crashes that nothing explains and after which
+    /// the segment was not sound.
+    fn evidence(&self, now: BootMs) -> BTreeMap<Fingerprint, Evidence> {
+        let mut evidence: BTreeMap<Fingerprint, Evidence> = BTreeMap::new();
+        let unexplained =
+            self.crashes.iter().filter(|(number, _)| !self.is_explained(now, **number));
+        let mut unexplained: Vec<_> = unexplained.map(|(_, crash)| crash).collect();
+        unexplained.sort_by_key(|crash| crash.seen_ms);
+        for crash in unexplained {
+            for (segment, suspect) in &crash.suspects {
+                let sound_ms = self.sound.get(segment);
+                if sound_ms.is_some_and(|sound_ms| *sound_ms >= crash.seen_ms) {
+                    continue;
+                }
+                let evidence = evidence.entry(*segment).or_default();
+                evidence.depth = evidence.depth.max(suspect.depth);
+                evidence.in_all.add(crash.seen_ms);
+                if suspect.answer_began {
+                    evidence.at_beginning.add(crash.seen_ms);
+                }
+                evidence.requests.extend(&suspect.requests);
+            }
+        }
+        evidence
+    }
+
+    /// Reports whether a refused segment has caused the crash with this number.
+    pub fn is_explained(&self, now: BootMs, number: u64) -> bool {
+        let crash = self.crashes.get(&number);
+        crash.is_some_and(|crash| {
+            crash.suspects.keys().any(|segment| self.refusal(now, *segment).is_some())
+        })
+    }
+
+    /// Returns the numbers of the crashes that refused segments have caused.
+    pub fn explained_crashes(&self, now: BootMs) -> BTreeSet<u64> {
+        self.crashes.keys().copied().filter(|number| self.is_explained(now, *number)).collect()
+    }
+
+    /// Refuses a segment. Returns whether it was not refused before. A segment that was sound after
+    /// the crashes that this VM knows of is not refused.
+    pub fn refuse(&mut self, now: BootMs, poison: PoisonRequest) -> bool {
+        let segment = poison.fingerprint;
+        if self.refusal(now, segment).is_some() || self.is_defended(now, segment) {
+            return false;
+        }
+        if self.refused.len() >= MAX_REFUSED_SEGMENTS {
+            self.refused.retain(|_, refusal| refusal.until_ms > now);
+            let oldest = self.refused.iter().min_by_key(|(_, refusal)| refusal.until_ms);
+            if let Some(segment) = oldest.map(|(segment, _)| *segment) {
+                self.refused.remove(&segment);
+            }
+        }
+        let until_ms = now + poison.refused_for_ms.min(RETENTION_MS);
+        self.refused.insert(segment, RefusedSegment { since_ms: now, until_ms });
+        true
+    }
+
+    /// Reports whether the segment was sound lately and few crashes since then speak against it.
+    fn is_defended(&self, now: BootMs, segment: Fingerprint) -> bool {
+        self.sound_since(now, segment).is_some()
+            && !self.evidence(now).remove(&segment).unwrap_or_default().is_sufficient(true)
+    }
+
+    /// Records that answers on these segments were completed or went on.
+    pub fn on_sound(&mut self, now: BootMs, segments: &[Fingerprint]) {
+        for segment in segments {
+            self.set_sound(now, *segment, now);
+        }
+    }
+
+    /// Records what a peer knows of a segment that is sound. Returns whether the segment is
+    /// therefore no longer refused.
+    pub fn on_sound_at_peer(&mut self, now: BootMs, sound: CompletedRequest) -> bool {
+        let CompletedRequest { fingerprint: segment, valid_for_ms } = sound;
+        let age_ms = SOUND_MS.saturating_sub(valid_for_ms);
+        let sound_ms = BootMs(now.0.saturating_sub(age_ms));
+        let was_refused = self.refusal(now, segment).is_some();
+        self.set_sound(now, segment, sound_ms);
+        was_refused && self.refusal(now, segment).is_none()
+    }
+
+    /// Records that the segment was sound at `sound_ms`, and ends its refusal if that is newer.
+    fn set_sound(&mut self, now: BootMs, segment: Fingerprint, sound_ms: BootMs) {
+        if self.sound.len() >= MAX_SOUND_SEGMENTS && !self.sound.contains_key(&segment) {
+            let oldest = self.sound.iter().min_by_key(|(_, sound_ms)| **sound_ms);
+            if let Some(segment) = oldest.map(|(segment, _)| *segment) {
+                self.sound.remove(&segment);
+            }
+        }
+        let known = self.sound.entry(segment).or_insert(sound_ms);
+        *known = sound_ms.max(*known);
+        if self.refused.contains_key(&segment) && self.is_defended(now, segment) {
+            self.refused.remove(&segment);
+        }
+    }
+
+    /// Returns when the segment was last sound, unless that is too long ago.
+    fn sound_since(&self, now: BootMs, segment: Fingerprint) -> Option<BootMs> {
+        self.sound.get(&segment).copied().filter(|sound_ms| now.since(*sound_ms) < SOUND_MS)
+    }
+
+    /// Returns the refusal of the segment that is in force.
+    fn refusal(&self, now: BootMs, segment: Fingerprint) -> Option<&RefusedSegment> {
+        self.refused.get(&segment).filter(|refusal| refusal.until_ms > now)
+    }
+
+    /// Returns how long requests with these segments are still refused, in milliseconds, or `None`
+    /// if none of the segments is refused.
+    pub fn refused_for_ms(&self, now: BootMs, segments: &[Fingerprint]) -> Option<u64> {
+        let refusals = segments.iter().filter_map(|segment| self.refusal(now, *segment));
+        refusals.map(|refusal| now.until(refusal.until_ms)).max()
+    }
+
+    /// Returns the segments that are refused, by fingerprint, with the time since when.
+    pub fn refused_segments(&self, now: BootMs) -> impl Iterator<Item = (PoisonRequest, BootMs)> {
+        let refused = self.refused.iter().filter(move |(_, refusal)| refusal.until_ms > now);
+        refused.map(move |(segment, refusal)| {
+            let refused_for_ms = now.until(refusal.until_ms);
+            (PoisonRequest { fingerprint: *segment, refused_for_ms }, refusal.since_ms)
+        })
+    }
+
+    /// Returns the suspects that are known to be sound, by fingerprint, with the time since when, so
+    /// that peers don't refuse them.
+    pub fn sound_suspects(&self, now: BootMs) -> impl Iterator<Item = (CompletedRequest, BootMs)> {
+        let mut evidence = self.evidence(now);
+        let recent = self.crashes.values().filter(|crash| now.since(crash.seen_ms) < SOUND_MS);
+        let suspects: BTreeSet<_> = recent.flat_map(|crash| crash.suspects.keys()).collect();
+        suspects.into_iter().filter_map(move |segment| {
+            let sound_ms = self.sound_since(now, *segment)?;
+            let valid_for_ms = SOUND_MS.saturating_sub(now.since(sound_ms));
+            let against = evidence.remove(segment).unwrap_or_default();
+            let fact = CompletedRequest { fingerprint: *segment, valid_for_ms };
+            (!against.is_sufficient(true)).then_some((fact, sound_ms))
+        })
+    }
+
+    /// Drops crashes that are too old to count, and the oldest one if there are too many.
+    fn make_room(&mut self, now: BootMs) {
+        self.crashes.retain(|_, crash| now.since(crash.seen_ms) < RETENTION_MS);
+        if self.crashes.len() >= MAX_CRASH_RECORDS {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.seen_ms);
+            if let Some(number) = oldest.map(|(number, _)| *number) {
+                self.crashes.remove(&number);
+            }
+        }
+    }
+}
--- a/crates/routing/src/silent_runs.rs
+++ b/crates/routing/src/silent_runs.rs
@@ -8,7 +8,8 @@
 //! is therefore remembered for a few seconds after it ended, and an endpoint that vanished for as
 //! long.
 
-use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
+use crate::poison_segments::SuspectRun;
+use gypsumchute_units::{BootMs, EndpointId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Time between the end of a run and the change of the registry in which the two belong together,
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SilentRun {
     /// Request that ran.
-    pub fingerprint: Fingerprint,
+    pub run: SuspectRun,
     /// Endpoint that did not respond.
     pub endpoint: EndpointId,
     /// Time of the last sign of life of the run.
@@ -59,13 +60,13 @@
 
     /// Records that an endpoint vanished from the registry, or started anew, without a termination
     /// notice. Returns the requests that ran on it without a response.
-    pub fn on_endpoint_vanished(&mut self, now: BootMs, endpoint: &EndpointId) -> Vec<Fingerprint> {
+    pub fn on_endpoint_vanished(&mut self, now: BootMs, endpoint: &EndpointId) -> Vec<SuspectRun> {
         self.expire(now);
         self.vanished.insert(endpoint.clone(), now);
         let (crashed, others): (VecDeque<_>, VecDeque<_>) =
             self.ended.drain(..).partition(|(_, run)| run.endpoint == *endpoint);
         self.ended = others;
-        crashed.into_iter().map(|(_, run)| run.fingerprint).collect()
+        crashed.into_iter().map(|(_, silent)| silent.run).collect()
     }
 
     /// Forgets runs and endpoints that are too old to belong together with later events.
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod outcomes;
 mod placement;
 mod poison;
+mod poison_segments;
 mod shutdown;
 mod silent_runs;
 mod support;
--- a/crates/routing/tests/testsuite/silent_runs.rs
+++ b/crates/routing/tests/testsuite/silent_runs.rs
@@ -2,12 +2,17 @@
 //! in either order, and only then.
 
 use crate::support::{NOW, endpoint_id};
+use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::{SilentRun, SilentRuns};
 use gypsumchute_units::{BootMs, Fingerprint};
 
 /// Returns a run that has been silent since `silent_since_ms`.
+fn suspect_run() -> SuspectRun {
+    SuspectRun { request: Fingerprint(7), segments: Vec::new(), answer_began: false }
+}
+
 fn run(endpoint: &str, silent_since_ms: BootMs) -> SilentRun {
-    SilentRun { fingerprint: Fingerprint(7), endpoint: endpoint_id(endpoint), silent_since_ms }
+    SilentRun { run: suspect_run(), endpoint: endpoint_id(endpoint), silent_since_ms }
 }
 
 #[test]
@@ -17,7 +22,7 @@
     assert!(!runs.on_run_ended(NOW + 800, run("engine-2", NOW)));
     let vanished =
         |runs: &mut SilentRuns| runs.on_endpoint_vanished(NOW + 4_000, &endpoint_id("engine-1"));
-    assert_eq!(vanished(&mut runs), [Fingerprint(7)]);
+    assert_eq!(vanished(&mut runs), [suspect_run()]);
     assert_eq!(vanished(&mut runs), []);
 }
 
