A stream that ends without any event has been broken off

A response may have neither a length nor chunks and end with its connection. If the engine crashed after the response head, the end of the connection looked like the end of the stream: the caller got 502, but the request counted as completed, which clears it and now also the segments of its prompt. Such an end is now a broken connection, and the request goes to another engine where the route allows it.

The test failed before (no crash was counted in 10 s).

--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -54,6 +54,9 @@
                         Ok(None) if run.events.has_partial_event() => Err(
                             RunFailure::Disconnected("stream ended within an event".to_owned())
                         ),
+                        Ok(None) if self.delivered_events == 0 => Err(
+                            RunFailure::Disconnected("stream ended without an event".to_owned())
+                        ),
                         Ok(None) => {
                             self.run_alive_ms = None;
                             self.call.record_completed();
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -16,3 +16,4 @@
 mod simulated_fleet;
 mod store_reader;
 mod support;
+mod unframed_responses;
