Log the request rate limits that endpoints name

Nothing showed that an endpoint had named a limit, and to which VM. The header is now decoded from each answer that belongs to the request, the VM remembers the newest one by endpoint, and a change is logged. No decision uses it yet.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -352,6 +352,10 @@
         let response = connection.send(request).await?;
         let request_id = self.caller.request_id.as_ref();
         let kind = classify_response(response.head.status, &response.head.headers, request_id);
+        if !matches!(kind, ResponseKind::Foreign | ResponseKind::WrongEndpoint) {
+            let limit = endpoints::named_limit(&response.head.headers);
+            self.context.record_endpoint_limit(endpoint, limit);
+        }
         Ok((response, kind))
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -6,6 +6,7 @@
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReport, CrashReports, Suspects};
+use gypsumchute_routing::endpoint_limits::EndpointLimits;
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
@@ -16,7 +17,7 @@
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Fingerprint, ServiceId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint, RequestRate, ServiceId, ZoneId};
 use log::info;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -67,6 +68,8 @@
     pub outcomes: OutlierDetector,
     /// Requests and retries counted against the retry budget.
     pub retries: RetryBudget,
+    /// Request rate limits that endpoints have named.
+    pub endpoint_limits: EndpointLimits,
     /// Requests sent to endpoints that are still warming up.
     pub warmups: ColdStartLimiter,
     /// Requests and segments of prompts that may have crashed endpoints.
@@ -153,6 +156,7 @@
             loads: LoadTable::default(),
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
+            endpoint_limits: EndpointLimits::default(),
             warmups: ColdStartLimiter::default(),
             suspects: Suspects {
                 requests: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
@@ -340,6 +344,16 @@
         }
     }
 
+    /// Records the request rate limit that `endpoint` named in an answer, or that it named none.
+    pub fn record_endpoint_limit(&self, endpoint: &EndpointId, rate: Option<RequestRate>) {
+        let now = boot_now();
+        if self.with(|state| state.endpoint_limits.on_answer(now, endpoint, rate)) {
+            info!(endpoint = endpoint.as_str(), per_s:% = rate.unwrap_or_default(),
+                limited = rate.is_some();
+                "endpoint changed its request rate limit");
+        }
+    }
+
     /// Records a run that ended without a response. Returns whether its endpoint crashed, as far as
     /// known by now.
     pub fn record_silent_run(&self, run: SilentRun) -> bool {
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -78,6 +78,7 @@
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
         state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
+        state.endpoint_limits.expire(now, |id| endpoints.get(id).is_some());
         state.endpoints.expire(now)
     });
     for endpoint in &removed {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod compile;
 pub mod continuity;
 pub mod crash_reports;
+pub mod endpoint_limits;
 pub mod endpoints;
 pub mod load;
 pub mod outcomes;
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod compile;
 mod continuity;
 mod crash_reports;
+mod endpoint_limits;
 mod endpoints;
 mod load;
 mod outcomes;
