Known red: the request rate limit that an endpoint names is not kept

Two tests with five daemons and four replicas of a plain service. With limits of 1 and 1.8 requests a second on two of them, one got 61 requests in 4 s where 11 are allowed; with a limit on all four, up to 74 each.

--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod poison;
 mod poison_segments;
+mod request_limits;
 mod retry_budget;
 mod shutdown;
 mod simulated_fleet;
