The request rate limit that an endpoint names is kept by all VMs together

What callers saw: an endpoint in need got as many requests as before.

Cause: nothing read the limit. The class is a rate for one endpoint that all VMs share without coordination, which cold endpoints had already, and only they.

Change: the limiter of cold endpoints now serves both. The VMs that rank highest for the endpoint share the rate, each with a burst of one request; there are so few of them that all bursts together are half of what the endpoint takes in the 4 s of the rule. One more VM tries the endpoint for each 10 s without an answer from it. VMs tell each other at once what an endpoint has named, also that it names nothing any more. Resumed runs, copies of the KV cache and status polls count as well. If all endpoints of a service have named limits that are used up, a request is refused at once, with the time until one takes a request.

Evidence: the two tests failed before (61 and 74 requests in 4 s, 11 allowed) and pass now, and so does the limiter in virtual time for 1 to 90 VMs and limits of 0.3 to 40 requests a second. The test of cold endpoints is unchanged but for the new types.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request from admission until an endpoint has answered it.
 
-use crate::context::{Context, LoadGuard};
+use crate::context::{Context, LoadGuard, RateExhausted};
 use bytes::Bytes;
 use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream, TcpTimeouts};
 use gypsumchute_platform::{
@@ -83,6 +83,56 @@
     pub load_guard: LoadGuard,
 }
 
+/// Result of an attempt to place a request without waiting.
+enum PlaceAttempt {
+    /// This endpoint has capacity and takes the request now.
+    Endpoint(EndpointId),
+    /// All suitable endpoints are full or cold, or requests ahead in the queue take precedence.
+    AtCapacity,
+    /// There is no suitable endpoint.
+    NoEndpoint,
+    /// All suitable endpoints have named limits, which are used up.
+    RateLimited {
+        /// Time until one of them takes a request from this VM, in milliseconds; `u64::MAX` if none
+        /// does.
+        wait_ms: u64,
+        /// Time after which a caller may find room at some VM, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// Endpoints that were passed over because of the rate that they take.
+#[derive(Default)]
+struct LimitedEndpoints {
+    /// Whether one of them is cold and has named no limit.
+    any_cold: bool,
+    wait_ms: Option<u64>,
+    interval_ms: Option<u64>,
+}
+
+impl LimitedEndpoints {
+    /// Adds an endpoint that was passed over.
+    fn add(&mut self, exhausted: RateExhausted) {
+        self.any_cold |= !exhausted.is_named;
+        let shorter = |known: Option<u64>, ms: u64| Some(known.map_or(ms, |known| known.min(ms)));
+        if let Some(wait_ms) = exhausted.wait_ms {
+            self.wait_ms = shorter(self.wait_ms, wait_ms);
+        }
+        self.interval_ms = shorter(self.interval_ms, exhausted.rate.interval_ms());
+    }
+
+    /// Returns the outcome if no endpoint is left besides these.
+    fn outcome(&self) -> PlaceAttempt {
+        match self.interval_ms {
+            Some(interval_ms) if !self.any_cold => PlaceAttempt::RateLimited {
+                wait_ms: self.wait_ms.unwrap_or(u64::MAX),
+                retry_after_ms: self.wait_ms.unwrap_or(interval_ms),
+            },
+            _ => PlaceAttempt::AtCapacity,
+        }
+    }
+}
+
 /// A request's place in the admission queue, which is released on drop.
 struct QueueEntry {
     context: Rc<Context>,
@@ -232,41 +282,46 @@
             if let Some(refusal) = self.poison_refusal() {
                 return Err(refusal);
             }
-            let placement = self.try_place(position, excluded);
-            let reason = match placement {
-                Placement::Endpoint(endpoint) => {
+            let left_ms = boot_now().until(queue_deadline_ms);
+            let (reason, wait_ms) = match self.try_place(position, excluded) {
+                PlaceAttempt::Endpoint(endpoint) => {
                     let found = self.context.with(|state| {
                         state.endpoints.get(&endpoint).map(|found| found.entry.address)
                     });
                     match found {
                         Some(address) => return Ok((endpoint, address)),
-                        None => RefusalReason::NoEndpoint,
+                        None => (RefusalReason::NoEndpoint, left_ms),
                     }
                 }
-                Placement::AtCapacity => RefusalReason::NoRoom,
-                Placement::NoEndpoint => RefusalReason::NoEndpoint,
+                PlaceAttempt::AtCapacity => (RefusalReason::NoRoom, left_ms),
+                PlaceAttempt::NoEndpoint => (RefusalReason::NoEndpoint, left_ms),
+                PlaceAttempt::RateLimited { wait_ms, .. } if wait_ms < left_ms => {
+                    (RefusalReason::NoRoom, wait_ms)
+                }
+                // No endpoint takes the request in time, so waiting would be in vain.
+                PlaceAttempt::RateLimited { retry_after_ms, .. } => {
+                    return Err(self.retryable_refusal(RefusalReason::NoRoom, retry_after_ms));
+                }
             };
-            let left_ms = boot_now().until(queue_deadline_ms);
             if left_ms == 0 {
                 return Err(self.retryable_refusal(reason, self.route.latency_target_ms));
             }
             // Both outcomes are handled by the next iteration, which checks the placement and the
             // deadline.
-            let wait = timeout(Duration::from_millis(left_ms), changes.changed());
+            let wait = timeout(Duration::from_millis(wait_ms), changes.changed());
             drop(wait.await);
         }
     }
 
-    /// Chooses an endpoint without waiting. Returns [`Placement::AtCapacity`] if all suitable
-    /// endpoints are full, if requests ahead in the admission queue take precedence, or if no
-    /// endpoint is left besides those in `excluded` and cold ones that have used up their warm-up
-    /// rate.
-    fn try_place(&self, position: QueuePosition, excluded: &BTreeSet<EndpointId>) -> Placement {
+    /// Chooses an endpoint without waiting. Endpoints that take no more requests now, because they
+    /// are cold or have named a limit, are passed over.
+    fn try_place(&self, position: QueuePosition, excluded: &BTreeSet<EndpointId>) -> PlaceAttempt {
         let now = boot_now();
         let mut excluded = excluded.clone();
+        let mut limits = LimitedEndpoints::default();
         self.context.with(|state| {
             if !state.admission_queue.may_attempt_placement(position) {
-                return Placement::AtCapacity;
+                return PlaceAttempt::AtCapacity;
             }
             loop {
                 let demand = PlacementRequest {
@@ -276,25 +331,22 @@
                     allowed_zones: &self.zones,
                     random_value: self.random_value,
                 };
-                let placement = choose_endpoint(now, state.fleet(&self.context.settings), demand);
-                let Placement::Endpoint(endpoint) = &placement else {
-                    return match (placement, excluded.is_empty()) {
-                        (Placement::NoEndpoint, false) => Placement::AtCapacity,
-                        (other, _) => other,
+                let endpoint =
+                    match choose_endpoint(now, state.fleet(&self.context.settings), demand) {
+                        Placement::Endpoint(endpoint) => endpoint,
+                        Placement::AtCapacity => return PlaceAttempt::AtCapacity,
+                        Placement::NoEndpoint if excluded.is_empty() => {
+                            return PlaceAttempt::NoEndpoint;
+                        }
+                        Placement::NoEndpoint => return limits.outcome(),
                     };
-                };
-                let found = state.endpoints.get(endpoint);
-                let is_cold = found.is_some_and(|found| found.cold_until_ms > now);
-                let per_s = self.service.cold_start_rate_per_s;
-                if !is_cold || per_s <= 0.0 {
-                    return placement;
-                }
-                let vms = state.members.known_vms();
-                if state.warmups.try_acquire(now, endpoint, per_s, &self.context.settings.vm, &vms)
-                {
-                    return placement;
+                let cold_per_s = self.service.cold_start_rate_per_s;
+                let vm = &self.context.settings.vm;
+                match state.acquire_endpoint(now, &endpoint, cold_per_s, vm) {
+                    Ok(()) => return PlaceAttempt::Endpoint(endpoint),
+                    Err(exhausted) => limits.add(exhausted),
                 }
-                excluded.insert(endpoint.clone());
+                excluded.insert(endpoint);
             }
         })
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,17 +7,17 @@
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReport, CrashReports, Suspects};
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
+use gypsumchute_routing::endpoint_rate::{EndpointRate, EndpointRateLimiter, SendPermission};
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::{SilentRun, SilentRuns};
-use gypsumchute_routing::warmup::ColdStartLimiter;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Fingerprint, RequestRate, ServiceId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint, RequestRate, ServiceId, VmId, ZoneId};
 use log::info;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -70,8 +70,8 @@
     pub retries: RetryBudget,
     /// Request rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
-    /// Requests sent to endpoints that are still warming up.
-    pub warmups: ColdStartLimiter,
+    /// Limits the requests to endpoints that are cold or have named a limit.
+    pub rate_limiter: EndpointRateLimiter,
     /// Requests and segments of prompts that may have crashed endpoints.
     pub suspects: Suspects,
     /// Runs that ended without a response, whose endpoints may have crashed.
@@ -104,6 +104,18 @@
     termination_notices: BTreeMap<EndpointId, BootMs>,
 }
 
+/// Rate of an endpoint that this VM may not send to now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateExhausted {
+    /// Whether the endpoint has named a limit.
+    pub is_named: bool,
+    /// Time after which this VM may send a request, in milliseconds; `None` if other VMs use the
+    /// whole rate.
+    pub wait_ms: Option<u64>,
+    /// Rate that the endpoint takes from all VMs together.
+    pub rate: EndpointRate,
+}
+
 /// Peers that receive the load notes of an endpoint.
 pub struct LoadNoteTargets {
     /// Addresses of the peers.
@@ -157,7 +169,7 @@
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
             endpoint_limits: EndpointLimits::default(),
-            warmups: ColdStartLimiter::default(),
+            rate_limiter: EndpointRateLimiter::default(),
             suspects: Suspects {
                 requests: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
                 ..Suspects::default()
@@ -337,13 +349,29 @@
             state.endpoints.mark_terminating(endpoint)
         });
         if is_new_notice {
-            self.pending_load_notes.borrow_mut().insert(endpoint.clone());
-            self.load_notes_due.notify_one();
-            self.heartbeat_due.notify_one();
+            self.announce_soon(endpoint);
             self.notify_registry_changed();
         }
     }
 
+    /// Tells peers at once what this VM has learned of `endpoint`.
+    fn announce_soon(&self, endpoint: &EndpointId) {
+        self.pending_load_notes.borrow_mut().insert(endpoint.clone());
+        self.load_notes_due.notify_one();
+        self.heartbeat_due.notify_one();
+    }
+
+    /// Takes permission to send a request other than a new one to `endpoint`, which may have named a
+    /// limit.
+    pub fn may_send_to(&self, endpoint: &EndpointId) -> bool {
+        let now = boot_now();
+        let permission = self.with(|state| {
+            let rate = state.named_rate(now, endpoint)?;
+            Some(state.acquire_rate(now, endpoint, rate, &self.settings.vm))
+        });
+        permission.is_none_or(|permission| permission == SendPermission::Granted)
+    }
+
     /// Records the request rate limit that `endpoint` named in an answer, or that it named none.
     pub fn record_endpoint_limit(&self, endpoint: &EndpointId, rate: Option<RequestRate>) {
         let now = boot_now();
@@ -351,6 +379,7 @@
             info!(endpoint = endpoint.as_str(), per_s:% = rate.unwrap_or_default(),
                 limited = rate.is_some();
                 "endpoint changed its request rate limit");
+            self.announce_soon(endpoint);
         }
     }
 
@@ -420,6 +449,61 @@
         }
     }
 
+    /// Returns the rate that `endpoint` takes because of a limit that it has named.
+    fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
+        let limit = self.endpoint_limits.get(endpoint)?;
+        EndpointRate::named(now, limit)
+    }
+
+    /// Returns the rate that `endpoint` takes, if it has named a limit or is cold. A cold endpoint
+    /// takes `cold_per_s` requests a second; 0 means any number.
+    fn endpoint_rate(
+        &self,
+        now: BootMs,
+        endpoint: &EndpointId,
+        cold_per_s: f64,
+    ) -> Option<EndpointRate> {
+        let found = self.endpoints.get(endpoint);
+        let is_cold = found.is_some_and(|found| found.cold_until_ms > now);
+        let cold = (is_cold && cold_per_s > 0.0).then(|| EndpointRate::cold(cold_per_s));
+        match (cold, self.named_rate(now, endpoint)) {
+            (Some(cold), Some(named)) => Some(cold.stricter(named)),
+            (cold, named) => cold.or(named),
+        }
+    }
+
+    /// Takes permission to send one request to `endpoint`, which takes requests at `rate`.
+    fn acquire_rate(
+        &mut self,
+        now: BootMs,
+        endpoint: &EndpointId,
+        rate: EndpointRate,
+        local_vm: &VmId,
+    ) -> SendPermission {
+        let vms = self.members.known_vms();
+        self.rate_limiter.try_acquire(now, endpoint, rate, local_vm, &vms)
+    }
+
+    /// Takes permission to send one new request to `endpoint`. Returns what the endpoint takes, if
+    /// this VM may not send now.
+    pub fn acquire_endpoint(
+        &mut self,
+        now: BootMs,
+        endpoint: &EndpointId,
+        cold_per_s: f64,
+        local_vm: &VmId,
+    ) -> Result<(), RateExhausted> {
+        let Some(rate) = self.endpoint_rate(now, endpoint, cold_per_s) else { return Ok(()) };
+        let is_named = self.named_rate(now, endpoint).is_some();
+        match self.acquire_rate(now, endpoint, rate, local_vm) {
+            SendPermission::Granted => Ok(()),
+            SendPermission::Later { wait_ms } => {
+                Err(RateExhausted { is_named, wait_ms: Some(wait_ms), rate })
+            }
+            SendPermission::OtherVms => Err(RateExhausted { is_named, wait_ms: None, rate }),
+        }
+    }
+
     /// Reports whether a registry entry that is removed now may only have expired, because the
     /// store was unavailable.
     pub fn registry_is_unreliable(&self, now: BootMs) -> bool {
@@ -471,6 +555,7 @@
         in_use
             .chain(self.outcomes.endpoints_to_report(now))
             .chain(self.termination_notices.keys())
+            .chain(self.endpoint_limits.endpoints())
             .cloned()
             .collect()
     }
--- a/crates/daemon/src/engine_reports.rs
+++ b/crates/daemon/src/engine_reports.rs
@@ -28,6 +28,9 @@
     loop {
         sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         for (endpoint, address) in engines_to_poll(&context) {
+            if !context.may_send_to(&endpoint) {
+                continue;
+            }
             spawn_local(poll_engine(context.clone(), endpoint, address));
         }
     }
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -311,6 +311,9 @@
                 if let Some(refusal) = self.call.poison_refusal() {
                     return StartOutcome::Refused(refusal);
                 }
+                if !self.call.context.may_send_to(&backup.endpoint) {
+                    return StartOutcome::NotRun;
+                }
                 let opened =
                     Connection::open(backup.address, BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long)
                         .await;
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -205,6 +205,9 @@
             choose_migration_target(boot_now(), fleet, self.placement_request(), &run.endpoint)
         });
         let Placement::Endpoint(endpoint) = placement else { return None };
+        if !context.may_send_to(&run.endpoint) {
+            return None;
+        }
         let address =
             context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address))?;
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -5,15 +5,16 @@
 use gypsumchute_fleet::PeerAddress;
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
-    self, Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, datagram::Body,
+    self, Crash, Datagram, EndpointLoad, Heartbeat, LoadNote, Member, RequestLimit, datagram::Body,
 };
 use gypsumchute_routing::crash_reports::{Audience, CrashReport, HeartbeatReports};
+use gypsumchute_routing::endpoint_limits::NamedLimit;
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_routing::poison::{CompletedRequest, PoisonRequest};
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Fingerprint};
+use gypsumchute_units::{BootMs, EndpointId, Fingerprint, RequestRate};
 use log::{info, warn};
 use prost::Message;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -172,9 +173,22 @@
         failures_milli: milli(suspicion.unexplained_failures),
         own_faults_milli: milli(suspicion.endpoint_errors),
         leaving: state.announces_termination(now, endpoint),
+        limit: state.endpoint_limits.get(endpoint).map(|limit| encode_limit(now, limit)),
     }
 }
 
+/// Encodes what an endpoint said of its request rate limit.
+fn encode_limit(now: BootMs, limit: NamedLimit) -> RequestLimit {
+    let micro_per_s = limit.rate.map(RequestRate::micro_per_s);
+    RequestLimit { micro_per_s, age_ms: now.since(limit.named_ms) }
+}
+
+/// Decodes what an endpoint told a peer of its request rate limit.
+fn decode_limit(now: BootMs, limit: RequestLimit) -> NamedLimit {
+    let rate = limit.micro_per_s.map(RequestRate::from_micro_per_s);
+    NamedLimit { rate, named_ms: BootMs(now.0.saturating_sub(limit.age_ms)) }
+}
+
 /// Load and failures that a peer reports for an endpoint.
 struct PeerEndpointReport {
     endpoint: EndpointId,
@@ -184,6 +198,8 @@
     suspicion: Suspicion,
     /// Whether the peer announces a termination notice of the endpoint.
     terminating: bool,
+    /// What the endpoint told the peer of its request rate limit.
+    limit: Option<RequestLimit>,
 }
 
 /// Decodes a peer's report, or returns `None` if the endpoint id is invalid.
@@ -207,6 +223,7 @@
             endpoint_errors: from_milli(report.own_faults_milli),
         },
         terminating,
+        limit: report.limit,
     })
 }
 
@@ -221,6 +238,13 @@
     same_zone: bool,
 ) -> bool {
     state.outcomes.record_peer_report(now, report.endpoint.clone(), report.suspicion, same_zone);
+    if let Some(limit) = report.limit.map(|limit| decode_limit(now, limit))
+        && state.endpoint_limits.on_peer_report(&report.endpoint, limit)
+    {
+        info!(endpoint = report.endpoint.as_str(), limited = limit.rate.is_some(),
+            per_s:% = limit.rate.unwrap_or_default();
+            "peer VM reported a change of the endpoint's request rate limit");
+    }
     let is_new_notice = report.terminating && state.endpoints.mark_terminating(&report.endpoint);
     if is_new_notice {
         info!(endpoint = report.endpoint.as_str();
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -77,7 +77,11 @@
         state.suspects.requests.expire(now);
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
-        state.warmups.retain(|id| endpoints.get(id).is_some_and(|e| e.cold_until_ms > now));
+        let limits = &state.endpoint_limits;
+        state.rate_limiter.retain(|id| {
+            let is_cold = endpoints.get(id).is_some_and(|endpoint| endpoint.cold_until_ms > now);
+            is_cold || limits.get(id).is_some()
+        });
         state.endpoint_limits.expire(now, |id| endpoints.get(id).is_some());
         state.endpoints.expire(now)
     });
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -114,6 +114,20 @@
     /// Whether the endpoint has notified the sender directly that it is shutting down.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// Request rate limit that the endpoint names; absent if the sender knows nothing of one.
+    #[prost(message, optional, tag = "9")]
+    pub limit: ::core::option::Option<RequestLimit>,
+}
+/// What an answer of an endpoint said of its request rate limit.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RequestLimit {
+    /// Requests that the endpoint takes from all VMs together, in millionths of a request per second;
+    /// absent if the limit has ended.
+    #[prost(uint64, optional, tag = "1")]
+    pub micro_per_s: ::core::option::Option<u64>,
+    /// Time since the answer arrived, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 /// A crash of an endpoint that may have been caused by a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod continuity;
 pub mod crash_reports;
 pub mod endpoint_limits;
+pub mod endpoint_rate;
 pub mod endpoints;
 pub mod load;
 pub mod outcomes;
@@ -20,7 +21,6 @@
 pub mod shutdown;
 pub mod silent_runs;
 pub mod table;
-pub mod warmup;
 
 pub use endpoints::{EndpointEntry, EndpointState, EndpointTable};
 pub use table::{
