Poison segments: a report of a crash costs little while many engines fail

Each report went through 256 crashes and all their suspects several times; a zone that is lost brings hundreds of reports at once. 64 crashes are remembered now, the evidence is collected for the segments of the run only, and the comparison with the other segments is made only if it suffices for one of them. Same decisions, same tests; the time was not measured.

--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -142,6 +142,9 @@
     /// Discards these crashes, because something else has caused them. The requests that are refused
     /// only because of them are accepted again.
     pub fn disregard(&mut self, numbers: &BTreeSet<u64>) {
+        if numbers.is_empty() {
+            return;
+        }
         for record in self.records.values_mut() {
             let known = record.crashes.len();
             record.crashes.retain(|number, _| !numbers.contains(number));
--- a/crates/routing/src/poison_segments.rs
+++ b/crates/routing/src/poison_segments.rs
@@ -41,8 +41,9 @@
 const RETENTION_MS: u64 = 600_000;
 /// Time for which a segment is known to have been sound, in milliseconds.
 const SOUND_MS: u64 = 60_000;
-/// Maximum number of crashes that are remembered.
-const MAX_CRASH_RECORDS: usize = 256;
+/// Maximum number of crashes that are remembered. A decision needs a few of them, and each report
+/// goes through all.
+const MAX_CRASH_RECORDS: usize = 64;
 /// Maximum number of segments that are known to be sound.
 const MAX_SOUND_SEGMENTS: usize = 4_096;
 /// Maximum number of segments that are refused.
@@ -193,7 +194,7 @@
             suspect.answer_began |= run.answer_began;
             suspect.requests.insert(run.request);
         }
-        let cause = self.revise_refusals(now).or_else(|| self.find_cause(now))?;
+        let cause = self.revise_refusals(now).or_else(|| self.find_cause(now, &run.segments))?;
         let poison = PoisonRequest { fingerprint: cause, refused_for_ms: RETENTION_MS };
         self.refuse(now, poison).then_some(cause)
     }
@@ -201,6 +202,9 @@
     /// Ends the refusal of a segment if another one explains its crashes better, and returns the
     /// other one.
     fn revise_refusals(&mut self, now: BootMs) -> Option<Fingerprint> {
+        if self.refused.is_empty() {
+            return None;
+        }
         let crash_sets = self.crash_sets(|suspect| suspect.answer_began);
         let (wrong, cause) = self.refused.keys().find_map(|refused| {
             let known = crash_sets.get(refused)?;
@@ -232,46 +236,51 @@
         sets
     }
 
-    /// Returns the segment that explains crashes best, if the evidence against it is sufficient.
-    fn find_cause(&self, now: BootMs) -> Option<Fingerprint> {
-        let evidence = self.evidence(now);
-        let crash_sets = self.crash_sets(|_| true);
-        let sufficient = evidence.into_iter().filter_map(|(segment, evidence)| {
-            let was_sound = self.sound_since(now, segment).is_some();
-            let known = crash_sets.get(&segment)?;
-            let is_spared = crash_sets.values().any(|other| other.may_explain_above(known));
-            let is_candidate = evidence.is_sufficient(was_sound) && !is_spared;
-            is_candidate.then_some((segment, was_sound, evidence))
+    /// Returns the one of these segments that explains crashes best, if the evidence against it is
+    /// sufficient.
+    fn find_cause(&self, now: BootMs, segments: &[Fingerprint]) -> Option<Fingerprint> {
+        let sufficient = segments.iter().filter_map(|segment| {
+            let was_sound = self.sound_since(now, *segment).is_some();
+            let evidence = self.evidence(now, *segment);
+            evidence.is_sufficient(was_sound).then_some((*segment, was_sound, evidence))
         });
-        let best = sufficient.max_by_key(|(_, was_sound, evidence)| {
+        let sufficient: Vec<_> = sufficient.collect();
+        if sufficient.is_empty() {
+            return None;
+        }
+        let crash_sets = self.crash_sets(|_| true);
+        let is_spared = |segment: &Fingerprint| {
+            let known = crash_sets.get(segment);
+            known.is_none_or(|known| crash_sets.values().any(|set| set.may_explain_above(known)))
+        };
+        let candidates = sufficient.into_iter().filter(|(segment, ..)| !is_spared(segment));
+        let best = candidates.max_by_key(|(_, was_sound, evidence)| {
             let Evidence { at_beginning, in_all, depth, .. } = evidence;
             (Reverse(*was_sound), at_beginning.count, in_all.count, *depth)
         });
         best.map(|(segment, ..)| segment)
     }
 
-    /// Returns what speaks against each segment: the crashes that nothing explains and after which
-    /// the segment was not sound.
-    fn evidence(&self, now: BootMs) -> BTreeMap<Fingerprint, Evidence> {
-        let mut evidence: BTreeMap<Fingerprint, Evidence> = BTreeMap::new();
-        let unexplained =
-            self.crashes.iter().filter(|(number, _)| !self.is_explained(now, **number));
-        let mut unexplained: Vec<_> = unexplained.map(|(_, crash)| crash).collect();
-        unexplained.sort_by_key(|crash| crash.seen_ms);
-        for crash in unexplained {
-            for (segment, suspect) in &crash.suspects {
-                let sound_ms = self.sound.get(segment);
-                if sound_ms.is_some_and(|sound_ms| *sound_ms >= crash.seen_ms) {
-                    continue;
-                }
-                let evidence = evidence.entry(*segment).or_default();
-                evidence.depth = evidence.depth.max(suspect.depth);
-                evidence.in_all.add(crash.seen_ms);
-                if suspect.answer_began {
-                    evidence.at_beginning.add(crash.seen_ms);
-                }
-                evidence.requests.extend(&suspect.requests);
+    /// Returns what speaks against the segment: the crashes that nothing explains and after which it
+    /// was not sound.
+    fn evidence(&self, now: BootMs, segment: Fingerprint) -> Evidence {
+        let sound_ms = self.sound.get(&segment);
+        let crashes = self.crashes.iter().filter_map(|(number, crash)| {
+            let suspect = crash.suspects.get(&segment)?;
+            let was_sound_later = sound_ms.is_some_and(|sound_ms| *sound_ms >= crash.seen_ms);
+            let counts = !was_sound_later && !self.is_explained(now, *number);
+            counts.then_some((crash.seen_ms, suspect))
+        });
+        let mut crashes: Vec<_> = crashes.collect();
+        crashes.sort_by_key(|(seen_ms, _)| *seen_ms);
+        let mut evidence = Evidence::default();
+        for (seen_ms, suspect) in crashes {
+            evidence.depth = evidence.depth.max(suspect.depth);
+            evidence.in_all.add(seen_ms);
+            if suspect.answer_began {
+                evidence.at_beginning.add(seen_ms);
             }
+            evidence.requests.extend(&suspect.requests);
         }
         evidence
     }
@@ -310,8 +319,7 @@
 
     /// Reports whether the segment was sound lately and few crashes since then speak against it.
     fn is_defended(&self, now: BootMs, segment: Fingerprint) -> bool {
-        self.sound_since(now, segment).is_some()
-            && !self.evidence(now).remove(&segment).unwrap_or_default().is_sufficient(true)
+        self.sound_since(now, segment).is_some() && !self.evidence(now, segment).is_sufficient(true)
     }
 
     /// Records that answers on these segments were completed or went on.
@@ -376,15 +384,13 @@
     /// Returns the suspects that are known to be sound, by fingerprint, with the time since when, so
     /// that peers don't refuse them.
     pub fn sound_suspects(&self, now: BootMs) -> impl Iterator<Item = (CompletedRequest, BootMs)> {
-        let mut evidence = self.evidence(now);
         let recent = self.crashes.values().filter(|crash| now.since(crash.seen_ms) < SOUND_MS);
         let suspects: BTreeSet<_> = recent.flat_map(|crash| crash.suspects.keys()).collect();
         suspects.into_iter().filter_map(move |segment| {
             let sound_ms = self.sound_since(now, *segment)?;
             let valid_for_ms = SOUND_MS.saturating_sub(now.since(sound_ms));
-            let against = evidence.remove(segment).unwrap_or_default();
             let fact = CompletedRequest { fingerprint: *segment, valid_for_ms };
-            (!against.is_sufficient(true)).then_some((fact, sound_ms))
+            self.is_defended(now, *segment).then_some((fact, sound_ms))
         })
     }
 
