Stand-in proxy: closed connections are not kept open, and a dropped proxy ends

Cause: the proxy kept both sides of each connection, to be able to close them, until it was next told to close all connections.

Change: a connection is forgotten when both directions have ended. Dropping the last value of a proxy closes its connections and ends its threads; the admin interface keeps one.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -4,10 +4,9 @@
 
 use rouille::{Response, Server};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -19,6 +18,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Interval at which a stalled connection checks whether the fault has ended, in milliseconds.
 const STALL_POLL_INTERVAL_MS: u64 = 20;
+/// Interval at which the thread that forwards datagrams checks whether it must end, in milliseconds.
+const STOP_POLL_INTERVAL_MS: u64 = 100;
 /// Maximum size of a UDP datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
@@ -65,9 +66,13 @@
     /// Epoch that new connections belong to. Connections of an earlier epoch are stalled
     /// permanently.
     epoch: u64,
-    /// Both sides of the connections accepted since [`Fault::CloseConnections`] was last set, kept
-    /// so that this fault can close them.
-    open_streams: Vec<TcpStream>,
+    /// Both sides of the open connections by number, kept so that [`Fault::CloseConnections`] can
+    /// close them.
+    open_streams: BTreeMap<u64, Vec<TcpStream>>,
+    /// Number of the next connection.
+    next_connection: u64,
+    /// Whether the proxy was dropped, so that its threads must end.
+    stopped: bool,
     /// Senders whose datagrams are dropped.
     blocked_senders: BTreeSet<SocketAddr>,
     block_all_senders: bool,
@@ -75,13 +80,40 @@
     exempt_prefix: Option<&'static str>,
 }
 
-/// Running proxy for TCP and UDP, which both use the same address. The proxy runs until the process
-/// exits, also after the value is dropped.
+impl ProxyState {
+    /// Closes all open connections.
+    fn close_connections(&mut self) {
+        for stream in std::mem::take(&mut self.open_streams).into_values().flatten() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Running proxy for TCP and UDP, which both use the same address. The proxy runs until the last
+/// clone of the value is dropped.
 #[derive(Clone)]
 pub struct Proxy {
     state: Arc<Mutex<ProxyState>>,
-    stop_requested: Arc<AtomicBool>,
     address: SocketAddr,
+    _guard: Arc<StopGuard>,
+}
+
+/// Stops the threads of a proxy and closes its connections on drop.
+struct StopGuard {
+    state: Arc<Mutex<ProxyState>>,
+    address: SocketAddr,
+}
+
+impl Drop for StopGuard {
+    fn drop(&mut self) {
+        {
+            let mut state = lock(&self.state);
+            state.stopped = true;
+            state.close_connections();
+        }
+        // Wakes the thread that accepts connections.
+        drop(TcpStream::connect(self.address));
+    }
 }
 
 fn lock(state: &Mutex<ProxyState>) -> MutexGuard<'_, ProxyState> {
@@ -98,18 +130,22 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let datagrams = UdpSocket::bind(address)?;
+        datagrams.set_read_timeout(Some(Duration::from_millis(STOP_POLL_INTERVAL_MS)))?;
         let state = Arc::new(Mutex::new(ProxyState::default()));
-        let stop_requested = Arc::new(AtomicBool::new(false));
         let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if lock(&shared).stopped {
+                    return;
+                }
                 let shared = shared.clone();
                 thread::spawn(move || proxy_connection(stream, upstream_address, &shared));
             }
         });
         let shared = state.clone();
         thread::spawn(move || forward_datagrams(&datagrams, upstream_address, &shared));
-        Ok(Proxy { state, stop_requested, address })
+        let guard = Arc::new(StopGuard { state: state.clone(), address });
+        Ok(Proxy { state, address, _guard: guard })
     }
 
     /// Returns the address that the proxy listens on.
@@ -125,9 +161,7 @@
             state.epoch += 1;
         }
         if fault == Fault::CloseConnections {
-            for stream in state.open_streams.drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
+            state.close_connections();
         }
     }
 
@@ -151,7 +185,7 @@
         lock(&self.state).block_all_senders = block_all;
     }
 
-    /// Starts an admin server at `address` with `POST /fault/{name}` and `POST /delay/{ms}`.
+    /// Serves the admin interface at `address` until the process exits: `address` with `POST /fault/{name}` and `POST /delay/{ms}`.
     ///
     /// # Errors
     ///
@@ -174,12 +208,7 @@
             }
             Response::text("ok")
         })?;
-        let stop_requested = self.stop_requested.clone();
-        thread::spawn(move || {
-            while !stop_requested.load(Ordering::Relaxed) {
-                server.poll_timeout(Duration::from_millis(100));
-            }
-        });
+        thread::spawn(move || server.run());
         Ok(())
     }
 }
@@ -191,34 +220,62 @@
     upstream_address: SocketAddr,
     state: &Arc<Mutex<ProxyState>>,
 ) -> Option<()> {
-    let epoch = {
-        let mut state = lock(state);
-        if state.fault == Fault::CloseConnections {
-            return None;
-        }
-        state.open_streams.push(client.try_clone().ok()?);
-        state.epoch
-    };
+    let (open, epoch) = OpenConnection::register(&client, state)?;
     let exempt = is_exempt(&client, state);
     let upstream =
         TcpStream::connect_timeout(&upstream_address, Duration::from_millis(CONNECT_TIMEOUT_MS))
             .ok()?;
-    lock(state).open_streams.push(upstream.try_clone().ok()?);
+    open.add(&upstream)?;
     let _ = client.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
     let (to_upstream, to_client) = (upstream.try_clone().ok()?, client.try_clone().ok()?);
-    let shared = state.clone();
-    thread::spawn(move || match exempt {
-        true => copy_until_closed(client, to_upstream),
-        false => forward_with_faults(client, to_upstream, epoch, &shared, false),
+    thread::scope(|scope| {
+        scope.spawn(|| match exempt {
+            true => copy_until_closed(client, to_upstream),
+            false => forward_with_faults(client, to_upstream, epoch, state, false),
+        });
+        match exempt {
+            true => copy_until_closed(upstream, to_client),
+            false => forward_with_faults(upstream, to_client, epoch, state, true),
+        }
     });
-    match exempt {
-        true => copy_until_closed(upstream, to_client),
-        false => forward_with_faults(upstream, to_client, epoch, state, true),
-    }
     Some(())
 }
 
+/// An open connection, which is forgotten on drop.
+struct OpenConnection<'a> {
+    state: &'a Mutex<ProxyState>,
+    number: u64,
+}
+
+impl<'a> OpenConnection<'a> {
+    /// Registers a connection from a client and returns the epoch that it belongs to, or `None` if
+    /// the proxy accepts none.
+    fn register(client: &TcpStream, state: &'a Mutex<ProxyState>) -> Option<(Self, u64)> {
+        let mut locked = lock(state);
+        if locked.fault == Fault::CloseConnections || locked.stopped {
+            return None;
+        }
+        let number = locked.next_connection;
+        locked.next_connection += 1;
+        locked.open_streams.insert(number, vec![client.try_clone().ok()?]);
+        Some((OpenConnection { state, number }, locked.epoch))
+    }
+
+    /// Adds the other side of the connection, unless the connection was closed meanwhile.
+    fn add(&self, stream: &TcpStream) -> Option<()> {
+        let stream = stream.try_clone().ok()?;
+        lock(self.state).open_streams.get_mut(&self.number)?.push(stream);
+        Some(())
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        lock(self.state).open_streams.remove(&self.number);
+    }
+}
+
 /// Reports whether the first bytes of the connection are the prefix that is exempt from faults.
 fn is_exempt(client: &TcpStream, state: &Mutex<ProxyState>) -> bool {
     let Some(prefix) = lock(state).exempt_prefix else { return false };
@@ -250,14 +307,16 @@
             break;
         }
         loop {
-            let (fault, delay_ms, current_epoch) = {
+            let (fault, delay_ms, current_epoch, stopped) = {
                 let state = lock(state);
-                (state.fault, state.delay_ms, state.epoch)
+                (state.fault, state.delay_ms, state.epoch, state.stopped)
             };
             let stalled = fault == Fault::Stall
                 || current_epoch > epoch
                 || (fault == Fault::StallResponses && is_response);
-            if fault == Fault::CloseConnections || (fault == Fault::CloseOnResponse && is_response)
+            if stopped
+                || fault == Fault::CloseConnections
+                || (fault == Fault::CloseOnResponse && is_response)
             {
                 let _ = from.shutdown(Shutdown::Both);
                 let _ = to.shutdown(Shutdown::Both);
@@ -281,7 +340,11 @@
 fn forward_datagrams(socket: &UdpSocket, upstream_address: SocketAddr, state: &Mutex<ProxyState>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((count, sender)) = socket.recv_from(&mut buffer) else { continue };
+        let received = socket.recv_from(&mut buffer);
+        if lock(state).stopped {
+            return;
+        }
+        let Ok((count, sender)) = received else { continue };
         let blocked = {
             let state = lock(state);
             state.block_all_senders || state.blocked_senders.contains(&sender)
--- /dev/null
+++ b/crates/standins/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins.
+
+mod proxy;
