Test: a poison segment becomes known in fleets of 7 to 420 VMs

In virtual time, with 3 in 100 datagrams lost: five crashes 120 ms apart, each seen by another VM, are known to all VMs 3 s after the fifth.

--- a/crates/daemon/tests/testsuite/crash_spread.rs
+++ b/crates/daemon/tests/testsuite/crash_spread.rs
@@ -16,6 +16,22 @@
     }
 }
 
+/// Guards against a segment whose crashes are seen in different zones and reach the other VMs several
+/// in one heartbeat.
+#[test]
+fn a_poison_segment_is_refused_by_all_vms_within_three_seconds_of_the_fifth_crash() {
+    for (vms, zones) in [(7, 4), (18, 3), (86, 5), (90, 4), (420, 16)] {
+        let mut fleet = SimulatedFleet::start(vms, zones, 0.03);
+        for n in 0..5 {
+            fleet.run(120);
+            fleet.crash_under_segment(vms - 1 - n % vms, zones, n as u64);
+        }
+        fleet.run(3_000);
+        let accepting = fleet.vms_accepting_segment();
+        assert_eq!(accepting, 0, "{accepting} of {vms} VMs in {zones} zones still send it");
+    }
+}
+
 /// Guards against VMs that miss the reports of the crashes and never learn of them.
 #[test]
 fn a_vm_that_missed_the_crashes_refuses_the_request_within_three_seconds_of_its_return() {
--- a/crates/daemon/tests/testsuite/simulated_fleet.rs
+++ b/crates/daemon/tests/testsuite/simulated_fleet.rs
@@ -15,6 +15,7 @@
 pub const START: BootMs = BootMs(1_000_000);
 pub const STEP_MS: u64 = 20;
 pub const POISON: Fingerprint = Fingerprint(7);
+pub const POISON_SEGMENT: Fingerprint = Fingerprint(8);
 /// Number of crashes after which the request is refused.
 const MAX_CRASHES: usize = 3;
 /// Time until each VM of a fleet has heard of the others, in milliseconds.
@@ -138,6 +139,12 @@
             for poison in &reports.poison_requests {
                 receiver.suspects.requests.refuse(now, *poison);
             }
+            for sound in &reports.sound_segments {
+                receiver.suspects.segments.on_sound_at_peer(now, *sound);
+            }
+            for poison in &reports.poison_segments {
+                receiver.suspects.refuse_segment(now, *poison);
+            }
             if is_new {
                 self.send_heartbeat(target, Some(me.address));
             }
@@ -158,6 +165,24 @@
         vm.reports.record(self.now, &mut vm.suspects, crash, true);
     }
 
+    /// Lets an endpoint crash under a request of the VM with this number that shares
+    /// [`POISON_SEGMENT`] with others.
+    pub fn crash_under_segment(&mut self, vm: usize, zones: usize, number: u64) {
+        let endpoint = format!("engine-{number}").parse().expect("valid id");
+        let request = Fingerprint(1_000 + number);
+        let run = SuspectRun { request, segments: vec![POISON_SEGMENT], answer_began: true };
+        let crash = CrashReport { run, endpoint, number, keep_ms: CRASH_RETENTION_MS };
+        let vm = self.vms.get_mut(&peer(vm, zones).address).expect("known VM");
+        vm.reports.record(self.now, &mut vm.suspects, crash, true);
+    }
+
+    /// Returns the number of VMs that would still send requests with [`POISON_SEGMENT`].
+    pub fn vms_accepting_segment(&self) -> usize {
+        let accepts =
+            |vm: &&Vm| vm.suspects.segments.refused_for_ms(self.now, &[POISON_SEGMENT]).is_none();
+        self.vms.values().filter(accepts).count()
+    }
+
     /// Returns the number of VMs that would still send the poison request.
     pub fn accepting_vms(&self) -> usize {
         let accepts = |vm: &&Vm| vm.suspects.requests.refused_for_ms(self.now, POISON).is_none();
