A prompt segment that was sound lately spares no other

A segment is spared while a deeper one explains half of its crashes. In a storm in which nothing is completed, popular sound prompts wait at every engine that crashes, so a deeper segment of theirs would have spared the poison one for as long as the storm lasts.

Found by reading; the new test failed before.

--- a/crates/routing/src/poison_segments.rs
+++ b/crates/routing/src/poison_segments.rs
@@ -15,6 +15,7 @@
 //! beginnings, and the other requests with the same beginning are sound. The reports of the runs on
 //! an engine come one after the other and some are lost, so a segment is spared while a deeper one
 //! explains half of its crashes, and the choice is revised if another one turns out to explain more.
+//! A segment that was sound lately does neither.
 
 use crate::poison::{CompletedRequest, PoisonRequest};
 use gypsumchute_units::{BootMs, Fingerprint};
@@ -209,7 +210,9 @@
         let (wrong, cause) = self.refused.keys().find_map(|refused| {
             let known = crash_sets.get(refused)?;
             let better = crash_sets.iter().filter(|(segment, other)| {
-                self.refusal(now, **segment).is_none() && other.explains_better_than(known)
+                self.refusal(now, **segment).is_none()
+                    && self.sound_since(now, **segment).is_none()
+                    && other.explains_better_than(known)
             });
             let best = better.max_by_key(|(_, other)| (other.crashes.len(), other.depth));
             best.map(|(cause, _)| (*refused, *cause))
@@ -249,11 +252,16 @@
             return None;
         }
         let crash_sets = self.crash_sets(|_| true);
-        let is_spared = |segment: &Fingerprint| {
-            let known = crash_sets.get(segment);
-            known.is_none_or(|known| crash_sets.values().any(|set| set.may_explain_above(known)))
+        // A segment that was sound lately is unlikely to be the cause, so it spares no other.
+        let spares = |segment: &Fingerprint, known: &CrashSet, was_sound: bool| {
+            let is_likely = was_sound || self.sound_since(now, *segment).is_none();
+            is_likely && crash_sets.get(segment).is_some_and(|set| set.may_explain_above(known))
         };
-        let candidates = sufficient.into_iter().filter(|(segment, ..)| !is_spared(segment));
+        let candidates = sufficient.into_iter().filter(|(segment, was_sound, _)| {
+            let known = crash_sets.get(segment);
+            let mut others = crash_sets.keys();
+            known.is_some_and(|known| !others.any(|other| spares(other, known, *was_sound)))
+        });
         let best = candidates.max_by_key(|(_, was_sound, evidence)| {
             let Evidence { at_beginning, in_all, depth, .. } = evidence;
             (Reverse(*was_sound), at_beginning.count, in_all.count, *depth)
--- a/crates/routing/tests/testsuite/poison_segments.rs
+++ b/crates/routing/tests/testsuite/poison_segments.rs
@@ -99,6 +99,28 @@
     assert!(!is_refused(&tracker, now, FIRST));
 }
 
+/// Guards against a poison segment that is spared, because popular sound prompts with a deeper segment
+/// wait at every engine that crashes.
+#[test]
+fn a_segment_that_was_sound_lately_spares_no_other() {
+    const DEEPER: Fingerprint = Fingerprint(4);
+    let mut tracker = SegmentTracker::default();
+    tracker.on_sound(NOW, &[FIRST, SOUND, DEEPER]);
+    for n in 0..3 {
+        let now = NOW + 1 + n * GAP_MS;
+        for answer_began in [false, true] {
+            let popular = beginning(1_000 + n, &[FIRST, SOUND, DEEPER]);
+            tracker.record_run(now, n, &SuspectRun { answer_began, ..popular });
+        }
+        tracker.record_run(now, n, &beginning(n, &[FIRST, POISON]));
+    }
+    let now = NOW + 3 * GAP_MS;
+    assert!(is_refused(&tracker, now, POISON));
+    tracker.record_run(now, 3, &beginning(2_000, &[FIRST, SOUND, DEEPER]));
+    assert!(is_refused(&tracker, now, POISON));
+    assert!(!is_refused(&tracker, now, SOUND) && !is_refused(&tracker, now, DEEPER));
+}
+
 /// Guards against a poison segment at the beginning of the prompt that is never refused.
 #[test]
 fn the_first_segment_is_refused_if_the_deeper_ones_of_its_crashes_differ() {
