Daemon: placing, endpoint rates and crashes have modules of their own

Functions are moved as they are: a comparison of the lines removed and added shows imports, visibility and module headers only.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,15 +1,13 @@
 //! A caller's request from admission until an endpoint has answered it.
 
-use crate::context::{Context, LoadGuard, RateExhausted};
+use crate::context::Context;
 use bytes::Bytes;
-use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream, TcpTimeouts};
+use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::{
     ForwardedHeaders, KvSource, RequestHead, ResponseKind, classify_response, endpoints,
 };
-use gypsumchute_routing::admission::{QueuePosition, max_queue_wait_ms, retry_after_ms};
+use gypsumchute_routing::admission::retry_after_ms;
 use gypsumchute_routing::load::Load;
-use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_routing::placement::{Placement, PlacementRequest, choose_endpoint};
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::SilentRun;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
@@ -22,15 +20,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::timeout;
 
-/// Timeout for connecting to an endpoint, in milliseconds. A connection normally takes a few
-/// milliseconds, but TCP retransmits a lost packet only after 1 s, so another endpoint is tried
-/// before that.
-const CONNECT_TIMEOUT_MS: u64 = 150;
-/// Number of failed connection attempts after which a request is refused.
-const MAX_CONNECT_FAILURES: u32 = 4;
 /// Factor applied to the estimate of the output length that the caller gives, as a safety margin.
 const OUTPUT_ESTIMATE_MARGIN: f64 = 1.25;
 /// Fraction of the maximum output length that is expected if the caller gives no estimate.
@@ -70,82 +60,6 @@
     pub random_value: u64,
 }
 
-/// An open connection to the endpoint that was chosen for a request. The request is sent on it
-/// once.
-pub struct EndpointConnection {
-    /// Endpoint that was chosen.
-    pub endpoint: EndpointId,
-    /// Address of the endpoint.
-    pub address: SocketAddr,
-    /// Open connection to the endpoint.
-    pub connection: Connection,
-    /// Accounts for the load of the request at the endpoint.
-    pub load_guard: LoadGuard,
-}
-
-/// Result of an attempt to place a request without waiting.
-enum PlaceAttempt {
-    /// This endpoint has capacity and takes the request now.
-    Endpoint(EndpointId),
-    /// All suitable endpoints are full or cold, or requests ahead in the queue take precedence.
-    AtCapacity,
-    /// There is no suitable endpoint.
-    NoEndpoint,
-    /// All suitable endpoints have named limits, which are used up.
-    RateLimited {
-        /// Time until one of them takes a request from this VM, in milliseconds; `u64::MAX` if none
-        /// does.
-        wait_ms: u64,
-        /// Time after which a caller may find room at some VM, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
-/// Endpoints that were passed over because of the rate that they take.
-#[derive(Default)]
-struct LimitedEndpoints {
-    /// Whether one of them is cold and has named no limit.
-    any_cold: bool,
-    wait_ms: Option<u64>,
-    interval_ms: Option<u64>,
-}
-
-impl LimitedEndpoints {
-    /// Adds an endpoint that was passed over.
-    fn add(&mut self, exhausted: RateExhausted) {
-        self.any_cold |= !exhausted.is_named;
-        let shorter = |known: Option<u64>, ms: u64| Some(known.map_or(ms, |known| known.min(ms)));
-        if let Some(wait_ms) = exhausted.wait_ms {
-            self.wait_ms = shorter(self.wait_ms, wait_ms);
-        }
-        self.interval_ms = shorter(self.interval_ms, exhausted.rate.interval_ms());
-    }
-
-    /// Returns the outcome if no endpoint is left besides these.
-    fn outcome(&self) -> PlaceAttempt {
-        match self.interval_ms {
-            Some(interval_ms) if !self.any_cold => PlaceAttempt::RateLimited {
-                wait_ms: self.wait_ms.unwrap_or(u64::MAX),
-                retry_after_ms: self.wait_ms.unwrap_or(interval_ms),
-            },
-            _ => PlaceAttempt::AtCapacity,
-        }
-    }
-}
-
-/// A request's place in the admission queue, which is released on drop.
-struct QueueEntry {
-    context: Rc<Context>,
-    position: QueuePosition,
-}
-
-impl Drop for QueueEntry {
-    fn drop(&mut self) {
-        self.context.with(|state| state.admission_queue.remove(self.position));
-        self.context.notify_changed();
-    }
-}
-
 impl Call {
     /// Returns the request id for log lines, or `-` if the caller sent none.
     pub fn id(&self) -> &str {
@@ -217,162 +131,6 @@
         Some(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, refused_for_ms))
     }
 
-    /// Chooses an endpoint with capacity and connects to it. If all endpoints are full, waits in
-    /// the admission queue for at most [`max_queue_wait_ms`], which leaves the endpoint enough time
-    /// for the response.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if no endpoint could be reached. Nothing was sent.
-    pub async fn place_and_connect(
-        &self,
-        excluded: &BTreeSet<EndpointId>,
-    ) -> Result<EndpointConnection, Refusal> {
-        let mut excluded = excluded.clone();
-        let mut failures = 0;
-        loop {
-            let (endpoint, address) = self.wait_for_capacity(&excluded).await?;
-            self.log_placement(&endpoint);
-            let load_guard = self.context.reserve_load(&endpoint, self.load_before_prefill());
-            let limit_ms = CONNECT_TIMEOUT_MS.min(self.remaining_ms());
-            match Connection::open(address, limit_ms, TcpTimeouts::Long).await {
-                // The endpoint may have gone out of service while the connection was being opened.
-                Ok(_)
-                    if !self.context.with(|state| state.endpoints.accepts_requests(&endpoint)) =>
-                {
-                    excluded.insert(endpoint);
-                }
-                Ok(connection) => {
-                    if let Some(refusal) = self.poison_refusal() {
-                        return Err(refusal);
-                    }
-                    return Ok(EndpointConnection { endpoint, address, connection, load_guard });
-                }
-                Err(err) => {
-                    self.context.record_outcome(&endpoint, RequestOutcome::TransportError);
-                    self.context.metrics.count_retry("no_connection");
-                    info!(request = self.id(), endpoint = endpoint.as_str(), error:% = err;
-                        "could not connect to endpoint");
-                    excluded.insert(endpoint);
-                    failures += 1;
-                }
-            }
-            if failures >= MAX_CONNECT_FAILURES || self.remaining_ms() == 0 {
-                return Err(
-                    self.retryable_refusal(RefusalReason::NoEndpoint, self.route.latency_target_ms)
-                );
-            }
-        }
-    }
-
-    /// Waits in the admission queue until an endpoint has capacity, and returns the endpoint and
-    /// the address it listens on.
-    async fn wait_for_capacity(
-        &self,
-        excluded: &BTreeSet<EndpointId>,
-    ) -> Result<(EndpointId, SocketAddr), Refusal> {
-        let mut changes = self.context.changes();
-        let max_wait_ms = max_queue_wait_ms(&self.route, self.remaining_ms());
-        let queue_deadline_ms = self.arrived_ms + max_wait_ms;
-        let priority = self.priority();
-        let tokens = self.load().reserved_tokens;
-        let position = self.context.with(|state| state.admission_queue.enqueue(priority, tokens));
-        let _queue_entry = QueueEntry { context: self.context.clone(), position };
-        loop {
-            if let Some(refusal) = self.poison_refusal() {
-                return Err(refusal);
-            }
-            let left_ms = boot_now().until(queue_deadline_ms);
-            let (reason, wait_ms) = match self.try_place(position, excluded) {
-                PlaceAttempt::Endpoint(endpoint) => {
-                    let found = self.context.with(|state| {
-                        state.endpoints.get(&endpoint).map(|found| found.entry.address)
-                    });
-                    match found {
-                        Some(address) => return Ok((endpoint, address)),
-                        None => (RefusalReason::NoEndpoint, left_ms),
-                    }
-                }
-                PlaceAttempt::AtCapacity => (RefusalReason::NoRoom, left_ms),
-                PlaceAttempt::NoEndpoint => (RefusalReason::NoEndpoint, left_ms),
-                PlaceAttempt::RateLimited { wait_ms, .. } if wait_ms < left_ms => {
-                    (RefusalReason::NoRoom, wait_ms)
-                }
-                // No endpoint takes the request in time, so waiting would be in vain.
-                PlaceAttempt::RateLimited { retry_after_ms, .. } => {
-                    return Err(self.retryable_refusal(RefusalReason::NoRoom, retry_after_ms));
-                }
-            };
-            if left_ms == 0 {
-                return Err(self.retryable_refusal(reason, self.route.latency_target_ms));
-            }
-            // Both outcomes are handled by the next iteration, which checks the placement and the
-            // deadline.
-            let wait = timeout(Duration::from_millis(wait_ms), changes.changed());
-            drop(wait.await);
-        }
-    }
-
-    /// Chooses an endpoint without waiting. Endpoints that take no more requests now, because they
-    /// are cold or have named a limit, are passed over.
-    fn try_place(&self, position: QueuePosition, excluded: &BTreeSet<EndpointId>) -> PlaceAttempt {
-        let now = boot_now();
-        let mut excluded = excluded.clone();
-        let mut limits = LimitedEndpoints::default();
-        self.context.with(|state| {
-            if !state.admission_queue.may_attempt_placement(position) {
-                return PlaceAttempt::AtCapacity;
-            }
-            loop {
-                let demand = PlacementRequest {
-                    service: &self.service,
-                    load: self.load(),
-                    excluded_endpoints: &excluded,
-                    allowed_zones: &self.zones,
-                    random_value: self.random_value,
-                };
-                let endpoint =
-                    match choose_endpoint(now, state.fleet(&self.context.settings), demand) {
-                        Placement::Endpoint(endpoint) => endpoint,
-                        Placement::AtCapacity => return PlaceAttempt::AtCapacity,
-                        Placement::NoEndpoint if excluded.is_empty() => {
-                            return PlaceAttempt::NoEndpoint;
-                        }
-                        Placement::NoEndpoint => return limits.outcome(),
-                    };
-                let cold_per_s = self.service.cold_start_rate_per_s;
-                let vm = &self.context.settings.vm;
-                match state.acquire_endpoint(now, &endpoint, cold_per_s, vm) {
-                    Ok(()) => return PlaceAttempt::Endpoint(endpoint),
-                    Err(exhausted) => limits.add(exhausted),
-                }
-                excluded.insert(endpoint);
-            }
-        })
-    }
-
-    /// Logs the values that led to the choice of `endpoint`.
-    fn log_placement(&self, endpoint: &EndpointId) {
-        let now = boot_now();
-        let (load, suspicion, revision) = self.context.with(|state| {
-            let suspicion = state.outcomes.suspicion(now, endpoint);
-            (state.loads.total(endpoint), suspicion, state.store_copy.revision())
-        });
-        info!(
-            request = self.id(),
-            fingerprint:% = self.fingerprint,
-            endpoint = endpoint.as_str(),
-            waited_ms = now.since(self.arrived_ms),
-            needs_tokens = self.load().reserved_tokens,
-            requests_there = load.requests,
-            memory_tokens_there = load.memory_tokens(),
-            unread_tokens_there = load.pending_prefill_tokens,
-            suspicion,
-            store_revision = revision;
-            "request placed"
-        );
-    }
-
     /// Sends the request on `connection` and waits for the response head.
     ///
     /// # Errors
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,20 +5,18 @@
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
-use gypsumchute_routing::crash_reports::{CrashReport, CrashReports, Suspects};
+use gypsumchute_routing::crash_reports::{CrashReports, Suspects};
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
-use gypsumchute_routing::endpoint_rate::{EndpointRate, EndpointRateLimiter, SendPermission};
+use gypsumchute_routing::endpoint_rate::EndpointRateLimiter;
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
-use gypsumchute_routing::poison_segments::SuspectRun;
-use gypsumchute_routing::silent_runs::{SilentRun, SilentRuns};
+use gypsumchute_routing::silent_runs::SilentRuns;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Fingerprint, RequestRate, ServiceId, VmId, ZoneId};
-use log::info;
+use gypsumchute_units::{BootMs, EndpointId, ServiceId, ZoneId};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::cell::{Cell, RefCell};
@@ -75,7 +73,7 @@
     /// Requests and segments of prompts that may have crashed endpoints.
     pub suspects: Suspects,
     /// Runs that ended without a response, whose endpoints may have crashed.
-    silent_runs: SilentRuns,
+    pub silent_runs: SilentRuns,
     /// Endpoints that have vanished from the registry without notice since the last call of
     /// [`Context::settle_vanished_endpoints`].
     pub vanished_endpoints: Vec<EndpointId>,
@@ -104,18 +102,6 @@
     termination_notices: BTreeMap<EndpointId, BootMs>,
 }
 
-/// Rate of an endpoint that this VM may not send to now.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RateExhausted {
-    /// Whether the endpoint has named a limit.
-    pub is_named: bool,
-    /// Time after which this VM may send a request, in milliseconds; `None` if other VMs use the
-    /// whole rate.
-    pub wait_ms: Option<u64>,
-    /// Rate that the endpoint takes from all VMs together.
-    pub rate: EndpointRate,
-}
-
 /// Peers that receive the load notes of an endpoint.
 pub struct LoadNoteTargets {
     /// Addresses of the peers.
@@ -355,84 +341,11 @@
     }
 
     /// Tells peers at once what this VM has learned of `endpoint`.
-    fn announce_soon(&self, endpoint: &EndpointId) {
+    pub fn announce_soon(&self, endpoint: &EndpointId) {
         self.pending_load_notes.borrow_mut().insert(endpoint.clone());
         self.load_notes_due.notify_one();
         self.heartbeat_due.notify_one();
     }
-
-    /// Takes permission to send a request other than a new one to `endpoint`, which may have named a
-    /// limit.
-    pub fn may_send_to(&self, endpoint: &EndpointId) -> bool {
-        let now = boot_now();
-        let permission = self.with(|state| {
-            let rate = state.named_rate(now, endpoint)?;
-            Some(state.acquire_rate(now, endpoint, rate, &self.settings.vm))
-        });
-        permission.is_none_or(|permission| permission == SendPermission::Granted)
-    }
-
-    /// Records the request rate limit that `endpoint` named in an answer, or that it named none.
-    pub fn record_endpoint_limit(&self, endpoint: &EndpointId, rate: Option<RequestRate>) {
-        let now = boot_now();
-        if self.with(|state| state.endpoint_limits.on_answer(now, endpoint, rate)) {
-            info!(endpoint = endpoint.as_str(), per_s:% = rate.unwrap_or_default(),
-                limited = rate.is_some();
-                "endpoint changed its request rate limit");
-            self.announce_soon(endpoint);
-        }
-    }
-
-    /// Records a run that ended without a response. Returns whether its endpoint crashed, as far as
-    /// known by now.
-    pub fn record_silent_run(&self, run: SilentRun) -> bool {
-        self.with(|state| state.silent_runs.on_run_ended(boot_now(), run))
-    }
-
-    /// Records the crashes of endpoints that have vanished from the registry without notice while
-    /// requests ran on them without a response.
-    pub fn settle_vanished_endpoints(&self) {
-        for endpoint in self.with(|state| std::mem::take(&mut state.vanished_endpoints)) {
-            let now = boot_now();
-            let crashed = self.with(|state| state.silent_runs.on_endpoint_vanished(now, &endpoint));
-            for run in crashed {
-                let fingerprint = run.request;
-                let crashes = self.record_crash(run, &endpoint);
-                info!(fingerprint:% = fingerprint, endpoint = endpoint.as_str(),
-                    cause = "no response, then unregistered without notice", crashes;
-                    "endpoint crash held against request");
-            }
-        }
-    }
-
-    /// Records that `endpoint` crashed during this run. Returns the number of known crashes of the
-    /// request.
-    pub fn record_crash(&self, run: SuspectRun, endpoint: &EndpointId) -> usize {
-        let (now, fingerprint) = (boot_now(), run.request);
-        let (recorded, crashes) = self.with(|state| {
-            let started_ms = state.endpoints.get(endpoint).and_then(|e| e.entry.started_wall_ms);
-            let requests = &state.suspects.requests;
-            let number = requests.crash_number(now, fingerprint, endpoint, started_ms);
-            let keep_ms = CRASH_RETENTION_MS;
-            let crash = CrashReport { run, endpoint: endpoint.clone(), number, keep_ms };
-            let recorded = state.crash_reports.record(now, &mut state.suspects, crash, true);
-            (recorded, state.suspects.requests.crash_count(now, fingerprint))
-        });
-        if let Some(segment) = recorded.poison_segment {
-            self.on_poison_segment(segment);
-        }
-        if recorded.is_new {
-            self.metrics.count_endpoint_crash("local");
-            self.heartbeat_due.notify_one();
-        }
-        crashes
-    }
-
-    /// Logs that a prompt segment is refused from now on, and wakes the requests that wait.
-    pub fn on_poison_segment(&self, segment: Fingerprint) {
-        info!(segment:% = segment; "prompt segment refused: it crashes endpoints");
-        self.notify_changed();
-    }
 }
 
 impl State {
@@ -449,61 +362,6 @@
         }
     }
 
-    /// Returns the rate that `endpoint` takes because of a limit that it has named.
-    fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
-        let limit = self.endpoint_limits.get(endpoint)?;
-        EndpointRate::named(now, limit)
-    }
-
-    /// Returns the rate that `endpoint` takes, if it has named a limit or is cold. A cold endpoint
-    /// takes `cold_per_s` requests a second; 0 means any number.
-    fn endpoint_rate(
-        &self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        cold_per_s: f64,
-    ) -> Option<EndpointRate> {
-        let found = self.endpoints.get(endpoint);
-        let is_cold = found.is_some_and(|found| found.cold_until_ms > now);
-        let cold = (is_cold && cold_per_s > 0.0).then(|| EndpointRate::cold(cold_per_s));
-        match (cold, self.named_rate(now, endpoint)) {
-            (Some(cold), Some(named)) => Some(cold.stricter(named)),
-            (cold, named) => cold.or(named),
-        }
-    }
-
-    /// Takes permission to send one request to `endpoint`, which takes requests at `rate`.
-    fn acquire_rate(
-        &mut self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        rate: EndpointRate,
-        local_vm: &VmId,
-    ) -> SendPermission {
-        let vms = self.members.known_vms();
-        self.rate_limiter.try_acquire(now, endpoint, rate, local_vm, &vms)
-    }
-
-    /// Takes permission to send one new request to `endpoint`. Returns what the endpoint takes, if
-    /// this VM may not send now.
-    pub fn acquire_endpoint(
-        &mut self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        cold_per_s: f64,
-        local_vm: &VmId,
-    ) -> Result<(), RateExhausted> {
-        let Some(rate) = self.endpoint_rate(now, endpoint, cold_per_s) else { return Ok(()) };
-        let is_named = self.named_rate(now, endpoint).is_some();
-        match self.acquire_rate(now, endpoint, rate, local_vm) {
-            SendPermission::Granted => Ok(()),
-            SendPermission::Later { wait_ms } => {
-                Err(RateExhausted { is_named, wait_ms: Some(wait_ms), rate })
-            }
-            SendPermission::OtherVms => Err(RateExhausted { is_named, wait_ms: None, rate }),
-        }
-    }
-
     /// Reports whether a registry entry that is removed now may only have expired, because the
     /// store was unavailable.
     pub fn registry_is_unreliable(&self, now: BootMs) -> bool {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -16,8 +16,9 @@
     Backup, GenerationEnd, RelayEnd, ResponseSender, Run, RunFailure, RunProgress, StartFrom,
     StartOutcome,
 };
-use crate::call::{Call, EndpointConnection, SendOptions};
+use crate::call::{Call, SendOptions};
 use crate::events::{EventAction, EventReader, EventSequence};
+use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
 use gypsumchute_exchange::{Connection, TcpTimeouts};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,18 +4,24 @@
 //! `gypsumchute-fleet`. All tasks run on a single thread and share a [`context::Context`].
 //!
 //! - [`ingress`] accepts callers' connections and admits their requests; a [`call`] is one admitted
-//!   request;
+//!   request, and [`placing`] chooses its endpoint;
 //! - [`plain`] and [`generation`] send requests to endpoints, relay their responses ([`reply`]) and
 //!   split streams into [`events`];
 //! - [`store_updates`] applies configuration and registry changes, which come from
 //!   [`store_reader`], from [`folder_reader`] or, through [`peer_sync`], from peers;
+//! - [`crashes`] records which requests may have crashed endpoints; [`endpoint_rates`] applies the
+//!   rates that endpoints take;
 //! - [`engine_reports`] polls engines for termination notices while the registry is stale;
-//! - [`gossip`] exchanges load and membership with peers; [`maintenance`] discards expired state;
+//! - [`gossip`] and [`crash_gossip`] exchange load, membership and crashes with peers;
+//!   [`maintenance`] discards expired state;
 //! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon, and
 //!   [`reload`] applies changed settings.
 
 pub mod call;
 pub mod context;
+pub mod crash_gossip;
+pub mod crashes;
+pub mod endpoint_rates;
 pub mod engine_reports;
 pub mod events;
 pub mod folder_reader;
@@ -24,6 +30,7 @@
 pub mod ingress;
 pub mod maintenance;
 pub mod peer_sync;
+pub mod placing;
 pub mod plain;
 pub mod process;
 pub mod reload;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -1,6 +1,7 @@
 //! Requests to plain services, which are answered by one complete response.
 
-use crate::call::{Call, EndpointConnection, SendOptions};
+use crate::call::{Call, SendOptions};
+use crate::placing::EndpointConnection;
 use crate::reply::{self, Reply, ReplyBody};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
