--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod poison;
 mod poison_segments;
 mod request_limits;
+mod restored_store;
 mod retry_budget;
 mod shutdown;
 mod simulated_fleet;
