Copies of the store are ordered by era, and across eras by the writer's own order

Callers saw a configuration that was acknowledged after the store came back from an older copy and was never in force: its routes were answered 404 and moved routes went to the old service.

Cause: everything was ordered by revision alone. A restore assigns revisions again, so a new write with a known number was taken for known, and the watch from that number returned nothing for it. Readers listed the store in a loop until the new history had passed the old one.

Responses name the store's era, and a position is now an era and a revision, in what is read, in heartbeats and in fetches between VMs. An item of a new era may come from the old copy, so the version of a configuration, or the start time and sequence of a registry entry, decides across eras. Keys that the store lost keep their values for 2.5 s. A VM that starts after the restore learns from its peers what the store lost.

Tests of members and copies build the new types; no bound or check changed.

The log keys revision and store_revision become position and store_position.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -88,6 +88,8 @@
     pub heartbeat_only_endpoints: BTreeSet<EndpointId>,
     /// Local copy of the data that the platform published.
     pub store_copy: StoreReplica,
+    /// When keys that the store has lost in a restore are dropped, if there are any.
+    pub write_again_deadline_ms: Option<BootMs>,
     /// Whether this VM reads the store, or a configuration folder, and the last read succeeded.
     pub reads_store: bool,
     /// When a read of the store last failed while no other VM could read it.
@@ -167,6 +169,7 @@
             unreachable_zones: BTreeSet::new(),
             heartbeat_only_endpoints: BTreeSet::new(),
             store_copy: StoreReplica::default(),
+            write_again_deadline_ms: None,
             reads_store: false,
             store_failure_ms: None,
             store_confirmed_ms: None,
--- a/crates/daemon/src/folder_reader.rs
+++ b/crates/daemon/src/folder_reader.rs
@@ -7,7 +7,7 @@
 use crate::store_updates::{FOLDER_KEY, UpdateSource, apply_changes};
 use gypsumchute_config::folder::read_folder;
 use gypsumchute_config::{ConfigErrors, FleetConfig};
-use gypsumchute_fleet::StoreItem;
+use gypsumchute_fleet::{StoreItem, StorePosition, WriterOrder};
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
 use std::collections::BTreeMap;
@@ -30,7 +30,7 @@
         match read(&folder) {
             Ok((files, _)) if last_files.as_ref() == Some(&files) => mark_store_current(&context),
             Ok((files, version)) => {
-                let in_force = context.with(|state| state.store_copy.revision());
+                let in_force = context.with(|state| state.store_copy.position().revision);
                 let changed = last_files.is_some();
                 info!(folder:% = folder.display(), version, in_force, changed;
                     "configuration folder read");
@@ -73,8 +73,10 @@
             return;
         }
     };
-    let item = StoreItem { key: FOLDER_KEY.to_owned(), revision: version, value };
-    apply_changes(context, UpdateSource::Folder, version, vec![item]);
+    let position = StorePosition { era: 0, revision: version };
+    let writer_order = WriterOrder::Unknown;
+    let item = StoreItem { key: FOLDER_KEY.to_owned(), position, value, writer_order };
+    apply_changes(context, UpdateSource::Folder, position, vec![item]);
     mark_store_current(context);
 }
 
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -6,11 +6,12 @@
     apply_completed, apply_crash, apply_poison_request, apply_poison_segment, apply_sound_segment,
     encode_completed, encode_crash, encode_poison_request,
 };
-use gypsumchute_fleet::PeerAddress;
+use crate::peer_sync::{decode_position, encode_position};
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
     Datagram, EndpointLoad, Heartbeat, LoadNote, Member, RequestLimit, datagram::Body,
 };
+use gypsumchute_fleet::{CopyProgress, PeerAddress, StorePosition};
 use gypsumchute_routing::crash_reports::{Audience, HeartbeatReports};
 use gypsumchute_routing::endpoint_limits::NamedLimit;
 use gypsumchute_routing::load::Load;
@@ -140,12 +141,13 @@
         if dropped > 0 {
             warn!(dropped; "too many endpoint crashes at once; some were not reported to peers");
         }
+        let progress = state.store_copy.progress();
         Heartbeat {
             vm: me.vm.to_string(),
             zone: me.zone.to_string(),
             ip: (*me.address.ip()).into(),
             port: me.address.port().into(),
-            store_revision: state.store_copy.revision(),
+            store_revision: progress.position.revision,
             reads_platform: state.reads_store,
             loads,
             members: members.iter().map(encode_member).collect(),
@@ -156,6 +158,8 @@
             completed_requests: completed_requests.into_iter().map(encode_completed).collect(),
             poison_segments: poison_segments.into_iter().map(encode_poison_request).collect(),
             sound_segments: sound_segments.into_iter().map(encode_completed).collect(),
+            store_era: progress.position.era,
+            merged: encode_position(progress.merged),
         }
     })
 }
@@ -343,10 +347,12 @@
     let reports = heartbeat.loads.iter().filter_map(decode_load);
     let reports: Vec<_> = reports.collect();
     let (is_new, any_terminating) = context.with(|state| {
+        let position =
+            StorePosition { era: heartbeat.store_era, revision: heartbeat.store_revision };
         let heard = HeartbeatSender {
             peer: peer.clone(),
             reads_platform: heartbeat.reads_platform,
-            store_revision: heartbeat.store_revision,
+            store_progress: CopyProgress { position, merged: decode_position(heartbeat.merged) },
         };
         let is_new = state.members.on_heartbeat(now, heard);
         let members = heartbeat.members.iter();
@@ -363,7 +369,7 @@
             &peer.vm,
             used.map(|report| (report.endpoint, report.load)),
         );
-        if heartbeat.reads_platform && heartbeat.store_revision <= state.store_copy.revision() {
+        if heartbeat.reads_platform && position <= state.store_copy.position() {
             state.store_confirmed_ms = Some(now);
         }
         (is_new, any_terminating)
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -149,10 +149,11 @@
         let Refusal { reason, verdict, retry_after_ms } = self.refusal;
         context.metrics.count_refusal(reason.into(), verdict.into());
         let version = context.with(|state| state.table.as_ref().map_or(0, |t| t.version.0));
-        let store_revision = context.with(|state| state.store_copy.revision());
+        let store_position = context.with(|state| state.store_copy.position());
         let fingerprint = self.fingerprint.map_or("-".to_owned(), |hash| hash.to_string());
         info!(request = self.request_id.as_str(), fingerprint, reason:% = reason, verdict:% = verdict,
-            retry_after_ms:? = retry_after_ms, version, store_revision; "request refused");
+            retry_after_ms:? = retry_after_ms, version, store_position:% = store_position;
+            "request refused");
         let mut reply = reply::refusal_reply(self.refusal);
         if self.close_connection {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -1,6 +1,8 @@
-//! Periodic tasks: detects unreachable zones and discards expired state.
+//! Periodic tasks: detects unreachable zones, and discards expired state and keys that the store has
+//! lost.
 
 use crate::context::Context;
+use crate::store_updates::drop_lost_keys;
 use gypsumchute_routing::load::PEER_LOAD_TTL_MS;
 use gypsumchute_units::time::boot_now;
 use log::info;
@@ -22,6 +24,7 @@
     loop {
         sleep(Duration::from_millis(ZONE_CHECK_INTERVAL_MS)).await;
         update_unreachable_zones(&context);
+        drop_lost_keys(&context);
         if next_expire_ms <= boot_now() {
             next_expire_ms = boot_now() + EXPIRE_INTERVAL_MS;
             update_heartbeat_only_endpoints(&context);
--- a/crates/daemon/src/peer_sync.rs
+++ b/crates/daemon/src/peer_sync.rs
@@ -12,8 +12,9 @@
 use flate2::write::DeflateEncoder;
 use futures_util::{SinkExt, StreamExt};
 use gypsumchute_exchange::{TcpTimeouts, set_tcp_timeouts};
-use gypsumchute_fleet::messages::{Item, PullReply, PullRequest};
-use gypsumchute_fleet::{PeerAddress, StoreItem};
+use gypsumchute_fleet::messages::{self, Item, LastEntry, PullReply, PullRequest};
+use gypsumchute_fleet::{CopyProgress, PeerAddress, StoreItem, StorePosition, WriterOrder};
+use gypsumchute_platform::items::writer_order;
 use gypsumchute_units::time::boot_now;
 use log::{info, warn};
 use prost::Message;
@@ -48,12 +49,12 @@
     loop {
         sleep(Duration::from_millis(PULL_POLL_INTERVAL_MS)).await;
         let now = boot_now();
-        let (revision, ahead) = context.with(|state| {
-            let revision = state.store_copy.revision();
-            (revision, state.members.peer_ahead_of(now, revision, &mut state.rng))
+        let (progress, ahead) = context.with(|state| {
+            let progress = state.store_copy.progress();
+            (progress, state.members.peer_ahead_of(now, progress, &mut state.rng))
         });
         let Some(peer) = ahead else { continue };
-        match timeout(Duration::from_millis(PULL_TIMEOUT_MS), pull(&peer, revision)).await {
+        match timeout(Duration::from_millis(PULL_TIMEOUT_MS), pull(&peer, progress)).await {
             Ok(Ok(reply)) => apply_reply(&context, &peer, reply),
             Ok(Err(err)) => {
                 info!(vm = peer.vm.as_str(), error:% = err; "failed to fetch changes from peer VM");
@@ -65,25 +66,67 @@
 
 /// Applies the changes or the snapshot that a peer sent.
 fn apply_reply(context: &Rc<Context>, peer: &PeerAddress, reply: PullReply) {
-    info!(vm = peer.vm.as_str(), revision = reply.revision, whole = reply.whole,
+    let position = StorePosition { era: reply.era, revision: reply.revision };
+    info!(vm = peer.vm.as_str(), position:% = position, whole = reply.whole,
         items = reply.items.len(); "changes fetched from peer VM");
-    let items = reply.items.into_iter().map(|item| StoreItem {
-        key: item.key,
-        revision: item.revision,
-        value: item.value.map(Bytes::from),
-    });
-    let items = items.collect();
+    let items = reply.items.into_iter().map(decode_item).collect();
     context.with(|state| {
         if state.members.reads_platform(&peer.vm) {
             state.store_confirmed_ms = Some(boot_now());
         }
     });
     match reply.whole {
-        true => apply_snapshot(context, UpdateSource::Peer, reply.revision, items),
-        false => apply_changes(context, UpdateSource::Peer, reply.revision, items),
+        true => apply_snapshot(context, UpdateSource::Peer, position, items),
+        false => apply_changes(context, UpdateSource::Peer, position, items),
+    }
+    context.with(|state| state.store_copy.record_merged(decode_position(reply.merged)));
+}
+
+/// Encodes an item of the store.
+fn encode_item(item: StoreItem) -> Item {
+    let last_entry = match (&item.value, item.writer_order) {
+        (None, WriterOrder::Incarnation { started_wall_ms, sequence }) => {
+            Some(LastEntry { started_wall_ms, sequence })
+        }
+        _ => None,
+    };
+    Item {
+        key: item.key,
+        revision: item.position.revision,
+        value: item.value.map(|value| value.to_vec()),
+        era: item.position.era,
+        last_entry,
+    }
+}
+
+/// Decodes an item of the store.
+fn decode_item(item: Item) -> StoreItem {
+    let writer_order = match item.last_entry {
+        Some(LastEntry { started_wall_ms, sequence }) => {
+            WriterOrder::Incarnation { started_wall_ms, sequence }
+        }
+        None => writer_order(&item.key, item.value.as_deref()),
+    };
+    StoreItem {
+        key: item.key,
+        position: StorePosition { era: item.era, revision: item.revision },
+        value: item.value.map(Bytes::from),
+        writer_order,
     }
 }
 
+/// Encodes a position in the history of the store; zero is left out.
+pub fn encode_position(position: StorePosition) -> Option<messages::StorePosition> {
+    let StorePosition { era, revision } = position;
+    (revision > 0).then_some(messages::StorePosition { era, revision })
+}
+
+/// Decodes a position in the history of the store.
+pub fn decode_position(position: Option<messages::StorePosition>) -> StorePosition {
+    let messages::StorePosition { era, revision } = position.unwrap_or_default();
+    StorePosition { era, revision }
+}
+
 /// Returns the codec for length-prefixed frames.
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
@@ -118,12 +161,17 @@
     PullReply::decode(&bytes[..]).map_err(io::Error::other)
 }
 
-/// Requests the changes after `after_revision` from a peer.
-async fn pull(peer: &PeerAddress, after_revision: u64) -> io::Result<PullReply> {
+/// Requests the changes that a copy with `progress` lacks from a peer.
+async fn pull(peer: &PeerAddress, progress: CopyProgress) -> io::Result<PullReply> {
     let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
     set_tcp_timeouts(&stream, TcpTimeouts::Short)?;
     let mut framed = Framed::new(stream, codec());
-    let request = PullRequest { after_revision }.encode_to_vec();
+    let request = PullRequest {
+        after_revision: progress.position.revision,
+        after_era: progress.position.era,
+        merged: encode_position(progress.merged),
+    };
+    let request = request.encode_to_vec();
     framed.send(Bytes::from(request)).await?;
     decode_reply(&read_frame(&mut framed).await?)
 }
@@ -158,13 +206,17 @@
     let mut framed = Framed::new(stream, codec());
     let request = read_frame(&mut framed).await?;
     let request = PullRequest::decode(request).map_err(io::Error::other)?;
-    let delta = context.with(|state| state.store_copy.update_since(request.after_revision));
-    let items = delta.items.into_iter().map(|item| Item {
-        key: item.key,
-        revision: item.revision,
-        value: item.value.map(|value| value.to_vec()),
-    });
-    let reply =
-        PullReply { revision: delta.revision, whole: delta.is_snapshot, items: items.collect() };
+    let receiver = CopyProgress {
+        position: StorePosition { era: request.after_era, revision: request.after_revision },
+        merged: decode_position(request.merged),
+    };
+    let update = context.with(|state| state.store_copy.update_since(receiver));
+    let reply = PullReply {
+        revision: update.progress.position.revision,
+        whole: update.is_snapshot,
+        items: update.items.into_iter().map(encode_item).collect(),
+        era: update.progress.position.era,
+        merged: encode_position(update.progress.merged),
+    };
     framed.send(encode_reply(&reply)?).await
 }
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -236,9 +236,9 @@
     /// Logs the values that led to the choice of `endpoint`.
     fn log_placement(&self, endpoint: &EndpointId) {
         let now = boot_now();
-        let (load, suspicion, revision) = self.context.with(|state| {
+        let (load, suspicion, position) = self.context.with(|state| {
             let suspicion = state.outcomes.suspicion(now, endpoint);
-            (state.loads.total(endpoint), suspicion, state.store_copy.revision())
+            (state.loads.total(endpoint), suspicion, state.store_copy.position())
         });
         info!(
             request = self.id(),
@@ -250,7 +250,7 @@
             memory_tokens_there = load.memory_tokens(),
             unread_tokens_there = load.pending_prefill_tokens,
             suspicion,
-            store_revision = revision;
+            store_position:% = position;
             "request placed"
         );
     }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -6,6 +6,7 @@
     store_reader,
 };
 use gypsumchute_config::{ConfigSource, DaemonSettings};
+use gypsumchute_fleet::StorePosition;
 use gypsumchute_platform::{READINESS_PATH, StoreClient};
 use gypsumchute_units::time::boot_now;
 use http::StatusCode;
@@ -138,8 +139,9 @@
 /// Reports the VM as ready once the configuration and the registry are known, until the shutdown
 /// begins.
 fn readiness_page(context: &Context) -> (StatusCode, String) {
-    let has_configuration =
-        context.with(|state| state.table.is_some() && state.store_copy.revision() > 0);
+    let has_configuration = context.with(|state| {
+        state.table.is_some() && state.store_copy.position() > StorePosition::default()
+    });
     match (context.is_shutting_down(), has_configuration) {
         (false, true) => (StatusCode::OK, "ready\n".to_owned()),
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "shutting down\n".to_owned()),
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use crate::store_updates::{UpdateSource, apply_changes, apply_snapshot};
+use gypsumchute_fleet::StorePosition;
 use gypsumchute_platform::items::ALL_KEYS_PREFIX;
 use gypsumchute_platform::{Changes, StoreClient, StoreError};
 use gypsumchute_units::BootMs;
@@ -106,21 +107,26 @@
     }
 }
 
-/// Fetches the next changes, or the complete contents if none are known yet or the store has
-/// discarded the changes that this VM missed.
+/// Fetches the next changes, or the complete contents if none are known yet, if the store has
+/// discarded the changes that this VM missed, or if it was restored from a backup.
 async fn read_once(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
-    let revision = context.with(|state| state.store_copy.revision());
-    if revision == 0 {
+    let known = context.with(|state| state.store_copy.position());
+    if known.revision == 0 {
         return list(context, store).await;
     }
-    match watch(context, store, revision).await {
-        Ok(Changes { revision, items }) => {
-            apply_changes(context, UpdateSource::Store, revision, items);
+    match watch(context, store, known).await {
+        Ok(Changes { position, items }) if position.era == known.era => {
+            apply_changes(context, UpdateSource::Store, position, items);
             Ok(())
         }
+        Ok(Changes { position, .. }) => {
+            warn!(known:% = known, position:% = position;
+                "store was restored from a backup; fetching a snapshot");
+            list(context, store).await
+        }
         Err(StoreError::HistoryDiscarded) => {
-            info!(revision;
-                "store no longer has the history after this revision; fetching a snapshot");
+            info!(known:% = known;
+                "store does not have the history after this position; fetching a snapshot");
             list(context, store).await
         }
         Err(err) => Err(err),
@@ -131,14 +137,14 @@
 async fn watch(
     context: &Context,
     store: &StoreClient,
-    revision: u64,
+    known: StorePosition,
 ) -> Result<Changes, StoreError> {
-    let mut watching = Box::pin(store.watch(ALL_KEYS_PREFIX, revision, WATCH_TIMEOUT_MS));
+    let mut watching = Box::pin(store.watch(ALL_KEYS_PREFIX, known.revision, WATCH_TIMEOUT_MS));
     let overdue_after = Duration::from_millis(WATCH_TIMEOUT_MS + WATCH_GRACE_MS);
     if let Ok(answer) = timeout(overdue_after, watching.as_mut()).await {
         return answer;
     }
-    info!(revision; "store watch is overdue");
+    info!(known:% = known; "store watch is overdue");
     context.with(|state| state.reads_store = false);
     context.heartbeat_due.notify_one();
     let answer = watching.await;
@@ -151,8 +157,8 @@
 
 /// Fetches the complete contents of the store.
 async fn list(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
-    let Changes { revision, items } = store.list(ALL_KEYS_PREFIX).await?;
-    apply_snapshot(context, UpdateSource::Store, revision, items);
+    let Changes { position, items } = store.list(ALL_KEYS_PREFIX).await?;
+    apply_snapshot(context, UpdateSource::Store, position, items);
     Ok(())
 }
 
--- a/crates/daemon/src/store_updates.rs
+++ b/crates/daemon/src/store_updates.rs
@@ -4,7 +4,7 @@
 use crate::context::{Context, State};
 use bytes::Bytes;
 use gypsumchute_config::FleetConfig;
-use gypsumchute_fleet::StoreItem;
+use gypsumchute_fleet::{StoreItem, StorePosition};
 use gypsumchute_platform::items::{CONFIGURATION_KEY, DRAINED_ZONE_PREFIX, KeyKind};
 use gypsumchute_platform::{configuration, registry};
 use gypsumchute_routing::compile::compile_config;
@@ -24,39 +24,73 @@
     Peer,
     /// A configuration folder on this VM.
     Folder,
+    /// Keys that a restored store has lost, and that nobody has written again in time.
+    Restore,
 }
 
+/// Time after this VM learned of a restore of the store for which keys that the store has lost keep
+/// their values, in milliseconds. Writers write again within 2 s of the store's return; the rest is
+/// for the change to arrive.
+const WRITE_AGAIN_MS: u64 = 2_500;
+
 /// Key under which VMs exchange a configuration in this project's own format.
 pub const FOLDER_KEY: &str = "folder";
 
-/// Applies incremental changes, after which all changes up to `revision` are known.
+/// Applies incremental changes, after which all changes up to `position` are known.
 pub fn apply_changes(
     context: &Rc<Context>,
     source: UpdateSource,
-    revision: u64,
+    position: StorePosition,
     items: Vec<StoreItem>,
 ) {
-    let (old_revision, changed) = context
-        .with(|state| (state.store_copy.revision(), state.store_copy.apply(revision, items)));
-    apply_keys(context, source, old_revision, &changed);
+    let (old_position, changed) = context
+        .with(|state| (state.store_copy.position(), state.store_copy.apply(position, items)));
+    apply_keys(context, source, old_position, &changed);
 }
 
-/// Applies a complete snapshot of the store, whose listing started at `revision`.
+/// Applies a complete snapshot of the store, whose listing started at `position`.
 pub fn apply_snapshot(
     context: &Rc<Context>,
     source: UpdateSource,
-    revision: u64,
+    position: StorePosition,
     items: Vec<StoreItem>,
 ) {
-    let (old_revision, changed) = context.with(|state| {
-        (state.store_copy.revision(), state.store_copy.apply_listing(revision, items))
+    let (old_position, changed) = context.with(|state| {
+        let old_position = state.store_copy.position();
+        let changed = state.store_copy.apply_listing(position, items);
+        if state.store_copy.has_lost_keys() && state.write_again_deadline_ms.is_none() {
+            state.write_again_deadline_ms = Some(boot_now() + WRITE_AGAIN_MS);
+        }
+        (old_position, changed)
+    });
+    info!(source:% = source, known:% = old_position, position:% = position,
+        changed = changed.len(); "store snapshot applied");
+    apply_keys(context, source, old_position, &changed);
+}
+
+/// Drops the keys that the store has lost in a restore, once their writers had time to write them
+/// again.
+pub fn drop_lost_keys(context: &Rc<Context>) {
+    let now = boot_now();
+    let (position, dropped) = context.with(|state| {
+        let is_due = state.write_again_deadline_ms.is_some_and(|deadline_ms| deadline_ms <= now);
+        let position = state.store_copy.position();
+        if !is_due {
+            return (position, Vec::new());
+        }
+        state.write_again_deadline_ms = None;
+        (position, state.store_copy.drop_lost_keys())
     });
-    info!(source:% = source, revision, changed = changed.len(); "store snapshot applied");
-    apply_keys(context, source, old_revision, &changed);
+    apply_keys(context, UpdateSource::Restore, position, &dropped);
 }
 
-/// Applies the changed keys, then wakes waiting tasks and announces the new revision to peers.
-fn apply_keys(context: &Rc<Context>, source: UpdateSource, old_revision: u64, changed: &[String]) {
+/// Applies the changed keys, then wakes waiting tasks and announces the new position to peers.
+fn apply_keys(
+    context: &Rc<Context>,
+    source: UpdateSource,
+    old_position: StorePosition,
+    changed: &[String],
+) {
     let now = boot_now();
     let relevant = context
         .with(|state| changed.iter().filter(|key| apply_key(state, now, source, key)).count());
@@ -64,7 +98,8 @@
     if relevant > 0 {
         context.notify_registry_changed();
     }
-    if context.with(|state| state.store_copy.revision()) > old_revision && !changed.is_empty() {
+    let position = context.with(|state| state.store_copy.position());
+    if position.era > old_position.era || position > old_position && !changed.is_empty() {
         context.heartbeat_due.notify_one();
     }
 }
@@ -103,13 +138,13 @@
     match configuration::decode(&value) {
         Ok(table) if Some(table.version) <= in_force => false,
         Ok(table) => {
-            info!(source:% = source, version:% = table.version, revision = item.revision,
+            info!(source:% = source, version:% = table.version, position:% = item.position,
                 routes = table.route_count(), bytes = value.len(); "configuration in force");
             state.table = Some(Rc::new(table));
             true
         }
         Err(err) => {
-            warn!(source:% = source, revision = item.revision, error:% = err;
+            warn!(source:% = source, position:% = item.position, error:% = err;
                 "invalid configuration refused; the previous one stays in force");
             false
         }
@@ -124,13 +159,15 @@
     key: &str,
     id: &EndpointId,
 ) -> bool {
-    let revision = state.store_copy.revision();
+    let position = state.store_copy.position();
     let value: Option<Bytes> = state.store_copy.get(key).and_then(|item| item.value.clone());
     let Some(value) = value else {
-        let unreliable = state.registry_is_unreliable(now);
-        info!(source:% = source, endpoint = id.as_str(), revision, unreliable;
+        // An entry that the store has lost had the time to return, and its endpoint may live on.
+        let is_lost = source == UpdateSource::Restore;
+        let unreliable = !is_lost && state.registry_is_unreliable(now);
+        info!(source:% = source, endpoint = id.as_str(), position:% = position, unreliable;
             "endpoint removed from the registry");
-        if !unreliable && state.endpoints.is_ready(id) {
+        if !is_lost && !unreliable && state.endpoints.is_ready(id) {
             state.vanished_endpoints.push(id.clone());
         }
         return state.endpoints.remove(now, id, unreliable);
@@ -139,14 +176,15 @@
         Ok(entry) => {
             info!(source:% = source, endpoint = id.as_str(), service = entry.service.as_str(),
                 zone = entry.zone.as_str(), leaving = entry.terminating,
-                warmup_left_ms = entry.warmup_remaining_ms, revision; "endpoint registered");
+                warmup_left_ms = entry.warmup_remaining_ms, position:% = position;
+                "endpoint registered");
             if state.endpoints.is_ready(id) && state.endpoints.is_new_start(&entry) {
                 state.vanished_endpoints.push(id.clone());
             }
             state.endpoints.upsert(now, entry)
         }
         Err(err) => {
-            warn!(source:% = source, endpoint = id.as_str(), revision, error:% = err;
+            warn!(source:% = source, endpoint = id.as_str(), position:% = position, error:% = err;
                 "registry entry is not a usable endpoint");
             state.endpoints.remove(now, id, false)
         }
@@ -163,7 +201,7 @@
     let compiled = match config {
         Ok(config) => compile_config(&config),
         Err(error) => {
-            warn!(source:% = source, revision = item.revision, error = error.as_str();
+            warn!(source:% = source, position:% = item.position, error = error.as_str();
                 "invalid configuration refused; the previous one stays in force");
             return false;
         }
--- a/crates/daemon/tests/testsuite/peer_sync.rs
+++ b/crates/daemon/tests/testsuite/peer_sync.rs
@@ -19,8 +19,11 @@
             )
             .into_bytes(),
         ),
+        era: 1,
+        last_entry: None,
     };
-    PullReply { revision: 822, whole: true, items: (0..count).map(item).collect() }
+    let items = (0..count).map(item).collect();
+    PullReply { revision: 822, whole: true, items, era: 1, merged: None }
 }
 
 #[test]
--- a/crates/daemon/tests/testsuite/simulated_fleet.rs
+++ b/crates/daemon/tests/testsuite/simulated_fleet.rs
@@ -2,7 +2,7 @@
 
 use gypsumchute_daemon::context::CRASH_RETENTION_MS;
 use gypsumchute_fleet::members::HeartbeatSender;
-use gypsumchute_fleet::{Membership, PeerAddress};
+use gypsumchute_fleet::{CopyProgress, Membership, PeerAddress};
 use gypsumchute_routing::crash_reports::{Audience, CrashReport, CrashReports, Suspects};
 use gypsumchute_routing::poison::PoisonTracker;
 use gypsumchute_routing::poison_segments::SuspectRun;
@@ -128,8 +128,11 @@
                 continue;
             }
             let receiver = self.vms.get_mut(&target).expect("known VM");
-            let heartbeat =
-                HeartbeatSender { peer: me.clone(), reads_platform: false, store_revision: 1 };
+            let heartbeat = HeartbeatSender {
+                peer: me.clone(),
+                reads_platform: false,
+                store_progress: CopyProgress::default(),
+            };
             let is_new = receiver.members.on_heartbeat(now, heartbeat);
             named.iter().for_each(|peer| receiver.members.on_mentioned(now, peer.clone()));
             let is_gateway = receiver.members.is_gateway(now);
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -8,6 +8,7 @@
 //! zones. A VM's traffic therefore grows with the size of the zone and not with the size of the
 //! fleet.
 
+use crate::store_copy::CopyProgress;
 use gypsumchute_units::rendezvous::rank_candidates;
 use gypsumchute_units::{BootMs, EndpointId, VmId, ZoneId};
 use rand::Rng;
@@ -92,7 +93,7 @@
     /// Time of the last heartbeat from the member or of the last mention by another VM.
     last_mention_ms: BootMs,
     reads_platform: bool,
-    store_revision: u64,
+    store_progress: CopyProgress,
 }
 
 /// VMs that prefer an endpoint over others and immediately send each other updates of their load on
@@ -112,8 +113,8 @@
     pub peer: PeerAddress,
     /// Whether the sender reads from the platform and the reads succeed.
     pub reads_platform: bool,
-    /// Store revision up to which the sender knows all changes.
-    pub store_revision: u64,
+    /// How much of the store's history the sender holds.
+    pub store_progress: CopyProgress,
 }
 
 /// Members of the fleet known to this VM.
@@ -173,7 +174,7 @@
             discovered_ms: now,
             last_mention_ms: now,
             reads_platform: sender.reads_platform,
-            store_revision: sender.store_revision,
+            store_progress: sender.store_progress,
         };
         self.members.insert(sender.peer.vm, member);
         !was_alive
@@ -191,7 +192,7 @@
             discovered_ms: now,
             last_mention_ms: now,
             reads_platform: false,
-            store_revision: 0,
+            store_progress: CopyProgress::default(),
         });
         member.last_mention_ms = now;
         let is_silent =
@@ -362,17 +363,17 @@
         readers.any(|member| self.is_alive(now, &member.peer.vm))
     }
 
-    /// Returns a live VM that knows changes after `revision`, from the local zone if possible. The
-    /// VM is chosen at random: when a whole fleet starts, a fixed choice would send every VM to the
+    /// Returns a live VM that holds changes of the store which a copy with `progress` lacks, from the
+    /// local zone if possible. The VM is chosen at random: when a whole fleet starts, a fixed choice would send every VM to the
     /// same peer, and all of them would have to wait.
     pub fn peer_ahead_of(
         &self,
         now: BootMs,
-        revision: u64,
+        progress: CopyProgress,
         rng: &mut impl Rng,
     ) -> Option<PeerAddress> {
         let alive = self.members.values().filter(|member| self.is_alive(now, &member.peer.vm));
-        let ahead = alive.filter(|member| member.store_revision > revision);
+        let ahead = alive.filter(|member| progress.is_behind(&member.store_progress));
         let (same_zone, other_zones): (Vec<_>, Vec<_>) =
             ahead.partition(|member| member.peer.zone == self.me.zone);
         let choices = if same_zone.is_empty() { other_zones } else { same_zone };
--- a/crates/fleet/src/store_copy.rs
+++ b/crates/fleet/src/store_copy.rs
@@ -1,31 +1,41 @@
-//! Local copy of the data that the platform published, kept by revision.
+//! Local copy of the data that the platform published.
 //!
-//! Each key keeps its newest revision, so that changes may arrive in any order and from any peer: a
-//! stale peer cannot restore an older value. Deleted keys keep their revision as well.
+//! Changes may arrive in any order and from any peer: for each key, the newest item is kept, and a
+//! stale peer cannot restore an older value. Deleted keys are remembered as well.
+//!
+//! A store that was restored from a backup begins a new era. Keys that it lost keep their values
+//! until their writers had time to write them again; see [`StoreReplica::drop_lost_keys`].
 
-use bytes::Bytes;
-use std::collections::BTreeMap;
+use crate::store_item::{StoreItem, StorePosition, WriterOrder};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum number of deleted keys that are remembered. A VM that has missed more deletions than
 /// these receives a snapshot.
 const MAX_DELETED_KEYS: usize = 4_096;
 
-/// State of one key as of a revision.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoreItem {
-    /// Name of the key.
-    pub key: String,
-    /// Revision that wrote or deleted the key.
-    pub revision: u64,
-    /// Value of the key, or `None` if the key was deleted.
-    pub value: Option<Bytes>,
+/// How much of the store's history a copy holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CopyProgress {
+    /// Position up to which every change is known; zero before the first complete read.
+    pub position: StorePosition,
+    /// Newest position of an earlier era up to which changes are part of the copy. The store itself
+    /// may have lost some of these changes.
+    pub merged: StorePosition,
+}
+
+impl CopyProgress {
+    /// Reports whether a copy with the progress `other` holds changes that this one lacks.
+    pub fn is_behind(&self, other: &CopyProgress) -> bool {
+        let is_same_era = self.position.era == other.position.era;
+        self.position < other.position || is_same_era && self.merged < other.merged
+    }
 }
 
 /// Data that a stale VM needs to catch up: a snapshot or an incremental update.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreUpdate {
-    /// Revision up to which the receiver knows all changes once it has applied the update.
-    pub revision: u64,
+    /// Progress of the receiver once it has applied the update.
+    pub progress: CopyProgress,
     /// Whether `items` is a snapshot of all keys that have a value.
     pub is_snapshot: bool,
     /// Keys to apply.
@@ -37,17 +47,22 @@
 pub struct StoreReplica {
     /// Items by key, including remembered deleted keys.
     items: BTreeMap<String, StoreItem>,
-    /// Revision up to which every change is known.
-    complete_through: u64,
-    /// Revision up to which deleted keys may have been dropped. A VM that knows only older
-    /// revisions needs a snapshot.
-    deletions_dropped_through: u64,
+    progress: CopyProgress,
+    /// Position up to which deleted keys may have been dropped. A VM that knows only older positions
+    /// needs a snapshot.
+    deletions_dropped_through: StorePosition,
 }
 
 impl StoreReplica {
-    /// Returns the revision up to which every change is known, or 0 before the first complete read.
-    pub fn revision(&self) -> u64 {
-        self.complete_through
+    /// Returns the position up to which every change is known, or zero before the first complete
+    /// read.
+    pub fn position(&self) -> StorePosition {
+        self.progress.position
+    }
+
+    /// Returns how much of the store's history this copy holds.
+    pub fn progress(&self) -> CopyProgress {
+        self.progress
     }
 
     /// Returns the item of `key`, or `None` if the key is deleted or unknown.
@@ -63,65 +78,120 @@
             .filter_map(|(_, item)| item.value.is_some().then_some(item))
     }
 
-    /// Applies changes after which everything up to `revision` is known. Returns the keys that
-    /// changed in this copy.
-    pub fn apply(&mut self, revision: u64, changes: Vec<StoreItem>) -> Vec<String> {
-        let changed = changes.into_iter().filter_map(|item| self.put_if_newer(item)).collect();
-        self.complete_through = self.complete_through.max(revision);
+    /// Applies changes after which everything up to `position` is known. Returns the keys whose
+    /// value changed in this copy.
+    pub fn apply(&mut self, position: StorePosition, changes: Vec<StoreItem>) -> Vec<String> {
+        let changed = changes.into_iter().filter_map(|item| self.merge(item)).collect();
+        self.advance(position);
         self.drop_old_deletions();
         changed
     }
 
-    /// Applies a full listing of the store that began at `revision`. A key that is missing from the
-    /// listing was deleted, unless this copy has the key at a later revision. Returns the keys that
-    /// changed in this copy.
-    pub fn apply_listing(&mut self, revision: u64, listing: Vec<StoreItem>) -> Vec<String> {
-        let listed: std::collections::BTreeSet<_> =
-            listing.iter().map(|item| item.key.clone()).collect();
-        let missing = self.items.values().filter(|item| {
-            item.value.is_some() && item.revision <= revision && !listed.contains(&item.key)
-        });
-        let deletions: Vec<_> = missing
-            .map(|item| StoreItem { key: item.key.clone(), revision, value: None })
-            .collect();
-        let mut changed = self.apply(revision, listing);
-        changed.extend(deletions.into_iter().filter_map(|item| self.put_if_newer(item)));
+    /// Applies a full listing of the store that began at `position`. A key that is missing from the
+    /// listing was deleted, unless this copy has the key at a later position, or from an earlier
+    /// era. Returns the keys whose value changed in this copy.
+    pub fn apply_listing(
+        &mut self,
+        position: StorePosition,
+        listing: Vec<StoreItem>,
+    ) -> Vec<String> {
+        let listed: BTreeSet<_> = listing.iter().map(|item| item.key.clone()).collect();
+        let mut changed = self.apply(position, listing);
+        let missing = self.items.values_mut().filter(|item| !listed.contains(&item.key));
+        for item in missing.filter(|item| item.position <= position) {
+            match item.value {
+                // The listing confirms the deletion.
+                None => item.position = position,
+                Some(_) if item.position.era == position.era => {
+                    item.position = position;
+                    item.value = None;
+                    changed.push(item.key.clone());
+                }
+                Some(_) => {}
+            }
+        }
         changed
     }
 
-    /// Returns the update for a VM that knows all changes up to `after`.
-    pub fn update_since(&self, after: u64) -> StoreUpdate {
-        let is_snapshot = after < self.deletions_dropped_through || after == 0;
+    /// Records that this copy contains the changes of earlier eras up to `merged`, which a peer had
+    /// merged into its copy.
+    pub fn record_merged(&mut self, merged: StorePosition) {
+        self.progress.merged = self.progress.merged.max(merged);
+    }
+
+    /// Reports whether the store has lost keys that this copy still holds, in a restore.
+    pub fn has_lost_keys(&self) -> bool {
+        self.items.values().any(|item| self.is_lost(item))
+    }
+
+    /// Deletes the keys that the store has lost in a restore and that were not written again.
+    /// Returns their names. The configuration is kept: it is always written again.
+    pub fn drop_lost_keys(&mut self) -> Vec<String> {
+        let lost = self.items.values().filter(|item| self.is_lost(item));
+        let lost: Vec<_> = lost.map(|item| item.key.clone()).collect();
+        let position = self.progress.position;
+        for key in &lost {
+            if let Some(item) = self.items.get_mut(key) {
+                item.position = position;
+                item.value = None;
+            }
+        }
+        lost
+    }
+
+    /// Reports whether `item` has a value of an earlier era that the store does not have.
+    fn is_lost(&self, item: &StoreItem) -> bool {
+        let is_configuration = matches!(item.writer_order, WriterOrder::Version(_));
+        item.value.is_some() && !is_configuration && item.position.era < self.progress.position.era
+    }
+
+    /// Returns the update for a VM with the given progress.
+    pub fn update_since(&self, receiver: CopyProgress) -> StoreUpdate {
+        let after = receiver.position;
+        let is_snapshot = after.era != self.progress.position.era
+            || after < self.deletions_dropped_through
+            || after.revision == 0
+            || receiver.merged < self.progress.merged;
         let is_needed = |item: &&StoreItem| match is_snapshot {
             true => item.value.is_some(),
-            false => item.revision > after,
+            false => item.position > after,
         };
         let items = self.items.values().filter(is_needed).cloned().collect();
-        StoreUpdate { revision: self.complete_through, is_snapshot, items }
+        StoreUpdate { progress: self.progress, is_snapshot, items }
     }
 
-    /// Stores the item if it is newer than the known revision. Returns the key if the item was
-    /// stored.
-    fn put_if_newer(&mut self, item: StoreItem) -> Option<String> {
-        let known = self.items.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.revision) {
-            return None;
+    /// Records that every change up to `position` is known.
+    fn advance(&mut self, position: StorePosition) {
+        let previous = self.progress.position;
+        if position.era > previous.era && previous.revision > 0 {
+            self.record_merged(previous);
         }
+        self.progress.position = previous.max(position);
+    }
+
+    /// Merges `item` into the copy. Returns the key if its value changed.
+    fn merge(&mut self, item: StoreItem) -> Option<String> {
         let key = item.key.clone();
-        self.items.insert(key.clone(), item);
-        Some(key)
+        let changed = match self.items.get_mut(&key) {
+            Some(known) => known.merge(item),
+            None => {
+                self.items.insert(key.clone(), item);
+                true
+            }
+        };
+        changed.then_some(key)
     }
 
     /// Drops the older half of the deleted keys if there are more than [`MAX_DELETED_KEYS`].
     fn drop_old_deletions(&mut self) {
         let deleted = self.items.values().filter(|item| item.value.is_none());
-        let mut revisions: Vec<u64> = deleted.map(|item| item.revision).collect();
-        if revisions.len() <= MAX_DELETED_KEYS {
+        let mut positions: Vec<_> = deleted.map(|item| item.position).collect();
+        if positions.len() <= MAX_DELETED_KEYS {
             return;
         }
-        revisions.sort_unstable();
-        let cutoff = revisions[revisions.len() / 2];
-        self.items.retain(|_, item| item.value.is_some() || item.revision > cutoff);
+        positions.sort_unstable();
+        let cutoff = positions[positions.len() / 2];
+        self.items.retain(|_, item| item.value.is_some() || item.position > cutoff);
         self.deletions_dropped_through = self.deletions_dropped_through.max(cutoff);
     }
 }
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests of the fleet crate.
 
 mod members;
+mod restored_store;
 mod store_copy;
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -1,7 +1,7 @@
 //! Tests that VMs discover each other and that each zone has a VM that reads from the platform.
 
 use gypsumchute_fleet::members::HeartbeatSender;
-use gypsumchute_fleet::{Membership, PeerAddress};
+use gypsumchute_fleet::{CopyProgress, Membership, PeerAddress, StorePosition};
 use gypsumchute_units::{BootMs, VmId, ZoneId};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -19,6 +19,11 @@
     PeerAddress { vm, zone, address: SocketAddrV4::new(ip, 7_200) }
 }
 
+/// Returns the progress of a copy that is complete up to `revision` of `era`.
+fn progress(era: u64, revision: u64) -> CopyProgress {
+    CopyProgress { position: StorePosition { era, revision }, ..CopyProgress::default() }
+}
+
 /// Simulated network of VMs that delivers heartbeats immediately, except to dead VMs and across a
 /// partition.
 struct SimulatedNetwork {
@@ -69,8 +74,11 @@
             if !self.is_delivered(from, &to) {
                 continue;
             }
-            let heartbeat =
-                HeartbeatSender { peer: from.clone(), reads_platform, store_revision: 1 };
+            let heartbeat = HeartbeatSender {
+                peer: from.clone(),
+                reads_platform,
+                store_progress: progress(0, 1),
+            };
             let (now, receiver) = (self.now, self.vms.get_mut(target).expect("known VM"));
             let is_new = receiver.on_heartbeat(now, heartbeat);
             named.iter().for_each(|peer| receiver.on_mentioned(now, peer.clone()));
@@ -233,7 +241,7 @@
     let fresh_heartbeat = |number: usize| HeartbeatSender {
         peer: peer(number, 2),
         reads_platform: false,
-        store_revision: 7,
+        store_progress: progress(0, 7),
     };
     // VMs of the local zone have even numbers.
     for number in [1, 3, 4, 6, 8] {
@@ -241,10 +249,33 @@
     }
     let mut chosen = BTreeSet::new();
     for _ in 0..40 {
-        let peer_ahead =
-            vm.peer_ahead_of(net.now, 3, &mut net.rng).expect("a VM ahead of revision 3");
+        let peer_ahead = vm
+            .peer_ahead_of(net.now, progress(0, 3), &mut net.rng)
+            .expect("a VM ahead of revision 3");
         chosen.insert(peer_ahead.vm.to_string());
     }
     assert_eq!(chosen, ["vm-004", "vm-006", "vm-008"].map(str::to_owned).into());
-    assert_eq!(vm.peer_ahead_of(net.now, 7, &mut net.rng), None);
+    assert_eq!(vm.peer_ahead_of(net.now, progress(0, 7), &mut net.rng), None);
+}
+
+/// Guards against a VM that knows a lost history and looks ahead of those that know the new one.
+#[test]
+fn a_vm_of_a_newer_era_is_ahead_of_one_with_a_higher_revision() {
+    let mut net = SimulatedNetwork::new(4, 2);
+    net.run(3_000);
+    let vm = net.vms.get_mut(&peer(0, 2).address).expect("known VM");
+    let mut ahead_of = |own: CopyProgress, others: CopyProgress| {
+        let sender =
+            HeartbeatSender { peer: peer(2, 2), reads_platform: true, store_progress: others };
+        vm.on_heartbeat(net.now, sender);
+        vm.peer_ahead_of(net.now, own, &mut net.rng).is_some()
+    };
+    let merged =
+        |own: CopyProgress| CopyProgress { merged: StorePosition { era: 1, revision: 60 }, ..own };
+    assert!(ahead_of(progress(1, 60), progress(2, 17)));
+    assert!(!ahead_of(progress(2, 17), progress(1, 60)));
+    // The other VM still holds what the store has lost.
+    assert!(ahead_of(progress(2, 17), merged(progress(2, 17))));
+    assert!(!ahead_of(merged(progress(2, 17)), progress(2, 17)));
+    assert!(!ahead_of(merged(progress(2, 17)), merged(progress(2, 17))));
 }
--- a/crates/fleet/tests/testsuite/store_copy.rs
+++ b/crates/fleet/tests/testsuite/store_copy.rs
@@ -2,13 +2,28 @@
 //! changes arrive.
 
 use bytes::Bytes;
-use gypsumchute_fleet::{StoreItem, StoreReplica};
+use gypsumchute_fleet::{CopyProgress, StoreItem, StorePosition, StoreReplica, WriterOrder};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 fn item(key: &str, revision: u64, value: Option<&str>) -> StoreItem {
     let value = value.map(|value| Bytes::from(value.to_owned()));
-    StoreItem { key: key.to_owned(), revision, value }
+    StoreItem {
+        key: key.to_owned(),
+        position: at(revision),
+        value,
+        writer_order: WriterOrder::Unknown,
+    }
+}
+
+/// Returns a position in a store that was never restored.
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
+/// Returns the progress of a copy that is complete up to `revision`.
+fn progress(revision: u64) -> CopyProgress {
+    CopyProgress { position: at(revision), ..CopyProgress::default() }
 }
 
 fn rendered_items(copy: &StoreReplica) -> Vec<String> {
@@ -16,7 +31,7 @@
     items
         .map(|item| {
             let value = item.value.clone().unwrap_or_default();
-            format!("{}@{}={}", item.key, item.revision, String::from_utf8_lossy(&value))
+            format!("{}@{}={}", item.key, item.position.revision, String::from_utf8_lossy(&value))
         })
         .collect()
 }
@@ -24,18 +39,18 @@
 #[test]
 fn an_older_value_does_not_replace_a_newer_one() {
     let mut copy = StoreReplica::default();
-    assert_eq!(copy.apply(7, vec![item("a", 7, Some("new"))]), ["a"]);
-    assert!(copy.apply(9, vec![item("a", 5, Some("old"))]).is_empty());
-    assert!(copy.apply(9, vec![item("a", 6, None)]).is_empty());
-    assert_eq!((copy.revision(), rendered_items(&copy)), (9, vec!["a@7=new".to_owned()]));
+    assert_eq!(copy.apply(at(7), vec![item("a", 7, Some("new"))]), ["a"]);
+    assert!(copy.apply(at(9), vec![item("a", 5, Some("old"))]).is_empty());
+    assert!(copy.apply(at(9), vec![item("a", 6, None)]).is_empty());
+    assert_eq!((copy.position(), rendered_items(&copy)), (at(9), vec!["a@7=new".to_owned()]));
 }
 
 #[test]
 fn a_stale_peer_does_not_restore_a_deleted_key() {
     let mut copy = StoreReplica::default();
-    copy.apply(4, vec![item("a", 4, Some("x"))]);
-    copy.apply(6, vec![item("a", 6, None)]);
-    assert!(copy.apply(5, vec![item("a", 4, Some("x"))]).is_empty());
+    copy.apply(at(4), vec![item("a", 4, Some("x"))]);
+    copy.apply(at(6), vec![item("a", 6, None)]);
+    assert!(copy.apply(at(5), vec![item("a", 4, Some("x"))]).is_empty());
     assert!(copy.get("a").is_none());
 }
 
@@ -43,8 +58,8 @@
 fn a_listing_deletes_missing_keys_but_not_newer_ones() {
     let mut copy = StoreReplica::default();
     let known = vec![item("a", 3, Some("x")), item("b", 4, Some("y")), item("c", 9, Some("z"))];
-    copy.apply(9, known);
-    let changed = copy.apply_listing(8, vec![item("a", 3, Some("x"))]);
+    copy.apply(at(9), known);
+    let changed = copy.apply_listing(at(8), vec![item("a", 3, Some("x"))]);
     assert_eq!(changed, ["b"]);
     assert_eq!(rendered_items(&copy), ["a@3=x", "c@9=z"]);
 }
@@ -52,23 +67,23 @@
 #[test]
 fn a_stale_vm_gets_an_incremental_update_and_a_new_vm_gets_a_snapshot() {
     let mut copy = StoreReplica::default();
-    copy.apply(4, vec![item("a", 3, Some("x")), item("b", 4, Some("y"))]);
-    copy.apply(6, vec![item("a", 6, None)]);
-    let update = copy.update_since(4);
+    copy.apply(at(4), vec![item("a", 3, Some("x")), item("b", 4, Some("y"))]);
+    copy.apply(at(6), vec![item("a", 6, None)]);
+    let update = copy.update_since(progress(4));
     assert_eq!((update.is_snapshot, update.items), (false, vec![item("a", 6, None)]));
-    let snapshot = copy.update_since(0);
+    let snapshot = copy.update_since(progress(0));
     assert_eq!((snapshot.is_snapshot, snapshot.items), (true, vec![item("b", 4, Some("y"))]));
 }
 
 #[test]
 fn a_vm_that_missed_dropped_deletions_gets_a_snapshot() {
     let mut copy = StoreReplica::default();
-    copy.apply(1, vec![item("kept", 1, Some("x"))]);
+    copy.apply(at(1), vec![item("kept", 1, Some("x"))]);
     for revision in 2..6_000 {
-        copy.apply(revision, vec![item(&format!("k{revision}"), revision, None)]);
+        copy.apply(at(revision), vec![item(&format!("k{revision}"), revision, None)]);
     }
-    assert!(copy.update_since(2).is_snapshot);
-    assert!(!copy.update_since(5_990).is_snapshot);
+    assert!(copy.update_since(progress(2)).is_snapshot);
+    assert!(!copy.update_since(progress(5_990)).is_snapshot);
 }
 
 /// History of the store: each revision writes or deletes one of a few keys.
@@ -93,7 +108,7 @@
         let mut expected: BTreeMap<String, u64> = BTreeMap::new();
         for event in &events {
             match event.value {
-                Some(_) => drop(expected.insert(event.key.clone(), event.revision)),
+                Some(_) => drop(expected.insert(event.key.clone(), event.position.revision)),
                 None => drop(expected.remove(&event.key)),
             }
         }
@@ -101,16 +116,16 @@
         for index in order {
             let event = index.get(&events).clone();
             let before: BTreeMap<_, _> =
-                copy.with_prefix("").map(|item| (item.key.clone(), item.revision)).collect();
-            copy.apply(0, vec![event]);
+                copy.with_prefix("").map(|item| (item.key.clone(), item.position.revision)).collect();
+            copy.apply(at(0), vec![event]);
             for item in copy.with_prefix("") {
                 let known = before.get(&item.key).copied().unwrap_or(0);
-                prop_assert!(item.revision >= known, "{} returned to an older revision", item.key);
+                prop_assert!(item.position.revision >= known, "{} returned to an older revision", item.key);
             }
         }
-        copy.apply(events.len() as u64, events);
+        copy.apply(at(events.len() as u64), events);
         let known: BTreeMap<_, _> =
-            copy.with_prefix("").map(|item| (item.key.clone(), item.revision)).collect();
+            copy.with_prefix("").map(|item| (item.key.clone(), item.position.revision)).collect();
         prop_assert_eq!(known, expected);
     }
 }
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -74,6 +74,22 @@
     /// Prompt segments of runs on endpoints that crashed, which have been sound elsewhere.
     #[prost(message, repeated, tag = "15")]
     pub sound_segments: ::prost::alloc::vec::Vec<CompletedRequest>,
+    /// Era of the platform's store that `store_revision` belongs to.
+    #[prost(uint64, tag = "16")]
+    pub store_era: u64,
+    /// Position of an earlier era up to which the sender has merged changes into its copy of the store.
+    #[prost(message, optional, tag = "17")]
+    pub merged: ::core::option::Option<StorePosition>,
+}
+/// Position in the history of the platform's store.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StorePosition {
+    /// Number of times that the store has been restored from a backup.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Number of the change within the era.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
 }
 /// Address of a VM, as IPv4 address and port on which the VM listens for other VMs.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -175,6 +191,12 @@
 pub struct PullRequest {
     #[prost(uint64, tag = "1")]
     pub after_revision: u64,
+    /// Era that `after_revision` belongs to.
+    #[prost(uint64, tag = "2")]
+    pub after_era: u64,
+    /// Position of an earlier era up to which the sender has merged changes into its copy.
+    #[prost(message, optional, tag = "3")]
+    pub merged: ::core::option::Option<StorePosition>,
 }
 /// Changes of the platform's store, or all items of the store.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -187,6 +209,12 @@
     pub whole: bool,
     #[prost(message, repeated, tag = "3")]
     pub items: ::prost::alloc::vec::Vec<Item>,
+    /// Era that `revision` belongs to.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Position of an earlier era up to which the sender has merged changes into its copy.
+    #[prost(message, optional, tag = "5")]
+    pub merged: ::core::option::Option<StorePosition>,
 }
 /// A key and value of the platform's store.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -198,4 +226,20 @@
     /// Absent if the key was deleted.
     #[prost(bytes = "vec", optional, tag = "3")]
     pub value: ::core::option::Option<::prost::alloc::vec::Vec<u8>>,
+    /// Era that `revision` belongs to.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Last registry entry of an endpoint whose key was deleted.
+    #[prost(message, optional, tag = "5")]
+    pub last_entry: ::core::option::Option<LastEntry>,
+}
+/// Order of the last registry entry that an endpoint wrote before it was deleted.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LastEntry {
+    /// Start time of the endpoint by its own wall clock, in milliseconds; 0 if not reported.
+    #[prost(uint64, tag = "1")]
+    pub started_wall_ms: u64,
+    /// Number of the entry, counted by the endpoint since its start.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
 }
