--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -13,7 +13,8 @@
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{
-    BootMs, EndpointId, Fingerprint, Refusal, RefusalReason, RequestId, SegmentId, ZoneId,
+    BootMs, EndpointId, Fingerprint, Refusal, RefusalReason, RequestId, SegmentId, SoftwareVersion,
+    ZoneId,
 };
 use http::{HeaderMap, Method, Uri};
 use log::info;
@@ -71,6 +72,15 @@
         boot_now().until(self.deadline_ms)
     }
 
+    /// Returns the software version of `endpoint` for log lines, or `-` if it is not known.
+    pub fn software_version(&self, endpoint: &EndpointId) -> String {
+        self.context.with(|state| {
+            let entry = state.endpoints.get(endpoint).map(|endpoint| &endpoint.entry);
+            let version = entry.and_then(|entry| entry.version.as_ref());
+            version.map_or("-", SoftwareVersion::as_str).to_owned()
+        })
+    }
+
     /// Returns the priority of the customer if one is configured, and the priority of the route
     /// otherwise.
     pub fn priority(&self) -> Priority {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -31,7 +31,7 @@
 use gypsumchute_routing::placement::{PlacementRequest, choose_backup_engine, needs_backup};
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason};
+use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId};
 use http::Response;
 use log::info;
 use std::collections::BTreeSet;
@@ -357,6 +357,8 @@
             }
         };
         info!(request = self.call.id(), endpoint = endpoint.as_str(),
+            version = self.call.software_version(&endpoint),
+            resumes = self.call.caller.resumed_request_id.as_ref().map_or("-", RequestId::as_str),
             status = response.head.status.as_u16(),
             answer:? = kind, backup = backup.as_ref().map_or("-", |b| b.endpoint.as_str()),
             from_copy = source.is_some(), after_event:? = self.sequence.last_id(),
--- a/crates/daemon/src/store_updates.rs
+++ b/crates/daemon/src/store_updates.rs
@@ -7,9 +7,10 @@
 use gypsumchute_fleet::{StoreItem, StorePosition};
 use gypsumchute_platform::items::{CONFIGURATION_KEY, DRAINED_ZONE_PREFIX, KeyKind};
 use gypsumchute_platform::{configuration, registry};
+use gypsumchute_routing::EndpointEntry;
 use gypsumchute_routing::compile::compile_config;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId};
+use gypsumchute_units::{BootMs, EndpointId, SoftwareVersion};
 use log::{info, warn};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -175,7 +176,7 @@
     match registry::decode(id, &value) {
         Ok(entry) => {
             info!(source:% = source, endpoint = id.as_str(), service = entry.service.as_str(),
-                zone = entry.zone.as_str(), leaving = entry.terminating,
+                version = version_text(&entry), zone = entry.zone.as_str(), leaving = entry.terminating,
                 warmup_left_ms = entry.warmup_remaining_ms, position:% = position;
                 "endpoint registered");
             if state.endpoints.is_ready(id) && state.endpoints.is_new_start(&entry) {
@@ -191,6 +192,11 @@
     }
 }
 
+/// Returns the endpoint's software version for log lines, or `-` if it reports none.
+fn version_text(entry: &EndpointEntry) -> &str {
+    entry.version.as_ref().map_or("-", SoftwareVersion::as_str)
+}
+
 /// Applies a configuration in this project's own format, which also contains the endpoints.
 fn apply_folder(state: &mut State, now: BootMs, source: UpdateSource) -> bool {
     let Some(item) = state.store_copy.get(FOLDER_KEY).cloned() else { return false };
--- a/crates/routing/src/compile.rs
+++ b/crates/routing/src/compile.rs
@@ -107,5 +107,6 @@
         // A configuration folder does not contain the start time of an endpoint.
         warmup_remaining_ms: 0,
         started_wall_ms: None,
+        version: None,
     })
 }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints that the platform's registry reports, and which of them may receive new requests.
 
-use gypsumchute_units::{BootMs, EndpointId, ServiceId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, ServiceId, SoftwareVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -46,6 +46,8 @@
     pub warmup_remaining_ms: u64,
     /// Start time of the endpoint in milliseconds of its own wall clock, if reported.
     pub started_wall_ms: Option<u64>,
+    /// Version of the endpoint's software, if reported.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// An endpoint and its routing state.
--- a/crates/routing/tests/testsuite/compile.rs
+++ b/crates/routing/tests/testsuite/compile.rs
@@ -60,6 +60,6 @@
     Some(IngressLimits { max_head_bytes: 16384, max_body_bytes: 1000, head_timeout_ms: 10000, idle_timeout_ms: 30000 })
     {n-a}
     {s-a}
-    [EndpointEntry { id: e-1, service: engines, address: 10.0.0.1:80, zone: n-a, slots: 8, terminating: false, warmup_remaining_ms: 0, started_wall_ms: None }, EndpointEntry { id: e-2, service: books, address: 10.0.0.2:80, zone: s-a, slots: 16, terminating: true, warmup_remaining_ms: 0, started_wall_ms: None }]
+    [EndpointEntry { id: e-1, service: engines, address: 10.0.0.1:80, zone: n-a, slots: 8, terminating: false, warmup_remaining_ms: 0, started_wall_ms: None, version: None }, EndpointEntry { id: e-2, service: books, address: 10.0.0.2:80, zone: s-a, slots: 16, terminating: true, warmup_remaining_ms: 0, started_wall_ms: None, version: None }]
     "#);
 }
--- a/crates/routing/tests/testsuite/support.rs
+++ b/crates/routing/tests/testsuite/support.rs
@@ -25,6 +25,7 @@
         terminating: false,
         warmup_remaining_ms: 0,
         started_wall_ms: None,
+        version: None,
     }
 }
 
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -171,3 +171,7 @@
     /// Identifies one request attempt of a caller.
     RequestId
 }
+opaque_id_type! {
+    /// Version of the software that an endpoint runs.
+    SoftwareVersion
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use ids::{
     CustomerId, EndpointId, Fingerprint, KeyId, RegionId, RequestId, RouteId, SegmentId, ServiceId,
-    VmId, ZoneId,
+    SoftwareVersion, VmId, ZoneId,
 };
 pub use rate::{NanoTokens, RequestRate};
 pub use refusal::{Refusal, RefusalReason, Verdict};
