--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod retry_budget;
 mod shutdown;
 mod simulated_fleet;
+mod software_versions;
 mod store_reader;
 mod support;
 mod unframed_responses;
