A stream goes on only at the software version that began it

Callers got text joined from two software versions, answered 200 and whole, with nothing to show it.

Cause: the version of a registry entry was dropped, so copies, backups and restarts went to the engine with the most room, whatever its version; and a caller's take-up was restarted at any engine. The class is state of one process that another one of a different build takes over unchecked.

From its first event on, a stream is bound to the service and version of that run: placement, backups and copies pass other versions over, and a stream whose version has left is ended at once instead of waiting. The VM that serves a resumable stream tells peers the version with one small datagram each (all VMs of a small fleet, two of the zone in a large one). A VM where a caller takes a stream up uses its record, or the only version in service since the stream can have begun, or asks peers for 170 ms; otherwise it refuses at once, as not run. Nothing is guessed after all VMs were lost.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -10,6 +10,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::silent_runs::SilentRun;
+use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{
@@ -88,6 +89,20 @@
         customer_priority.unwrap_or(self.route.priority)
     }
 
+    /// Sends the request to the service of `version`, if the route allows that service. A route with
+    /// several services may have begun a stream at another one than was chosen now.
+    pub fn switch_service(&mut self, version: ServiceVersion) {
+        let service = self.context.with(|state| {
+            let service = state.endpoints.service_of(version)?;
+            let is_allowed = self.route.services.iter().any(|weighted| weighted.service == service);
+            let services = &state.table.as_ref()?.services;
+            is_allowed.then(|| services.get(&service).cloned()).flatten()
+        });
+        if let Some(service) = service {
+            self.service = service;
+        }
+    }
+
     /// Returns the load that the request adds to an endpoint once the prompt is processed.
     pub fn load(&self) -> Load {
         let tokens = match self.service.engine {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,5 +1,6 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
+use crate::stream_gossip::StreamMessage;
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_exchange::BufferBudget;
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
@@ -13,6 +14,7 @@
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
 use gypsumchute_routing::silent_runs::SilentRuns;
+use gypsumchute_routing::stream_versions::StreamVersions;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
@@ -74,6 +76,8 @@
     pub suspects: Suspects,
     /// Runs that ended without a response, whose endpoints may have crashed.
     pub silent_runs: SilentRuns,
+    /// Software versions at which streams began.
+    pub stream_versions: StreamVersions,
     /// Endpoints that have vanished from the registry without notice since the last call of
     /// [`Context::settle_vanished_endpoints`].
     pub vanished_endpoints: Vec<EndpointId>,
@@ -128,6 +132,10 @@
     pub load_notes_due: Notify,
     /// Endpoints for which a load note is pending.
     pending_load_notes: RefCell<BTreeSet<EndpointId>>,
+    /// Signals that messages on streams are pending.
+    pub stream_messages_due: Notify,
+    /// Messages on streams that are still to be sent.
+    pending_stream_messages: RefCell<Vec<StreamMessage>>,
     /// Routing state, accessed through [`Self::with`].
     state: RefCell<State>,
     /// Notifies waiters of changes to endpoints, loads or the configuration.
@@ -163,6 +171,7 @@
                 ..Suspects::default()
             },
             silent_runs: SilentRuns::default(),
+            stream_versions: StreamVersions::default(),
             vanished_endpoints: Vec::new(),
             admission_queue: AdmissionQueue::default(),
             members: Membership::new(boot_now(), me, settings.seed_addresses()),
@@ -185,6 +194,8 @@
             heartbeat_due: Notify::new(),
             load_notes_due: Notify::new(),
             pending_load_notes: RefCell::default(),
+            stream_messages_due: Notify::new(),
+            pending_stream_messages: RefCell::default(),
             state: RefCell::new(state),
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
@@ -298,6 +309,17 @@
         std::mem::take(&mut *self.pending_load_notes.borrow_mut())
     }
 
+    /// Queues a message on a stream, which is sent at once.
+    pub fn queue_stream_message(&self, message: StreamMessage) {
+        self.pending_stream_messages.borrow_mut().push(message);
+        self.stream_messages_due.notify_one();
+    }
+
+    /// Removes and returns the messages on streams that are still to be sent.
+    pub fn take_pending_stream_messages(&self) -> Vec<StreamMessage> {
+        std::mem::take(&mut *self.pending_stream_messages.borrow_mut())
+    }
+
     /// Records the outcome of a request at `endpoint`, and announces it to peers if the endpoint
     /// has become suspect.
     pub fn record_outcome(&self, endpoint: &EndpointId, outcome: RequestOutcome) {
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -10,6 +10,7 @@
 //! the generation needs.
 
 mod relay;
+mod resume;
 mod run;
 
 use self::run::{
@@ -28,8 +29,9 @@
 };
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_routing::placement::{PlacementRequest, choose_backup_engine, needs_backup};
+use gypsumchute_routing::placement::{choose_backup_engine, needs_backup};
 use gypsumchute_routing::poison_segments::SuspectRun;
+use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId};
 use http::Response;
@@ -100,6 +102,9 @@
     run_alive_ms: Option<BootMs>,
     /// How far the last run came.
     progress: RunProgress,
+    /// Software version that began the stream, at which alone it may go on. `None` until the first
+    /// event.
+    version: Option<ServiceVersion>,
 }
 
 impl Generation {
@@ -118,6 +123,7 @@
             last_endpoint: None,
             run_alive_ms: None,
             progress: RunProgress::Waiting,
+            version: None,
         }
     }
 
@@ -188,6 +194,11 @@
 
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
+        if self.call.caller.last_event_id.is_some()
+            && let Err(refusal) = self.bind_resumed_stream().await
+        {
+            return GenerationEnd::Refused(refusal);
+        }
         let mut start_from = StartFrom::Prompt;
         loop {
             let from_backup = matches!(start_from, StartFrom::Backup(_));
@@ -238,7 +249,7 @@
         interruption: Interruption,
         backup: Option<Backup>,
     ) -> Result<StartFrom, Refusal> {
-        let backup = backup.filter(|backup| self.accepts_requests(&backup.endpoint));
+        let backup = backup.filter(|backup| self.is_usable(backup));
         let next = choose_recovery(interruption, self.run_state(backup.is_some()));
         self.log_recovery(interruption, next);
         match (next, backup) {
@@ -296,23 +307,30 @@
         self.call.context.with(|state| state.endpoints.is_terminating_or_gone(endpoint))
     }
 
-    /// Reports whether `endpoint` is in service and accepts new requests.
-    fn accepts_requests(&self, endpoint: &EndpointId) -> bool {
-        self.call.context.with(|state| state.endpoints.accepts_requests(endpoint))
+    /// Reports whether the engine that holds `backup` accepts requests and still runs the software
+    /// version of the stream.
+    fn is_usable(&self, backup: &Backup) -> bool {
+        self.call.context.with(|state| {
+            let found = state.endpoints.get(&backup.endpoint);
+            state.endpoints.accepts_requests(&backup.endpoint)
+                && found.is_some_and(|endpoint| endpoint.service_version == backup.version)
+        })
     }
 
     /// Starts a run from the prompt, or resumes the generation from a backup.
     async fn start_run(&mut self, start_from: StartFrom) -> StartOutcome {
         let (placed, source, backup_load_guard) = match start_from {
-            StartFrom::Prompt => match self.call.place_and_connect(&self.excluded).await {
-                Ok(placed) => (placed, None, None),
-                Err(refusal) => return StartOutcome::Refused(refusal),
-            },
+            StartFrom::Prompt => {
+                match self.call.place_and_connect(&self.excluded, self.version).await {
+                    Ok(placed) => (placed, None, None),
+                    Err(refusal) => return StartOutcome::Refused(refusal),
+                }
+            }
             StartFrom::Backup(backup) => {
                 if let Some(refusal) = self.call.poison_refusal() {
                     return StartOutcome::Refused(refusal);
                 }
-                if !self.call.context.may_send_to(&backup.endpoint) {
+                if !self.is_usable(&backup) || !self.call.context.may_send_to(&backup.endpoint) {
                     return StartOutcome::NotRun;
                 }
                 let opened =
@@ -325,12 +343,14 @@
                     return StartOutcome::NotRun;
                 };
                 let load_guard = self.call.context.reserve_load(&backup.endpoint, self.call.load());
-                let Backup { endpoint, address, source, load_guard: backup_load_guard } = backup;
-                let placed = EndpointConnection { endpoint, address, connection, load_guard };
+                let Backup { endpoint, address, version, source, load_guard: backup_load_guard } =
+                    backup;
+                let placed =
+                    EndpointConnection { endpoint, address, version, connection, load_guard };
                 (placed, Some(source), Some(backup_load_guard))
             }
         };
-        let backup = self.reserve_backup(&placed.endpoint);
+        let backup = self.reserve_backup(&placed.endpoint, placed.version);
         let options = SendOptions {
             backup_at: backup.as_ref().map(|backup| backup.address),
             source: source.as_ref(),
@@ -341,7 +361,7 @@
         // pending, the endpoint may have run the request. The count is reduced again if the
         // endpoint reports that it did not.
         self.endpoints_used += 1;
-        let EndpointConnection { endpoint, address, connection, load_guard } = placed;
+        let EndpointConnection { endpoint, address, version, connection, load_guard } = placed;
         self.last_endpoint = Some(endpoint.clone());
         self.run_alive_ms = Some(boot_now());
         self.progress = RunProgress::Waiting;
@@ -373,6 +393,7 @@
             ResponseKind::Success => StartOutcome::Running(Box::new(Run {
                 endpoint,
                 address,
+                version,
                 response,
                 events: EventReader::default(),
                 backup,
@@ -441,17 +462,6 @@
         }
     }
 
-    /// Returns the placement requirements of this generation.
-    fn placement_request(&self) -> PlacementRequest<'_> {
-        PlacementRequest {
-            service: &self.call.service,
-            load: self.call.load(),
-            excluded_endpoints: &self.excluded,
-            allowed_zones: &self.call.zones,
-            random_value: self.call.random_value,
-        }
-    }
-
     /// Returns the load that a backup of this generation adds to an engine.
     fn backup_load(&self) -> Load {
         Load { backup_tokens: self.call.load().reserved_tokens, ..Load::default() }
@@ -460,7 +470,7 @@
     /// Chooses an engine for the KV backup of the run at `run_endpoint` and reserves the memory.
     /// Returns `None` if the generation is short and can be restarted instead, if the caller sent
     /// no request id (which names the backup), or if no engine has room.
-    fn reserve_backup(&self, run_endpoint: &EndpointId) -> Option<Backup> {
+    fn reserve_backup(&self, run_endpoint: &EndpointId, version: ServiceVersion) -> Option<Backup> {
         let context = &self.call.context;
         if !needs_backup(self.call.route.kind, self.call.expected_output_tokens()) {
             return None;
@@ -468,14 +478,14 @@
         let request_id = self.call.caller.request_id.as_ref()?;
         let (endpoint, address) = context.with(|state| {
             let fleet = state.fleet(&context.settings);
-            let endpoint =
-                choose_backup_engine(boot_now(), fleet, self.placement_request(), run_endpoint)?;
+            let demand = self.call.placement_request(&self.excluded, Some(version));
+            let endpoint = choose_backup_engine(boot_now(), fleet, demand, run_endpoint)?;
             let address = state.endpoints.get(&endpoint)?.entry.address;
             Some((endpoint, address))
         })?;
         let source = KvSource { address, name: request_id.to_string() };
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        Some(Backup { endpoint, address, source, load_guard })
+        Some(Backup { endpoint, address, version, source, load_guard })
     }
 
     /// Appends `chunk` to the event buffer and forwards each complete event to the caller. Returns
@@ -491,6 +501,7 @@
             run.last_event_at = Instant::now();
             self.record_progress(boot_now());
             run.load_guard.release_prefill_load();
+            self.bind_begun_stream(run.version);
             self.send_response_head(run);
             self.delivered_events += 1;
             if !self.response_sender.send_event(event.bytes).await {
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -108,7 +108,7 @@
                 continue;
             }
             run.termination_handled = true;
-            let backup = run.backup.take().filter(|backup| self.accepts_requests(&backup.endpoint));
+            let backup = run.backup.take().filter(|backup| self.is_usable(backup));
             let next = choose_recovery(Interruption::Terminating, self.run_state(backup.is_some()));
             self.log_recovery(Interruption::Terminating, next);
             match (next, backup) {
@@ -138,8 +138,8 @@
         match result {
             Ok(copy) => {
                 let source = KvSource { address: run.address, name: copy.handle };
-                let CopyTarget { endpoint, address, load_guard } = target;
-                run.backup = Some(Backup { endpoint, address, source, load_guard });
+                let CopyTarget { endpoint, address, version, load_guard } = target;
+                run.backup = Some(Backup { endpoint, address, version, source, load_guard });
                 run.termination_handled = false;
             }
             Err(error) => {
@@ -156,7 +156,7 @@
     /// A run without a usable backup is given up, so that the generation can restart from the
     /// prompt.
     async fn fail_over_stalled_run(&mut self, mut run: Run) -> Result<Box<Run>, RelayEnd> {
-        let backup = run.backup.take().filter(|backup| self.accepts_requests(&backup.endpoint));
+        let backup = run.backup.take().filter(|backup| self.is_usable(backup));
         match backup {
             Some(backup) => {
                 self.log_recovery(Interruption::Stalled, RecoveryAction::ResumeFromBackup);
@@ -202,7 +202,8 @@
         let request_id: RequestId = self.call.caller.request_id.clone()?;
         let placement = context.with(|state| {
             let fleet = state.fleet(&context.settings);
-            choose_migration_target(boot_now(), fleet, self.placement_request(), &run.endpoint)
+            let demand = self.call.placement_request(&self.excluded, Some(run.version));
+            choose_migration_target(boot_now(), fleet, demand, &run.endpoint)
         });
         let Placement::Endpoint(endpoint) = placement else { return None };
         if !context.may_send_to(&run.endpoint) {
@@ -211,7 +212,8 @@
         let address =
             context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address))?;
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        let target = CopyTarget { endpoint, address, load_guard };
+        let version = run.version;
+        let target = CopyTarget { endpoint, address, version, load_guard };
         let source_address = run.address;
         Some(Box::pin(async move {
             let result =
@@ -225,7 +227,7 @@
     /// from a backup nor restart: the run is then kept however long it pauses.
     fn stall_deadline(&self, run: &Run) -> Option<Instant> {
         let backup = run.backup.as_ref();
-        let has_backup = backup.is_some_and(|backup| self.accepts_requests(&backup.endpoint));
+        let has_backup = backup.is_some_and(|backup| self.is_usable(backup));
         let next = choose_recovery(Interruption::Stalled, self.run_state(has_backup));
         let limit_ms = match (next, self.delivered_events) {
             (RecoveryAction::KeepRunning | RecoveryAction::Fail | RecoveryAction::Migrate, _) => {
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -9,6 +9,7 @@
 use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::continuity::Interruption;
 use gypsumchute_routing::poison_segments::BEGINNING_MS;
+use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::{BootMs, EndpointId, Refusal};
 use http::response::Parts;
 use std::future::Future;
@@ -51,6 +52,8 @@
     pub(super) endpoint: EndpointId,
     /// Address of `endpoint`.
     pub(super) address: SocketAddr,
+    /// Service and software version of `endpoint` when it was chosen: those of the run.
+    pub(super) version: ServiceVersion,
     /// Where the engine reads the copy from when it resumes the generation.
     pub(super) source: KvSource,
     /// Accounts for the memory that the copy occupies.
@@ -72,6 +75,8 @@
     pub(super) endpoint: EndpointId,
     /// Address of `endpoint`.
     pub(super) address: SocketAddr,
+    /// Service and software version of `endpoint`.
+    pub(super) version: ServiceVersion,
     /// Response whose body is the event stream.
     pub(super) response: ResponseStream,
     /// Splits the response body into events.
@@ -194,6 +199,8 @@
     pub(super) endpoint: EndpointId,
     /// Address of `endpoint`.
     pub(super) address: SocketAddr,
+    /// Service and software version of `endpoint`.
+    pub(super) version: ServiceVersion,
     /// Accounts for the memory that the copy will occupy.
     pub(super) load_guard: LoadGuard,
 }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,5 +1,5 @@
 //! Gossip between daemons over UDP: periodic heartbeats, and load notes that announce changes of
-//! load immediately.
+//! load immediately. Other datagrams are passed on to [`crate::stream_gossip`].
 
 use crate::context::{Context, LoadNoteTargets, State};
 use crate::crash_gossip::{
@@ -7,6 +7,7 @@
     encode_completed, encode_crash, encode_poison_request,
 };
 use crate::peer_sync::{decode_position, encode_position};
+use crate::stream_gossip::{answer_query, apply_stream_record};
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
     Datagram, EndpointLoad, Heartbeat, LoadNote, Member, RequestLimit, datagram::Body,
@@ -72,6 +73,8 @@
                 apply_heartbeat(&context, &socket, heartbeat).await
             }
             Ok(Some(Body::Note(note))) => apply_load_note(&context, &socket, note).await,
+            Ok(Some(Body::StreamRecord(record))) => apply_stream_record(&context, record),
+            Ok(Some(Body::StreamQuery(query))) => answer_query(&context, &socket, query).await,
             Ok(None) => warn!(bytes = length; "unknown datagram type"),
             Err(err) => warn!(error:% = err, bytes = length; "failed to decode a datagram"),
         }
@@ -96,7 +99,7 @@
 }
 
 /// Sends a datagram to each target.
-async fn send_datagram(
+pub(crate) async fn send_datagram(
     context: &Context,
     socket: &UdpSocket,
     body: Body,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`engine_reports`] polls engines for termination notices while the registry is stale;
 //! - [`gossip`] and [`crash_gossip`] exchange load, membership and crashes with peers;
 //!   [`maintenance`] discards expired state;
+//! - [`stream_gossip`] tells peers at which software version a stream began, and asks them when a
+//!   caller resumes it;
 //! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon, and
 //!   [`reload`] applies changed settings.
 
@@ -38,3 +40,4 @@
 pub mod status_server;
 pub mod store_reader;
 pub mod store_updates;
+pub mod stream_gossip;
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -18,6 +18,10 @@
 /// announced load expires in the other zones.
 const REMOTE_NOTE_INTERVAL_MS: u64 = PEER_LOAD_TTL_MS * 2 / 5;
 
+/// Time for which a software version that is no longer in service is remembered, in milliseconds. It
+/// exceeds the time for which any stream may be resumed.
+const VERSION_MEMORY_MS: u64 = 3_600_000;
+
 /// Performs the periodic tasks. Runs until the process exits.
 pub async fn run(context: Rc<Context>) {
     let (mut next_expire_ms, mut next_note_ms) = (boot_now(), boot_now());
@@ -25,6 +29,7 @@
         sleep(Duration::from_millis(ZONE_CHECK_INTERVAL_MS)).await;
         update_unreachable_zones(&context);
         drop_lost_keys(&context);
+        observe_versions(&context);
         if next_expire_ms <= boot_now() {
             next_expire_ms = boot_now() + EXPIRE_INTERVAL_MS;
             update_heartbeat_only_endpoints(&context);
@@ -54,6 +59,15 @@
     }
 }
 
+/// Records the software versions in service, to know from when on there was only one.
+fn observe_versions(context: &Context) {
+    let now = boot_now();
+    context.with(|state| {
+        let is_current = !state.registry_is_stale(now);
+        state.stream_versions.observe(now, &state.endpoints, is_current);
+    });
+}
+
 /// Updates the set of endpoints whose load is reported by heartbeats only. Running this every half
 /// second is sufficient, because the set only depends on which VMs are alive.
 fn update_heartbeat_only_endpoints(context: &Context) {
@@ -78,6 +92,7 @@
         state.loads.expire(now);
         state.outcomes.expire(now);
         state.suspects.requests.expire(now);
+        state.stream_versions.expire(now, VERSION_MEMORY_MS);
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
         let limits = &state.endpoint_limits;
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -6,7 +6,10 @@
 use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_routing::admission::{QueuePosition, max_queue_wait_ms};
 use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_routing::placement::{Placement, PlacementRequest, choose_endpoint};
+use gypsumchute_routing::placement::{
+    Placement, PlacementRequest, choose_endpoint, has_permitted_endpoint,
+};
+use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use log::info;
@@ -29,12 +32,21 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Service and software version of the endpoint when it was chosen.
+    pub version: ServiceVersion,
     /// Open connection to the endpoint.
     pub connection: Connection,
     /// Accounts for the load of the request at the endpoint.
     pub load_guard: LoadGuard,
 }
 
+/// An endpoint that was chosen for a request.
+struct ChosenEndpoint {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    version: ServiceVersion,
+}
+
 /// Result of an attempt to place a request without waiting.
 enum PlaceAttempt {
     /// This endpoint has capacity and takes the request now.
@@ -101,7 +113,8 @@
 impl Call {
     /// Chooses an endpoint with capacity and connects to it. If all endpoints are full, waits in
     /// the admission queue for at most [`max_queue_wait_ms`], which leaves the endpoint enough time
-    /// for the response.
+    /// for the response. A request that is bound to a software `version` does not wait if no
+    /// endpoint of that version is in service.
     ///
     /// # Errors
     ///
@@ -109,11 +122,13 @@
     pub async fn place_and_connect(
         &self,
         excluded: &BTreeSet<EndpointId>,
+        version: Option<ServiceVersion>,
     ) -> Result<EndpointConnection, Refusal> {
         let mut excluded = excluded.clone();
         let mut failures = 0;
         loop {
-            let (endpoint, address) = self.wait_for_capacity(&excluded).await?;
+            let chosen = self.wait_for_capacity(&excluded, version).await?;
+            let ChosenEndpoint { endpoint, address, version } = chosen;
             self.log_placement(&endpoint);
             let load_guard = self.context.reserve_load(&endpoint, self.load_before_prefill());
             let limit_ms = CONNECT_TIMEOUT_MS.min(self.remaining_ms());
@@ -128,7 +143,13 @@
                     if let Some(refusal) = self.poison_refusal() {
                         return Err(refusal);
                     }
-                    return Ok(EndpointConnection { endpoint, address, connection, load_guard });
+                    return Ok(EndpointConnection {
+                        endpoint,
+                        address,
+                        version,
+                        connection,
+                        load_guard,
+                    });
                 }
                 Err(err) => {
                     self.context.record_outcome(&endpoint, RequestOutcome::TransportError);
@@ -147,12 +168,12 @@
         }
     }
 
-    /// Waits in the admission queue until an endpoint has capacity, and returns the endpoint and
-    /// the address it listens on.
+    /// Waits in the admission queue until an endpoint has capacity, and returns the endpoint.
     async fn wait_for_capacity(
         &self,
         excluded: &BTreeSet<EndpointId>,
-    ) -> Result<(EndpointId, SocketAddr), Refusal> {
+        version: Option<ServiceVersion>,
+    ) -> Result<ChosenEndpoint, Refusal> {
         let mut changes = self.context.changes();
         let max_wait_ms = max_queue_wait_ms(&self.route, self.remaining_ms());
         let queue_deadline_ms = self.arrived_ms + max_wait_ms;
@@ -164,14 +185,21 @@
             if let Some(refusal) = self.poison_refusal() {
                 return Err(refusal);
             }
+            if version.is_some() && !self.has_endpoint_of(excluded, version) {
+                let typical_wait_ms = self.route.latency_target_ms;
+                return Err(self.retryable_refusal(RefusalReason::NoEndpoint, typical_wait_ms));
+            }
             let left_ms = boot_now().until(queue_deadline_ms);
-            let (reason, wait_ms) = match self.try_place(position, excluded) {
+            let (reason, wait_ms) = match self.try_place(position, excluded, version) {
                 PlaceAttempt::Endpoint(endpoint) => {
                     let found = self.context.with(|state| {
-                        state.endpoints.get(&endpoint).map(|found| found.entry.address)
+                        let found = state.endpoints.get(&endpoint)?;
+                        Some((found.entry.address, found.service_version))
                     });
                     match found {
-                        Some(address) => return Ok((endpoint, address)),
+                        Some((address, version)) => {
+                            return Ok(ChosenEndpoint { endpoint, address, version });
+                        }
                         None => (RefusalReason::NoEndpoint, left_ms),
                     }
                 }
@@ -195,9 +223,41 @@
         }
     }
 
+    /// Returns the requirements that this request places on an endpoint.
+    pub(crate) fn placement_request<'a>(
+        &'a self,
+        excluded_endpoints: &'a BTreeSet<EndpointId>,
+        version: Option<ServiceVersion>,
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
+            service: &self.service,
+            load: self.load(),
+            excluded_endpoints,
+            allowed_zones: &self.zones,
+            version,
+            random_value: self.random_value,
+        }
+    }
+
+    /// Reports whether any endpoint of `version` besides the excluded ones is in service.
+    fn has_endpoint_of(
+        &self,
+        excluded: &BTreeSet<EndpointId>,
+        version: Option<ServiceVersion>,
+    ) -> bool {
+        let demand = self.placement_request(excluded, version);
+        self.context
+            .with(|state| has_permitted_endpoint(state.fleet(&self.context.settings), demand))
+    }
+
     /// Chooses an endpoint without waiting. Endpoints that take no more requests now, because they
     /// are cold or have named a limit, are passed over.
-    fn try_place(&self, position: QueuePosition, excluded: &BTreeSet<EndpointId>) -> PlaceAttempt {
+    fn try_place(
+        &self,
+        position: QueuePosition,
+        excluded: &BTreeSet<EndpointId>,
+        version: Option<ServiceVersion>,
+    ) -> PlaceAttempt {
         let now = boot_now();
         let mut excluded = excluded.clone();
         let mut limits = LimitedEndpoints::default();
@@ -206,13 +266,7 @@
                 return PlaceAttempt::AtCapacity;
             }
             loop {
-                let demand = PlacementRequest {
-                    service: &self.service,
-                    load: self.load(),
-                    excluded_endpoints: &excluded,
-                    allowed_zones: &self.zones,
-                    random_value: self.random_value,
-                };
+                let demand = self.placement_request(&excluded, version);
                 let endpoint =
                     match choose_endpoint(now, state.fleet(&self.context.settings), demand) {
                         Placement::Endpoint(endpoint) => endpoint,
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -102,7 +102,7 @@
     async fn run(&mut self) -> Reply {
         let mut failure: Option<Reply> = None;
         loop {
-            let placed = match self.call.place_and_connect(&self.excluded).await {
+            let placed = match self.call.place_and_connect(&self.excluded, None).await {
                 Ok(placed) => placed,
                 Err(refusal) => return failure.unwrap_or_else(|| self.refuse_exhausted(refusal)),
             };
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::{
     engine_reports, folder_reader, gossip, ingress, maintenance, peer_sync, reload, status_server,
-    store_reader,
+    store_reader, stream_gossip,
 };
 use gypsumchute_config::{ConfigSource, DaemonSettings};
 use gypsumchute_fleet::StorePosition;
@@ -113,6 +113,7 @@
     }
     spawn_local(gossip::send_heartbeats(context.clone(), socket.clone()));
     spawn_local(gossip::send_load_notes(context.clone(), socket.clone()));
+    spawn_local(stream_gossip::send_messages(context.clone(), socket.clone()));
     spawn_local(gossip::receive_datagrams(context.clone(), socket.clone()));
     spawn_local(peer_sync::pull_changes(context.clone()));
     spawn_local(peer_sync::serve_pulls(context.clone(), peers));
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -2,7 +2,7 @@
 /// A UDP datagram from one daemon to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -13,8 +13,41 @@
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "2")]
         Note(super::LoadNote),
+        #[prost(message, tag = "3")]
+        StreamRecord(super::StreamRecord),
+        #[prost(message, tag = "4")]
+        StreamQuery(super::StreamQuery),
     }
 }
+/// The software version at which a stream began. Sent when the first event arrives, and in reply to a
+/// query.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamRecord {
+    /// Hash that identifies the stream.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Hash that identifies the service and the version of its software.
+    #[prost(fixed64, tag = "2")]
+    pub version: u64,
+    /// Time for which the receiver keeps the record, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub keep_ms: u64,
+}
+/// Asks for the record of a stream that a caller resumes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamQuery {
+    /// Hash that identifies the stream.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// IPv4 address and port that the record is sent to.
+    #[prost(fixed32, tag = "2")]
+    pub ip: u32,
+    #[prost(uint32, tag = "3")]
+    pub port: u32,
+    /// Whether the receiver must relay the query to the VMs of its zone that keep the record.
+    #[prost(bool, tag = "4")]
+    pub relay: bool,
+}
 /// The load that the sender's requests cause at one endpoint, and the endpoint's health as observed
 /// by the sender. Sent at once to the VMs that also send requests to this endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! Endpoints that the platform's registry reports, and which of them may receive new requests.
 
+use crate::stream_versions::ServiceVersion;
 use gypsumchute_units::{BootMs, EndpointId, ServiceId, SoftwareVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -59,6 +60,8 @@
     pub state: EndpointState,
     /// Time at which the cold start ends.
     pub cold_until_ms: BootMs,
+    /// Service and software version of the endpoint.
+    pub service_version: ServiceVersion,
 }
 
 /// All known endpoints and the set of drained zones.
@@ -76,7 +79,8 @@
             false => EndpointState::Ready,
         };
         let cold_until_ms = now + entry.warmup_remaining_ms;
-        let endpoint = Endpoint { entry, state, cold_until_ms };
+        let service_version = ServiceVersion::of(&entry);
+        let endpoint = Endpoint { entry, state, cold_until_ms, service_version };
         let id = endpoint.entry.id.clone();
         let previous = self.by_id.insert(id, endpoint.clone());
         previous.is_none_or(|previous| previous != endpoint)
@@ -191,6 +195,12 @@
         }
     }
 
+    /// Returns the service of a software version that is registered.
+    pub fn service_of(&self, version: ServiceVersion) -> Option<ServiceId> {
+        let found = self.by_id.values().find(|endpoint| endpoint.service_version == version);
+        found.map(|endpoint| endpoint.entry.service.clone())
+    }
+
     /// Returns all endpoints.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.by_id.values()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod poison_segments;
 pub mod shutdown;
 pub mod silent_runs;
+pub mod stream_versions;
 pub mod table;
 
 pub use endpoints::{EndpointEntry, EndpointState, EndpointTable};
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::endpoints::{Endpoint, EndpointTable};
 use crate::load::{Load, LoadTable};
 use crate::outcomes::OutlierDetector;
+use crate::stream_versions::ServiceVersion;
 use crate::table::{EngineProperties, RouteKind, Service};
 use gypsumchute_units::{BootMs, EndpointId, ZoneId};
 use std::collections::BTreeSet;
@@ -93,6 +94,8 @@
     pub excluded_endpoints: &'a BTreeSet<EndpointId>,
     /// Zones in which the request may run. An empty set allows all zones.
     pub allowed_zones: &'a BTreeSet<ZoneId>,
+    /// Software version that the request is bound to, if a part of its stream has been written.
+    pub version: Option<ServiceVersion>,
     /// Random number of the request, which spreads similar requests over endpoints.
     pub random_value: u64,
 }
@@ -102,7 +105,8 @@
     fn allows(&self, endpoint: &Endpoint) -> bool {
         let zone_fits =
             self.allowed_zones.is_empty() || self.allowed_zones.contains(&endpoint.entry.zone);
-        zone_fits && !self.excluded_endpoints.contains(&endpoint.entry.id)
+        let version_fits = self.version.is_none_or(|version| version == endpoint.service_version);
+        zone_fits && version_fits && !self.excluded_endpoints.contains(&endpoint.entry.id)
     }
 }
 
@@ -117,6 +121,12 @@
     NoEndpoint,
 }
 
+/// Reports whether any endpoint may serve the request, now or once it has room.
+pub fn has_permitted_endpoint(fleet: FleetView<'_>, request: PlacementRequest<'_>) -> bool {
+    let candidates = fleet.endpoints.candidates(&request.service.id);
+    candidates.into_iter().any(|endpoint| request.allows(endpoint))
+}
+
 /// Chooses the endpoint with the lowest cost among those with enough capacity for the request.
 pub fn choose_endpoint(
     now: BootMs,
--- a/crates/routing/tests/testsuite/support.rs
+++ b/crates/routing/tests/testsuite/support.rs
@@ -112,6 +112,7 @@
             load,
             excluded_endpoints: &self.excluded_endpoints,
             allowed_zones: &self.allowed_zones,
+            version: None,
             random_value,
         }
     }
--- a/crates/units/src/refusal.rs
+++ b/crates/units/src/refusal.rs
@@ -69,6 +69,8 @@
     NoRoom,
     /// No endpoint of the route is reachable and in service.
     NoEndpoint,
+    /// The request resumes a stream, and the software version that began it is not known.
+    UnknownStream,
     /// This VM has no configuration yet, or the configuration is too stale to be used.
     NoConfiguration,
     /// This VM is shutting down.
@@ -114,6 +116,7 @@
             RefusalReason::ShareUnavailable
             | RefusalReason::NoRoom
             | RefusalReason::NoEndpoint
+            | RefusalReason::UnknownStream
             | RefusalReason::NoConfiguration
             | RefusalReason::Draining
             | RefusalReason::Overloaded
@@ -140,6 +143,9 @@
             }
             RefusalReason::NoRoom => "every endpoint of this route is full",
             RefusalReason::NoEndpoint => "no endpoint of this route is in service here",
+            RefusalReason::UnknownStream => {
+                "the stream can't be resumed: the software version that began it is not known"
+            }
             RefusalReason::NoConfiguration => "this VM has no configuration in force",
             RefusalReason::Draining => "this VM is shutting down; another one will answer",
             RefusalReason::Overloaded => "this VM has as many requests as it bears",
