A stream that no VM knows is looked for in the backups that engines hold

After all VMs were lost, nobody knows at which version a stream began, and all take-ups were refused. An engine that holds the backup of the stream's run is a witness: it resumes, and any other engine says that it did not run. The backup of a stream that callers may resume is now placed by rendezvous hashing of the stream's key among the engines with room, and a VM that finds no record tries up to three engines of each version, within the retry budget and 0.5 s. An attempt that is lost on the way is not continued, since its version is not known. What is refused has no Retry-After: waiting does not help.

Added: tests of the versions' module and of the records in a fleet of 90. The test of an unknown stream deletes the backups first; it is about a stream without any witness.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -194,15 +194,13 @@
 
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
-        if self.call.caller.last_event_id.is_some()
-            && let Err(refusal) = self.bind_resumed_stream().await
-        {
-            return GenerationEnd::Refused(refusal);
-        }
-        let mut start_from = StartFrom::Prompt;
+        let mut from_backup = false;
+        let mut start = match self.call.caller.last_event_id {
+            Some(_) => self.start_resumed_stream().await,
+            None => self.start_run(StartFrom::Prompt).await,
+        };
         loop {
-            let from_backup = matches!(start_from, StartFrom::Backup(_));
-            let next_start = match self.start_run(start_from).await {
+            let next_start = match start {
                 StartOutcome::Running(run) => match self.relay_events(*run).await {
                     RelayEnd::Complete => return GenerationEnd::Complete,
                     RelayEnd::Lost(interruption, backup) => self.after_loss(interruption, backup),
@@ -220,10 +218,12 @@
                 }
                 StartOutcome::Failed(reply) => return GenerationEnd::Failed(reply),
             };
-            start_from = match next_start {
+            let start_from = match next_start {
                 Ok(start_from) => start_from,
                 Err(refusal) => return GenerationEnd::Refused(refusal),
             };
+            from_backup = matches!(start_from, StartFrom::Backup(_));
+            start = self.start_run(start_from).await;
         }
     }
 
@@ -476,10 +476,12 @@
             return None;
         }
         let request_id = self.call.caller.request_id.as_ref()?;
+        let resumable_stream = self.call.is_repeatable().then(|| self.stream_key(request_id));
         let (endpoint, address) = context.with(|state| {
             let fleet = state.fleet(&context.settings);
             let demand = self.call.placement_request(&self.excluded, Some(version));
-            let endpoint = choose_backup_engine(boot_now(), fleet, demand, run_endpoint)?;
+            let endpoint =
+                choose_backup_engine(boot_now(), fleet, demand, run_endpoint, resumable_stream)?;
             let address = state.endpoints.get(&endpoint)?.entry.address;
             Some((endpoint, address))
         })?;
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -2,6 +2,10 @@
 //! this VM.
 
 use super::Generation;
+use super::run::{Backup, StartFrom, StartOutcome};
+use gypsumchute_platform::KvSource;
+use gypsumchute_routing::load::Load;
+use gypsumchute_routing::placement::likely_backup_engines;
 use gypsumchute_routing::stream_versions::{
     ServiceVersion, StreamKey, StreamVersion, resume_period_ms,
 };
@@ -9,6 +13,15 @@
 use gypsumchute_units::{Refusal, RefusalReason, RequestId};
 use log::info;
 
+/// Number of engines of each software version that are tried for the backup of a stream whose
+/// version is not known. The first of them may run the stream itself, and the second may have been
+/// full.
+const BACKUP_ENGINES_PER_VERSION: usize = 3;
+
+/// Time for which engines are tried for the backup of a stream, in milliseconds: enough for all of
+/// them if they answer, and short for the caller if they don't.
+const BACKUP_SEARCH_MS: u64 = 500;
+
 /// How the version that began a resumed stream became known, for log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -19,6 +32,10 @@
     SoleVersion,
     /// A peer VM sent its record of the stream.
     Peer,
+    /// An engine of the version holds a backup of the stream.
+    Backup,
+    /// The version did not become known.
+    Nothing,
 }
 
 impl Generation {
@@ -36,37 +53,53 @@
         }
     }
 
-    /// Binds a stream that the caller resumes to the version that began it. The stream is known by
-    /// the attempt that brought its first event, so the record is kept for longer from now on.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if the version is not known for certain.
-    pub(super) async fn bind_resumed_stream(&mut self) -> Result<(), Refusal> {
+    /// Starts the run of a stream that the caller resumes, at the version that began the stream. The
+    /// stream is known by the attempt that brought its first event. Refuses the request if the
+    /// version is not known for certain.
+    pub(super) async fn start_resumed_stream(&mut self) -> StartOutcome {
         let first_attempt = self.call.caller.resumed_request_id.clone();
         let stream = first_attempt.as_ref().map(|request| self.stream_key(request));
-        let found = self.find_version(stream).await;
-        info!(
-            request = self.call.id(),
-            resumes = first_attempt.as_ref().map_or("-", RequestId::as_str),
-            after_event = self.call.caller.last_event_id.unwrap_or_default(),
-            known_from = found.map_or("-".to_owned(), |(_, source)| source.to_string());
-            "caller resumes a stream"
-        );
-        let Some((version, _)) = found else {
-            let typical_wait_ms = self.call.route.latency_target_ms;
-            return Err(self.call.retryable_refusal(RefusalReason::UnknownStream, typical_wait_ms));
-        };
+        if let Some((version, source)) = self.find_version(stream).await {
+            self.bind_resumed_stream(stream, version, source);
+            return self.start_run(StartFrom::Prompt).await;
+        }
+        if let Some(first_attempt) = &first_attempt
+            && let Some(outcome) = self.start_from_found_backup(first_attempt).await
+        {
+            return outcome;
+        }
+        self.log_resumed_stream(VersionSource::Nothing);
+        StartOutcome::Refused(Refusal::not_run(RefusalReason::UnknownStream))
+    }
+
+    /// Binds a stream that the caller resumes to `version`, and keeps its record for longer.
+    fn bind_resumed_stream(
+        &mut self,
+        stream: Option<StreamKey>,
+        version: ServiceVersion,
+        source: VersionSource,
+    ) {
+        self.log_resumed_stream(source);
         self.version = Some(version);
         self.call.switch_service(version);
         if let Some(stream) = stream {
             self.announce_stream(stream, version);
         }
-        Ok(())
     }
 
-    /// Returns the version that began a stream and how it became known, or `None` if that is not
-    /// certain.
+    /// Logs how the version of a stream that the caller resumes became known.
+    fn log_resumed_stream(&self, source: VersionSource) {
+        let caller = &self.call.caller;
+        info!(
+            request = self.call.id(),
+            resumes = caller.resumed_request_id.as_ref().map_or("-", RequestId::as_str),
+            after_event = caller.last_event_id.unwrap_or_default(),
+            known_from:% = source;
+            "caller resumes a stream"
+        );
+    }
+
+    /// Returns the version that began a stream and how it became known, or `None` if no VM knows.
     async fn find_version(
         &self,
         stream: Option<StreamKey>,
@@ -92,6 +125,68 @@
         Some((record.version, VersionSource::Peer))
     }
 
+    /// Tries the engines that may hold a backup of the run of `first_attempt`, and returns the run
+    /// that resumes from it. An engine without the backup does not run the request, so the version
+    /// of one that does is the version that began the stream. Returns `None` if no backup was found.
+    async fn start_from_found_backup(&mut self, first_attempt: &RequestId) -> Option<StartOutcome> {
+        let deadline_ms = boot_now() + BACKUP_SEARCH_MS;
+        let service = self.call.service.id.clone();
+        for (tried, backup) in self.possible_backups(first_attempt).into_iter().enumerate() {
+            let may_try = tried == 0 || self.call.context.take_retry(&service, "backup_search");
+            if !may_try || boot_now() >= deadline_ms {
+                return None;
+            }
+            let version = backup.version;
+            match self.start_run(StartFrom::Backup(backup)).await {
+                StartOutcome::NotRun => {}
+                StartOutcome::Running(run) => {
+                    let stream = self.stream_key(first_attempt);
+                    self.bind_resumed_stream(Some(stream), version, VersionSource::Backup);
+                    return Some(StartOutcome::Running(run));
+                }
+                // Whether that engine had the backup is not known, so neither is the version.
+                StartOutcome::Lost(_) => {
+                    let refusal = Refusal::may_have_run(RefusalReason::EndpointLost);
+                    return Some(StartOutcome::Refused(refusal));
+                }
+                outcome => return Some(outcome),
+            }
+        }
+        None
+    }
+
+    /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
+    /// version, the most likely one of each version first.
+    fn possible_backups(&self, first_attempt: &RequestId) -> Vec<Backup> {
+        let context = &self.call.context;
+        let stream = self.stream_key(first_attempt);
+        let mut possible = context.with(|state| {
+            let versions = state.endpoints.versions_of(&self.call.service.id);
+            let mut possible = Vec::new();
+            for version in versions {
+                let demand = self.call.placement_request(&self.excluded, Some(version));
+                let fleet = state.fleet(&context.settings);
+                let engines =
+                    likely_backup_engines(fleet, demand, stream, BACKUP_ENGINES_PER_VERSION);
+                for (rank, endpoint) in engines.into_iter().enumerate() {
+                    if let Some(found) = state.endpoints.get(&endpoint) {
+                        possible.push((rank, endpoint, found.entry.address, version));
+                    }
+                }
+            }
+            possible
+        });
+        possible.sort_by_key(|(rank, ..)| *rank);
+        let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
+            load_guard: context.reserve_load(&endpoint, Load::default()),
+            endpoint,
+            address,
+            version,
+            source: KvSource { address, name: first_attempt.to_string() },
+        });
+        backups.collect()
+    }
+
     /// Records the version of a stream here and at peers.
     fn announce_stream(&self, stream: StreamKey, version: ServiceVersion) {
         let period_ms = resume_period_ms(self.call.route.response_timeout_ms);
@@ -100,7 +195,7 @@
     }
 
     /// Returns the key of the stream whose first event `request` brought.
-    fn stream_key(&self, request: &RequestId) -> StreamKey {
+    pub(super) fn stream_key(&self, request: &RequestId) -> StreamKey {
         StreamKey::new(self.call.customer.as_ref().map(|customer| &customer.id), request)
     }
 }
--- a/crates/daemon/tests/testsuite/peer_sync.rs
+++ b/crates/daemon/tests/testsuite/peer_sync.rs
@@ -1,7 +1,7 @@
-//! Encoding of the replies with which VMs send store changes to each other.
+//! Encoding of messages between VMs: the replies that carry store changes, and records of streams.
 
 use gypsumchute_daemon::peer_sync::{decode_reply, encode_reply};
-use gypsumchute_fleet::messages::{Item, PullReply};
+use gypsumchute_fleet::messages::{Datagram, Item, PullReply, StreamRecord, datagram};
 use proptest::prelude::*;
 
 /// Returns a snapshot of a registry with `count` endpoints, in the format of the platform.
@@ -26,6 +26,14 @@
     PullReply { revision: 822, whole: true, items, era: 1, merged: None }
 }
 
+/// The record of a stream is sent for each stream that a caller may resume, so its size counts.
+#[test]
+fn the_record_of_a_stream_takes_few_bytes() {
+    let record = StreamRecord { stream: u64::MAX, version: u64::MAX, keep_ms: 78_000 };
+    let datagram = Datagram { body: Some(datagram::Body::StreamRecord(record)) };
+    assert!(prost::Message::encoded_len(&datagram) <= 24);
+}
+
 #[test]
 fn a_registry_is_compressed_to_a_fifth_of_its_size() {
     let reply = registry(117);
--- a/crates/daemon/tests/testsuite/software_versions.rs
+++ b/crates/daemon/tests/testsuite/software_versions.rs
@@ -203,7 +203,8 @@
 }
 
 /// Guards against joined streams after all VMs were replaced at once, while two versions serve.
-/// Nothing of the system's outlives that, so take-ups are refused.
+/// Nothing of the system's outlives that, but engines hold backups of long streams: at least half of
+/// these streams go on.
 #[test]
 fn no_stream_is_joined_from_two_versions_after_all_vms_were_replaced() {
     let engines = Engines::start(6, BRIEF);
@@ -215,6 +216,7 @@
         .map(|n| take_up(&engines, &daemons[n % 3], &format!("first-{n}"), &format!("second-{n}")));
     let ends = counted(ends);
     assert_eq!(ends.get(&TakeUp::OtherVersion), None, "{ends:?}");
+    assert!(ends.get(&TakeUp::SameVersion).is_some_and(|count| *count >= 6), "{ends:?}");
 }
 
 /// Guards against taking the one version that is left for the one that began a stream.
@@ -241,6 +243,7 @@
     let daemons = engines.start_vms(1, "a");
     begin_stream(&daemons[0], "first");
     drop(daemons);
+    engines.endpoint_state.delete_kv_copies();
     let daemons = engines.start_vms(1, "b");
     assert_eq!(take_up(&engines, &daemons[0], "first", "early"), TakeUp::Refused);
     sleep(TAKE_UP_PERIOD);
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -279,3 +279,35 @@
     assert!(!ahead_of(merged(progress(2, 17)), progress(2, 17)));
     assert!(!ahead_of(merged(progress(2, 17)), merged(progress(2, 17))));
 }
+
+/// Guards against records of streams that a VM can't find: the VM that began the stream is gone, and
+/// the caller resumes the stream in the same zone or in another one.
+#[test]
+fn the_record_of_a_stream_is_found_after_its_vm_was_lost() {
+    let mut net = SimulatedNetwork::new(90, 4);
+    net.run(12_000);
+    let server = peer(6, 4);
+    let (same_zone, other_zone) = (peer(10, 4), peer(11, 4));
+    let keys: Vec<String> = (0..200).map(|key| format!("stream-{key}")).collect();
+    let holders: Vec<_> = keys
+        .iter()
+        .map(|key| net.vms[&server.address].stream_record_addresses(net.now, key))
+        .collect();
+    net.dead.insert(server.address);
+    for wait_ms in [0, 3_000] {
+        net.run(wait_ms);
+        for (key, holders) in keys.iter().zip(&holders) {
+            assert_eq!(holders.len(), 2);
+            let holds = |asked: &[SocketAddrV4]| holders.iter().any(|vm| asked.contains(vm));
+            let asked = net.vms[&same_zone.address].stream_query_addresses(net.now, key);
+            assert!(holds(&asked) || holders.contains(&same_zone.address), "{key} in the zone");
+            let relays = net.vms[&other_zone.address].stream_relay_addresses(net.now);
+            let relays = relays.iter().filter(|relay| !net.dead.contains(relay));
+            let is_found = relays.clone().any(|relay| {
+                holds(&net.vms[relay].stream_query_addresses(net.now, key))
+                    || holders.contains(relay)
+            });
+            assert!(is_found, "{key} from another zone, over {:?}", relays.collect::<Vec<_>>());
+        }
+    }
+}
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Returns the software versions of `service` that are registered.
+    pub fn versions_of(&self, service: &ServiceId) -> BTreeSet<ServiceVersion> {
+        let endpoints = self.by_id.values().filter(|endpoint| endpoint.entry.service == *service);
+        endpoints.map(|endpoint| endpoint.service_version).collect()
+    }
+
     /// Returns the service of a software version that is registered.
     pub fn service_of(&self, version: ServiceVersion) -> Option<ServiceId> {
         let found = self.by_id.values().find(|endpoint| endpoint.service_version == version);
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -14,8 +14,9 @@
 use crate::endpoints::{Endpoint, EndpointTable};
 use crate::load::{Load, LoadTable};
 use crate::outcomes::OutlierDetector;
-use crate::stream_versions::ServiceVersion;
+use crate::stream_versions::{ServiceVersion, StreamKey};
 use crate::table::{EngineProperties, RouteKind, Service};
+use gypsumchute_units::rendezvous::rank_candidates;
 use gypsumchute_units::{BootMs, EndpointId, ZoneId};
 use std::collections::BTreeSet;
 
@@ -193,8 +194,28 @@
     }
 }
 
+/// Returns up to `count` engines that may hold the backup of `stream` if it ran at `request.version`,
+/// the most likely one first.
+pub fn likely_backup_engines(
+    fleet: FleetView<'_>,
+    request: PlacementRequest<'_>,
+    stream: StreamKey,
+    count: usize,
+) -> Vec<EndpointId> {
+    let candidates = fleet.endpoints.candidates(&request.service.id);
+    let permitted = candidates.into_iter().filter(|endpoint| request.allows(endpoint));
+    let known = permitted.filter(|endpoint| fleet.load_is_complete(endpoint));
+    let ids: Vec<_> = known.map(|endpoint| &endpoint.entry.id).collect();
+    let ranked = rank_candidates(&stream.0.to_string(), ids.into_iter());
+    ranked.into_iter().take(count).cloned().collect()
+}
+
 /// Chooses the engine that will hold the backup of a generation running on `current_engine`.
 ///
+/// If `resumable_stream` is set, the caller may resume the generation at a VM that knows nothing of
+/// it. The engine is then chosen by rendezvous hashing among the suitable ones, so that such a VM
+/// can find it, see [`likely_backup_engines`].
+///
 /// Returns `None` if the engines of the service do not support backups, if their mean memory in use
 /// exceeds `MAX_MEAN_MEMORY_FRACTION_FOR_BACKUPS`, or if no suitable engine has enough spare
 /// memory. A suitable engine is another engine that the request permits, in a reachable zone, with
@@ -204,6 +225,7 @@
     fleet: FleetView<'_>,
     request: PlacementRequest<'_>,
     current_engine: &EndpointId,
+    resumable_stream: Option<StreamKey>,
 ) -> Option<EndpointId> {
     let engine = request.service.engine.filter(|engine| engine.supports_kv_backup)?;
     let candidates = fleet.endpoints.candidates(&request.service.id);
@@ -224,7 +246,12 @@
         .filter(|endpoint| fleet.load_is_complete(endpoint))
         .filter(|endpoint| !fleet.unreachable_zones.contains(&endpoint.entry.zone))
         .filter(|endpoint| request.allows(endpoint));
-    let costs = others.filter(has_spare_memory).map(|endpoint| {
+    let mut suitable = others.filter(has_spare_memory);
+    if let Some(stream) = resumable_stream {
+        let ids: Vec<_> = suitable.map(|endpoint| &endpoint.entry.id).collect();
+        return rank_candidates(&stream.0.to_string(), ids.into_iter()).first().cloned().cloned();
+    }
+    let costs = suitable.by_ref().map(|endpoint| {
         let zone_cost = match Some(&endpoint.entry.zone) == current_zone {
             true => 0.0,
             false => CROSS_ZONE_COST,
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod poison_segments;
 mod shutdown;
 mod silent_runs;
+mod stream_versions;
 mod support;
 mod table;
--- a/crates/routing/tests/testsuite/placement.rs
+++ b/crates/routing/tests/testsuite/placement.rs
@@ -135,7 +135,13 @@
     let load = generation_load(4_000);
     let current_engine = endpoint_id("e1");
     let backup_target = |state: &FleetState| {
-        choose_backup_engine(NOW, state.fleet(), state.request(&service, load, 1), &current_engine)
+        choose_backup_engine(
+            NOW,
+            state.fleet(),
+            state.request(&service, load, 1),
+            &current_engine,
+            None,
+        )
     };
     assert_eq!(backup_target(&state), Some(endpoint_id("e2")));
     let used = Load { backup_tokens: MEMORY_TOKENS * 4 / 10, ..Load::default() };
@@ -154,6 +160,7 @@
             state.fleet(),
             state.request(&service, generation_load(4_000), 1),
             &current_engine,
+            None,
         )
     };
     assert_eq!(backup_target(&state), Some(endpoint_id("far")));
@@ -213,7 +220,13 @@
     let load = generation_load(4_000);
     let current_engine = endpoint_id("e1");
     let backup_target = |state: &FleetState| {
-        choose_backup_engine(NOW, state.fleet(), state.request(&service, load, 1), &current_engine)
+        choose_backup_engine(
+            NOW,
+            state.fleet(),
+            state.request(&service, load, 1),
+            &current_engine,
+            None,
+        )
     };
     state.loads.add_local(&endpoint_id("e1"), generation_load(12_000));
     state.loads.add_local(&endpoint_id("e2"), generation_load(6_000));
@@ -281,7 +294,7 @@
         panic!("the request was not placed")
     };
     let backup =
-        choose_backup_engine(NOW, state.fleet(), request, &first).expect("a backup target");
+        choose_backup_engine(NOW, state.fleet(), request, &first, None).expect("a backup target");
     let permitted = [endpoint_id("home-1"), endpoint_id("home-2")];
     assert!(first != backup && permitted.contains(&first) && permitted.contains(&backup));
     state.allowed_zones = ["c".parse().expect("valid id")].into();
