--- a/tests/testsuite/soak/faults.rs
+++ b/tests/testsuite/soak/faults.rs
@@ -14,6 +14,8 @@
 
 /// Maximum time that a daemon takes to exit after SIGTERM: its grace period of 3 s and a second.
 const EXIT_LIMIT: Duration = Duration::from_secs(4);
+/// Maximum number of changes that the store loses when it is restored.
+const MAX_LOST_CHANGES: u64 = 30;
 /// Maximum number of daemons that one series of signals affects.
 const MAX_SERIES: usize = 4;
 
@@ -145,7 +147,7 @@
     pub fn inject_changes(&self, shared: &SharedState) {
         let mut rng = StdRng::seed_from_u64(shared.seed * 1_000 + 700);
         while !shared.stop.load(Ordering::Relaxed) {
-            match rng.random_range(0..4) {
+            match rng.random_range(0..5) {
                 0 => {
                     let modes = [
                         StoreMode::RejectsCalls,
@@ -161,12 +163,11 @@
                     thread::sleep(random_time(&mut rng, 1_200));
                     self.store.set_zone_drained("b", false);
                 }
+                2 => self.restore_store(shared, &mut rng),
                 _ => {
                     for _ in 0..rng.random_range(1..3) {
                         let version = shared.version.load(Ordering::Relaxed) + 1;
-                        let keys = [api_key_of(version - 1), api_key_of(version)];
-                        let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
-                        self.store.configure(&configuration(version, &keys));
+                        self.publish(version);
                         shared.version.store(version, Ordering::Relaxed);
                         thread::sleep(random_time(&mut rng, 300));
                     }
@@ -176,6 +177,31 @@
         }
     }
 
+    /// Restores the store from a backup, once or twice. Operators and endpoints then write again what
+    /// was lost.
+    fn restore_store(&self, shared: &SharedState, rng: &mut StdRng) {
+        for _ in 0..rng.random_range(1..=2) {
+            self.store.set_mode(StoreMode::RejectsCalls);
+            thread::sleep(random_time(rng, 600));
+            let lost = rng.random_range(1..=MAX_LOST_CHANGES);
+            let backup = self.store.revision().saturating_sub(lost);
+            self.store.restore(backup.max(self.first_revision));
+            self.store.set_mode(StoreMode::Available);
+            thread::sleep(random_time(rng, 500));
+        }
+        let version = shared.version.load(Ordering::Relaxed);
+        self.publish(version);
+        self.store.set_zone_drained("b", false);
+        self.endpoints.iter().for_each(|proxied| self.register(proxied, "ready"));
+    }
+
+    /// Publishes a configuration that accepts the keys of `version` and of the one before it.
+    fn publish(&self, version: u64) {
+        let keys = [api_key_of(version - 1), api_key_of(version)];
+        let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+        self.store.configure(&configuration(version, &keys));
+    }
+
     /// Writes the registration of an endpoint to the store, with the address of the proxy.
     pub fn register(&self, proxied: &ProxiedEndpoint, state: &str) {
         let mut entry = proxied.endpoint.registry_entry(proxied.service, proxied.zone, state);
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -6,6 +6,7 @@
 //! - The store rejects calls, resets connections or stops responding, for all daemons or for one.
 //! - Endpoints fail, drain and return, behind proxies that close connections, stall connections and
 //!   stall responses.
+//! - The store is restored from an older backup, and what it lost is written again.
 //! - A zone goes out of service and returns, and new configuration versions are published.
 //!
 //! Callers keep using their connections until the daemon closes them, and send poison requests that
@@ -90,6 +91,8 @@
     endpoint_state: SharedEndpointState,
     endpoints: Vec<ProxiedEndpoint>,
     daemons: Vec<Mutex<DaemonProcess>>,
+    /// Revision of the store once the first configuration and all endpoints are in it.
+    first_revision: u64,
     _settings_dir: TempDir,
 }
 
@@ -141,15 +144,17 @@
         let subnet = (seed % 200) as u8 + 1;
         let DaemonFleet { daemons, settings_dir } =
             DaemonFleet::start_with(|index| stores[index].address(), subnet, &zones);
-        let soak = Soak {
+        let mut soak = Soak {
             store,
             stores,
             endpoint_state,
             endpoints,
             daemons: daemons.into_iter().map(Mutex::new).collect(),
+            first_revision: 0,
             _settings_dir: settings_dir,
         };
         soak.endpoints.iter().for_each(|proxied| soak.register(proxied, "ready"));
+        soak.first_revision = soak.store.revision();
         assert!(soak.all_ready(), "seed {seed}: daemons not ready after the start");
         soak
     }
