Soak: engines of two software versions, and callers that resume streams

Each zone has an endpoint of each version. Callers resume streams that broke off, at any daemon, and no run may continue a stream at another version than the one that began it.

--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -27,6 +27,8 @@
     pub ended_at: Instant,
     /// Body of a poison request.
     pub poison: Option<String>,
+    /// Attempt that brought the first event of the stream that this attempt resumes.
+    pub resumes: Option<String>,
     /// `None` if no response headers arrived.
     pub response: Option<CompleteResponse>,
 }
@@ -44,7 +46,18 @@
         });
         let Some((daemon, connection)) = opened else { continue };
         let id = format!("c{caller}-{}", records.len());
-        let (route, poison, request) = random_request(shared, &mut rng, &id);
+        let broken_off = records.last().and_then(BrokenStream::of);
+        let (route, poison, mut request) = match broken_off.is_some() {
+            true => {
+                ("briefs", None, keyed_request(shared, &mut rng, generation_request("briefs", &id)))
+            }
+            false => random_request(shared, &mut rng, &id),
+        };
+        let resumes = broken_off.map(|stream| {
+            request = request.clone().header("Resumes", &stream.first_attempt);
+            request = request.clone().header("Last-Event-Id", &stream.last_event.to_string());
+            stream.first_attempt
+        });
         let sent_at = Instant::now();
         let (response, connection) = match connection.send(&request) {
             Ok((response, connection)) => (Some(response), connection),
@@ -52,28 +65,58 @@
         };
         kept = connection.map(|connection| (daemon, connection));
         let ended_at = Instant::now();
-        let record = RequestRecord { id, route, daemon, sent_at, ended_at, poison, response };
-        records.push(record);
+        records.push(RequestRecord {
+            id,
+            route,
+            daemon,
+            sent_at,
+            ended_at,
+            poison,
+            resumes,
+            response,
+        });
     }
     records
 }
 
+/// A stream that broke off and that its caller resumes.
+struct BrokenStream {
+    /// Attempt that brought the first event.
+    first_attempt: String,
+    last_event: u64,
+}
+
+impl BrokenStream {
+    /// Returns the stream of `record` if it broke off after an event and may be resumed.
+    fn of(record: &RequestRecord) -> Option<Self> {
+        let response = record.response.as_ref()?;
+        let is_broken = record.route == "briefs" && response.status == 200 && !response.complete;
+        let last_event = response.body.lines().rev().find_map(|line| line.strip_prefix("id: "))?;
+        let first_attempt = record.resumes.clone().unwrap_or_else(|| record.id.clone());
+        let last_event = last_event.parse().ok()?;
+        is_broken.then_some(BrokenStream { first_attempt, last_event })
+    }
+}
+
+/// Adds an API key that daemons accept.
+fn keyed_request(shared: &SharedState, rng: &mut StdRng, request: CallerRequest) -> CallerRequest {
+    // While version N rolls out, a daemon has version N or N-1 in force. Both versions accept the
+    // key of N-1, and only version N accepts the key of N.
+    let newest = shared.version.load(Ordering::Relaxed);
+    let api_key = api_key_of((newest - rng.random_range(0..2)).max(1));
+    request.header("Authorization", &format!("Bearer {api_key}"))
+}
+
 /// Returns a request, with its route and, if it is poison, its body.
 fn random_request(
     shared: &SharedState,
     rng: &mut StdRng,
     id: &str,
 ) -> (&'static str, Option<String>, CallerRequest) {
-    // While version N rolls out, a daemon has version N or N-1 in force. Both versions accept the
-    // key of N-1, and only version N accepts the key of N.
-    let newest = shared.version.load(Ordering::Relaxed);
-    let api_key = api_key_of((newest - rng.random_range(0..2)).max(1));
-    let with_key =
-        |request: CallerRequest| request.header("Authorization", &format!("Bearer {api_key}"));
     if rng.random_bool(POISON_FRACTION) {
         let body = format!("{CRASHING_BODY} {}", rng.random_range(0..POISON_COUNT));
         let request = CallerRequest::new("POST /reads/poison", id, "").body(&body);
-        return ("reads", Some(body), with_key(request));
+        return ("reads", Some(body), keyed_request(shared, rng, request));
     }
     let route = *["orders", "reads", "surveys", "briefs"].choose(rng).expect("routes");
     let request = match route {
@@ -81,5 +124,5 @@
         "reads" => CallerRequest::new("GET /reads/x", id, ""),
         route => generation_request(route, id),
     };
-    (route, None, with_key(request))
+    (route, None, keyed_request(shared, rng, request))
 }
--- a/tests/testsuite/soak/checks.rs
+++ b/tests/testsuite/soak/checks.rs
@@ -58,6 +58,14 @@
                         "body of another request: {context}"
                     );
                 }
+                200 if record.resumes.is_some() && response.complete => assert!(
+                    complete_stream.ends_with(&response.body),
+                    "not a suffix of the complete stream: {context}"
+                ),
+                200 if record.resumes.is_some() => assert!(
+                    complete_stream.contains(&response.body),
+                    "not a part of the complete stream: {context}"
+                ),
                 200 if response.complete => assert_eq!(response.body, complete_stream, "{context}"),
                 200 => assert!(
                     complete_stream.starts_with(&response.body),
@@ -69,6 +77,35 @@
         }
     }
 
+    /// Checks that each run that continues a stream is at the version that brought the stream's first
+    /// event: the version of the last run of the first attempt that began at the prompt.
+    pub fn check_versions(&self, versions: &BTreeMap<&str, &str>) {
+        let records: BTreeMap<&str, &RequestRecord> =
+            self.records.iter().map(|record| (record.id.as_str(), record)).collect();
+        let mut began_at: BTreeMap<&str, &str> = BTreeMap::new();
+        let (mut continued, mut resumed) = (0, 0);
+        for arrival in self.arrivals.iter().filter(|arrival| arrival.executed) {
+            let Some(record) = records.get(arrival.request_id()) else { continue };
+            let version = versions[arrival.endpoint.as_str()];
+            let stream = record.resumes.as_deref().unwrap_or(&record.id);
+            if !arrival.headers.contains_key("last-event-id") {
+                began_at.insert(stream, version);
+                continue;
+            }
+            continued += 1;
+            resumed += usize::from(record.resumes.is_some());
+            assert_eq!(
+                began_at.get(stream),
+                Some(&version),
+                "seed {}: {} goes on at {}, the stream began as {stream}",
+                self.seed,
+                record.id,
+                arrival.endpoint
+            );
+        }
+        println!("seed {}: {continued} runs continued streams, {resumed} for callers", self.seed);
+    }
+
     /// Reports whether the daemon was killed or suspended while the request was open.
     fn has_unplanned_impairment(&self, record: &RequestRecord) -> bool {
         self.impairments.iter().any(|impairment| {
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -9,14 +9,15 @@
 //! - The store is restored from an older backup, and what it lost is written again.
 //! - A zone goes out of service and returns, and new configuration versions are published.
 //!
-//! Callers keep using their connections until the daemon closes them, and send poison requests that
-//! crash the endpoints. After the last fault, the test compares the responses with the requests
+//! Callers keep using their connections until the daemon closes them, resume streams that broke off,
+//! and send poison requests that crash the endpoints. After the last fault, the test compares the responses with the requests
 //! that reached endpoints:
 //!
 //! - A complete stream has every event exactly once and in order, and an incomplete stream is a
 //!   prefix of it.
 //! - A request that must run at most once ran at most once, and a request reported as not run did
 //!   not run. A request that ran is answered, unless its daemon was killed or suspended.
+//! - A stream goes on only at the software version that began it, also when its caller resumes it.
 //! - A poison request is stopped after three crashes, by all daemons.
 //! - Every daemon serves requests again under the newest configuration.
 //!
@@ -38,6 +39,7 @@
     Behaviour, CallerRequest, Endpoint, SharedEndpointState, Store,
 };
 use gypsumchute_standins::proxy::Proxy;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -69,6 +71,8 @@
 const ENDPOINT_FAULT_THREADS: u64 = 2;
 /// Zones of the daemons and of the endpoints, in turn.
 const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Software versions of the endpoints. Each zone has one endpoint of each.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Number of endpoints of each service.
 const ENDPOINT_COUNT: usize = 6;
 
@@ -126,7 +130,9 @@
         let (store, endpoint_state) = (Store::start(), SharedEndpointState::default());
         let start_endpoint = |index: usize, service, healthy_behaviour| {
             let id = format!("{service}-{index}");
-            let endpoint = Endpoint::start(&endpoint_state, &id, healthy_behaviour);
+            let version = VERSIONS[index / ZONES.len() % VERSIONS.len()];
+            let endpoint =
+                Endpoint::start(&endpoint_state, &id, healthy_behaviour).with_version(version);
             let proxy = Proxy::start(free_address().unwrap(), endpoint.address()).unwrap();
             let zone = ZONES[index % ZONES.len()];
             ProxiedEndpoint { endpoint, proxy, service, zone, healthy_behaviour }
@@ -159,6 +165,12 @@
         soak
     }
 
+    /// Returns the software version of each endpoint.
+    fn endpoint_versions(&self) -> BTreeMap<&str, &str> {
+        let endpoints = self.endpoints.iter().map(|proxied| &proxied.endpoint);
+        endpoints.map(|endpoint| (endpoint.id.as_str(), endpoint.version())).collect()
+    }
+
     /// Waits until every daemon is ready, and returns false if one is not ready in time.
     fn all_ready(&self) -> bool {
         let is_ready = |daemon: &Mutex<DaemonProcess>| daemon.lock().expect("daemon").is_ready();
@@ -248,6 +260,7 @@
         };
         history.check_responses();
         history.check_poison();
+        history.check_versions(&soak.endpoint_versions());
         let succeeded = records.iter().filter(|record| {
             record.response.as_ref().is_some_and(|response| response.status == 200)
         });
