--- a/crates/daemon/src/store_updates.rs
+++ b/crates/daemon/src/store_updates.rs
@@ -59,7 +59,9 @@
     let (old_position, changed) = context.with(|state| {
         let old_position = state.store_copy.position();
         let changed = state.store_copy.apply_listing(position, items);
-        if state.store_copy.has_lost_keys() && state.write_again_deadline_ms.is_none() {
+        let is_restored = state.store_copy.position().era > old_position.era;
+        let is_first = state.write_again_deadline_ms.is_none();
+        if state.store_copy.has_lost_keys() && (is_restored || is_first) {
             state.write_again_deadline_ms = Some(boot_now() + WRITE_AGAIN_MS);
         }
         (old_position, changed)
--- a/crates/daemon/tests/testsuite/restored_store.rs
+++ b/crates/daemon/tests/testsuite/restored_store.rs
@@ -242,3 +242,21 @@
     fleet.store.configure(&configuration(12, &["last-key"]));
     fleet.assert_all_answer("last-key", 200);
 }
+
+/// Guards against keys that are dropped too early because an earlier restore set the time.
+#[test]
+fn what_a_second_restore_loses_has_its_own_time_to_be_written_again() {
+    let fleet = Fleet::start();
+    let backup = fleet.store.revision();
+    fleet.store.set_zone_drained("other", true);
+    sleep(Duration::from_millis(300));
+    fleet.restore(backup, |_| {});
+    sleep(Duration::from_millis(1_200));
+    fleet.store.set_zone_drained("a", true);
+    fleet.assert_all_answer(API_KEY, 503);
+    fleet.restore(backup, |_| {});
+    sleep(Duration::from_millis(1_600));
+    assert_eq!(fleet.statuses(API_KEY), [503, 503]);
+    sleep(Duration::from_millis(1_900));
+    fleet.assert_all_answer(API_KEY, 200);
+}
