Generation: backups have a module of their own

A pure move: making a backup, checking whether it can be used, connecting to it, and finding those of an unknown run. The start of a run no longer connects by itself. 100 tests of the daemon pass.

--- /dev/null
+++ b/crates/daemon/src/generation/backup.rs
@@ -0,0 +1,130 @@
+//! Backups of a generation's KV cache at other engines: where they are made, whether they can be
+//! used, and where those of an unknown run may be.
+
+use super::Generation;
+use super::run::{Backup, StartOutcome};
+use crate::context::LoadGuard;
+use crate::placing::EndpointConnection;
+use gypsumchute_exchange::{Connection, TcpTimeouts};
+use gypsumchute_platform::KvSource;
+use gypsumchute_routing::load::Load;
+use gypsumchute_routing::outcomes::RequestOutcome;
+use gypsumchute_routing::placement::{choose_backup_engine, likely_backup_engines, needs_backup};
+use gypsumchute_routing::stream_versions::ServiceVersion;
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{EndpointId, RequestId};
+
+/// Number of engines of each software version that are tried for the backup of a stream whose
+/// version is not known. The first of them may run the stream itself, and the second may have been
+/// full.
+const BACKUP_ENGINES_PER_VERSION: usize = 3;
+
+/// Timeout for connecting to the engine that holds a backup, in milliseconds. It is shorter than
+/// `CUTOVER_TIMEOUT_MS`, the time for which the old run is kept.
+const BACKUP_CONNECT_TIMEOUT_MS: u64 = 200;
+
+impl Generation {
+    /// Returns the load that a backup of this generation adds to an engine.
+    pub(super) fn backup_load(&self) -> Load {
+        Load { backup_tokens: self.call.load().reserved_tokens, ..Load::default() }
+    }
+
+    /// Chooses an engine for the KV backup of the run at `run_endpoint` and reserves the memory.
+    /// Returns `None` if the generation is short and can be restarted instead, if the caller sent
+    /// no request id (which names the backup), or if no engine has room.
+    pub(super) fn reserve_backup(
+        &self,
+        run_endpoint: &EndpointId,
+        version: ServiceVersion,
+    ) -> Option<Backup> {
+        let context = &self.call.context;
+        if !needs_backup(self.call.route.kind, self.call.expected_output_tokens()) {
+            return None;
+        }
+        let request_id = self.call.caller.request_id.as_ref()?;
+        let resumable_stream = self.call.is_repeatable().then(|| self.stream_key(request_id));
+        let (endpoint, address) = context.with(|state| {
+            let fleet = state.fleet(&context.settings);
+            let demand = self.call.placement_request(&self.excluded, Some(version));
+            let endpoint =
+                choose_backup_engine(boot_now(), fleet, demand, run_endpoint, resumable_stream)?;
+            let address = state.endpoints.get(&endpoint)?.entry.address;
+            Some((endpoint, address))
+        })?;
+        let source = KvSource { address, name: request_id.to_string() };
+        let load_guard = context.reserve_load(&endpoint, self.backup_load());
+        Some(Backup { endpoint, address, version, source, load_guard })
+    }
+
+    /// Reports whether the engine that holds `backup` accepts requests and still runs the software
+    /// version of the stream.
+    pub(super) fn is_usable(&self, backup: &Backup) -> bool {
+        self.call.context.with(|state| {
+            let found = state.endpoints.get(&backup.endpoint);
+            state.endpoints.accepts_requests(&backup.endpoint)
+                && found.is_some_and(|endpoint| endpoint.service_version == backup.version)
+        })
+    }
+
+    /// Connects to the engine that holds `backup`, and returns the connection, where the engine reads
+    /// the backup from, and the guard of the memory that the backup occupies.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the start if the engine cannot or must not be reached. Nothing was
+    /// sent.
+    pub(super) async fn connect_to_backup(
+        &self,
+        backup: Backup,
+    ) -> Result<(EndpointConnection, KvSource, LoadGuard), StartOutcome> {
+        if let Some(refusal) = self.call.poison_refusal() {
+            return Err(StartOutcome::Refused(refusal));
+        }
+        let context = &self.call.context;
+        if !self.is_usable(&backup) || !context.may_send_to(&backup.endpoint) {
+            return Err(StartOutcome::NotRun);
+        }
+        let opened =
+            Connection::open(backup.address, BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long).await;
+        let Ok(connection) = opened else {
+            context.record_outcome(&backup.endpoint, RequestOutcome::TransportError);
+            return Err(StartOutcome::NotRun);
+        };
+        let load_guard = context.reserve_load(&backup.endpoint, self.call.load());
+        let Backup { endpoint, address, version, source, load_guard: backup_load_guard } = backup;
+        let placed = EndpointConnection { endpoint, address, version, connection, load_guard };
+        Ok((placed, source, backup_load_guard))
+    }
+
+    /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
+    /// version, the most likely one of each version first.
+    pub(super) fn possible_backups(&self, first_attempt: &RequestId) -> Vec<Backup> {
+        let context = &self.call.context;
+        let stream = self.stream_key(first_attempt);
+        let mut possible = context.with(|state| {
+            let versions = state.endpoints.versions_of(&self.call.service.id);
+            let mut possible = Vec::new();
+            for version in versions {
+                let demand = self.call.placement_request(&self.excluded, Some(version));
+                let fleet = state.fleet(&context.settings);
+                let engines =
+                    likely_backup_engines(fleet, demand, stream, BACKUP_ENGINES_PER_VERSION);
+                for (rank, endpoint) in engines.into_iter().enumerate() {
+                    if let Some(found) = state.endpoints.get(&endpoint) {
+                        possible.push((rank, endpoint, found.entry.address, version));
+                    }
+                }
+            }
+            possible
+        });
+        possible.sort_by_key(|(rank, ..)| *rank);
+        let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
+            load_guard: context.reserve_load(&endpoint, Load::default()),
+            endpoint,
+            address,
+            version,
+            source: KvSource { address, name: first_attempt.to_string() },
+        });
+        backups.collect()
+    }
+}
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -9,6 +9,7 @@
 //! receives a single stream with the response headers of the first run, regardless of how many runs
 //! the generation needs.
 
+mod backup;
 mod relay;
 mod resume;
 mod run;
@@ -22,14 +23,11 @@
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
-use gypsumchute_exchange::{Connection, TcpTimeouts};
-use gypsumchute_platform::{KvSource, ResponseKind, endpoints};
+use gypsumchute_platform::{ResponseKind, endpoints};
 use gypsumchute_routing::continuity::{
     GenerationState, Interruption, RecoveryAction, choose_recovery,
 };
-use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_routing::placement::{choose_backup_engine, needs_backup};
 use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
@@ -54,9 +52,6 @@
 /// Time within which an engine's error body must arrive after its head, in milliseconds. TCP
 /// retransmits a lost packet after 1 s.
 const ERROR_BODY_TIMEOUT_MS: u64 = 1_200;
-/// Timeout for connecting to the engine that holds a backup, in milliseconds. It is shorter than
-/// `CUTOVER_TIMEOUT_MS`, the time for which the old run is kept.
-const BACKUP_CONNECT_TIMEOUT_MS: u64 = 200;
 /// Number of engine rejections after which a generation is refused.
 const MAX_REJECTIONS: u32 = 3;
 
@@ -307,16 +302,6 @@
         self.call.context.with(|state| state.endpoints.is_terminating_or_gone(endpoint))
     }
 
-    /// Reports whether the engine that holds `backup` accepts requests and still runs the software
-    /// version of the stream.
-    fn is_usable(&self, backup: &Backup) -> bool {
-        self.call.context.with(|state| {
-            let found = state.endpoints.get(&backup.endpoint);
-            state.endpoints.accepts_requests(&backup.endpoint)
-                && found.is_some_and(|endpoint| endpoint.service_version == backup.version)
-        })
-    }
-
     /// Starts a run from the prompt, or resumes the generation from a backup.
     async fn start_run(&mut self, start_from: StartFrom) -> StartOutcome {
         let (placed, source, backup_load_guard) = match start_from {
@@ -326,29 +311,10 @@
                     Err(refusal) => return StartOutcome::Refused(refusal),
                 }
             }
-            StartFrom::Backup(backup) => {
-                if let Some(refusal) = self.call.poison_refusal() {
-                    return StartOutcome::Refused(refusal);
-                }
-                if !self.is_usable(&backup) || !self.call.context.may_send_to(&backup.endpoint) {
-                    return StartOutcome::NotRun;
-                }
-                let opened =
-                    Connection::open(backup.address, BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long)
-                        .await;
-                let Ok(connection) = opened else {
-                    self.call
-                        .context
-                        .record_outcome(&backup.endpoint, RequestOutcome::TransportError);
-                    return StartOutcome::NotRun;
-                };
-                let load_guard = self.call.context.reserve_load(&backup.endpoint, self.call.load());
-                let Backup { endpoint, address, version, source, load_guard: backup_load_guard } =
-                    backup;
-                let placed =
-                    EndpointConnection { endpoint, address, version, connection, load_guard };
-                (placed, Some(source), Some(backup_load_guard))
-            }
+            StartFrom::Backup(backup) => match self.connect_to_backup(backup).await {
+                Ok((placed, source, load_guard)) => (placed, Some(source), Some(load_guard)),
+                Err(outcome) => return outcome,
+            },
         };
         let backup = self.reserve_backup(&placed.endpoint, placed.version);
         let options = SendOptions {
@@ -462,34 +428,6 @@
         }
     }
 
-    /// Returns the load that a backup of this generation adds to an engine.
-    fn backup_load(&self) -> Load {
-        Load { backup_tokens: self.call.load().reserved_tokens, ..Load::default() }
-    }
-
-    /// Chooses an engine for the KV backup of the run at `run_endpoint` and reserves the memory.
-    /// Returns `None` if the generation is short and can be restarted instead, if the caller sent
-    /// no request id (which names the backup), or if no engine has room.
-    fn reserve_backup(&self, run_endpoint: &EndpointId, version: ServiceVersion) -> Option<Backup> {
-        let context = &self.call.context;
-        if !needs_backup(self.call.route.kind, self.call.expected_output_tokens()) {
-            return None;
-        }
-        let request_id = self.call.caller.request_id.as_ref()?;
-        let resumable_stream = self.call.is_repeatable().then(|| self.stream_key(request_id));
-        let (endpoint, address) = context.with(|state| {
-            let fleet = state.fleet(&context.settings);
-            let demand = self.call.placement_request(&self.excluded, Some(version));
-            let endpoint =
-                choose_backup_engine(boot_now(), fleet, demand, run_endpoint, resumable_stream)?;
-            let address = state.endpoints.get(&endpoint)?.entry.address;
-            Some((endpoint, address))
-        })?;
-        let source = KvSource { address, name: request_id.to_string() };
-        let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        Some(Backup { endpoint, address, version, source, load_guard })
-    }
-
     /// Appends `chunk` to the event buffer and forwards each complete event to the caller. Returns
     /// an error if an event is too large or does not follow the previous event.
     async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), RunFailure> {
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -2,10 +2,7 @@
 //! this VM.
 
 use super::Generation;
-use super::run::{Backup, StartFrom, StartOutcome};
-use gypsumchute_platform::KvSource;
-use gypsumchute_routing::load::Load;
-use gypsumchute_routing::placement::likely_backup_engines;
+use super::run::{StartFrom, StartOutcome};
 use gypsumchute_routing::stream_versions::{
     ServiceVersion, StreamKey, StreamVersion, resume_period_ms,
 };
@@ -13,11 +10,6 @@
 use gypsumchute_units::{Refusal, RefusalReason, RequestId};
 use log::info;
 
-/// Number of engines of each software version that are tried for the backup of a stream whose
-/// version is not known. The first of them may run the stream itself, and the second may have been
-/// full.
-const BACKUP_ENGINES_PER_VERSION: usize = 3;
-
 /// Time for which engines are tried for the backup of a stream, in milliseconds: enough for all of
 /// them if they answer, and short for the caller if they don't.
 const BACKUP_SEARCH_MS: u64 = 500;
@@ -155,38 +147,6 @@
         None
     }
 
-    /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
-    /// version, the most likely one of each version first.
-    fn possible_backups(&self, first_attempt: &RequestId) -> Vec<Backup> {
-        let context = &self.call.context;
-        let stream = self.stream_key(first_attempt);
-        let mut possible = context.with(|state| {
-            let versions = state.endpoints.versions_of(&self.call.service.id);
-            let mut possible = Vec::new();
-            for version in versions {
-                let demand = self.call.placement_request(&self.excluded, Some(version));
-                let fleet = state.fleet(&context.settings);
-                let engines =
-                    likely_backup_engines(fleet, demand, stream, BACKUP_ENGINES_PER_VERSION);
-                for (rank, endpoint) in engines.into_iter().enumerate() {
-                    if let Some(found) = state.endpoints.get(&endpoint) {
-                        possible.push((rank, endpoint, found.entry.address, version));
-                    }
-                }
-            }
-            possible
-        });
-        possible.sort_by_key(|(rank, ..)| *rank);
-        let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
-            load_guard: context.reserve_load(&endpoint, Load::default()),
-            endpoint,
-            address,
-            version,
-            source: KvSource { address, name: first_attempt.to_string() },
-        });
-        backups.collect()
-    }
-
     /// Records the version of a stream here and at peers.
     fn announce_stream(&self, stream: StreamKey, version: ServiceVersion) {
         let period_ms = resume_period_ms(self.call.route.response_timeout_ms);
