Endpoints: the registered software versions are counted

The versions in service were gathered from all endpoints 20 times a second. At the planned size that is 10,000 endpoints each time, which would cost a daemon a large part of the processor time that it may spend for control (reckoned, not measured). Counts follow each change of the registry now.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -68,6 +68,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     by_id: BTreeMap<EndpointId, Endpoint>,
+    /// Number of endpoints of each service and software version.
+    version_counts: BTreeMap<(ServiceId, ServiceVersion), usize>,
     drained_zones: BTreeSet<ZoneId>,
 }
 
@@ -82,7 +84,9 @@
         let service_version = ServiceVersion::of(&entry);
         let endpoint = Endpoint { entry, state, cold_until_ms, service_version };
         let id = endpoint.entry.id.clone();
+        *self.version_counts.entry(version_key(&endpoint)).or_default() += 1;
         let previous = self.by_id.insert(id, endpoint.clone());
+        previous.iter().for_each(|previous| self.uncount_version(previous));
         previous.is_none_or(|previous| previous != endpoint)
     }
 
@@ -96,7 +100,23 @@
                 endpoint.state = EndpointState::Unconfirmed { until_ms: now + UNCONFIRMED_TTL_MS };
                 true
             }
-            Some(_) => self.by_id.remove(id).is_some(),
+            Some(_) => self.discard(id),
+        }
+    }
+
+    /// Removes the endpoint with this id. Returns whether there was one.
+    fn discard(&mut self, id: &EndpointId) -> bool {
+        let removed = self.by_id.remove(id);
+        removed.iter().for_each(|endpoint| self.uncount_version(endpoint));
+        removed.is_some()
+    }
+
+    /// Counts one endpoint less of the version of `endpoint`.
+    fn uncount_version(&mut self, endpoint: &Endpoint) {
+        let key = version_key(endpoint);
+        match self.version_counts.get_mut(&key) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => drop(self.version_counts.remove(&key)),
         }
     }
 
@@ -120,7 +140,9 @@
         };
         let expired: Vec<_> =
             self.by_id.iter().filter(|(_, e)| has_expired(e)).map(|(id, _)| id.clone()).collect();
-        expired.iter().for_each(|id| drop(self.by_id.remove(id)));
+        for id in &expired {
+            self.discard(id);
+        }
         expired
     }
 
@@ -195,16 +217,21 @@
         }
     }
 
+    /// Returns the services and software versions that are registered.
+    pub fn versions(&self) -> impl Iterator<Item = &(ServiceId, ServiceVersion)> {
+        self.version_counts.keys()
+    }
+
     /// Returns the software versions of `service` that are registered.
     pub fn versions_of(&self, service: &ServiceId) -> BTreeSet<ServiceVersion> {
-        let endpoints = self.by_id.values().filter(|endpoint| endpoint.entry.service == *service);
-        endpoints.map(|endpoint| endpoint.service_version).collect()
+        let versions = self.versions().filter(|(of_service, _)| of_service == service);
+        versions.map(|(_, version)| *version).collect()
     }
 
     /// Returns the service of a software version that is registered.
     pub fn service_of(&self, version: ServiceVersion) -> Option<ServiceId> {
-        let found = self.by_id.values().find(|endpoint| endpoint.service_version == version);
-        found.map(|endpoint| endpoint.entry.service.clone())
+        let found = self.versions().find(|(_, registered)| *registered == version);
+        found.map(|(service, _)| service.clone())
     }
 
     /// Returns all endpoints.
@@ -212,3 +239,8 @@
         self.by_id.values()
     }
 }
+
+/// Returns the key under which the version of `endpoint` is counted.
+fn version_key(endpoint: &Endpoint) -> (ServiceId, ServiceVersion) {
+    (endpoint.entry.service.clone(), endpoint.service_version)
+}
--- a/crates/routing/src/stream_versions.rs
+++ b/crates/routing/src/stream_versions.rs
@@ -101,9 +101,11 @@
             Some(_) if !has_gap => {}
             _ => self.observing_since_ms = Some(now),
         }
-        for endpoint in endpoints.iter() {
-            let seen = (endpoint.entry.service.clone(), endpoint.service_version);
-            self.last_seen_ms.insert(seen, now);
+        for seen in endpoints.versions() {
+            match self.last_seen_ms.get_mut(seen) {
+                Some(last_seen_ms) => *last_seen_ms = now,
+                None => drop(self.last_seen_ms.insert(seen.clone(), now)),
+            }
         }
     }
 
--- a/crates/routing/tests/testsuite/endpoints.rs
+++ b/crates/routing/tests/testsuite/endpoints.rs
@@ -1,6 +1,7 @@
 //! Tests which endpoints receive new requests.
 
 use crate::support::{NOW, endpoint_id, entry};
+use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_routing::{EndpointEntry, EndpointTable};
 
 fn candidate_ids(endpoints: &EndpointTable) -> Vec<String> {
@@ -53,3 +54,26 @@
     assert!(!endpoints.is_new_start(&started(Some(1))));
     assert!(endpoints.is_new_start(&started(Some(2))));
 }
+
+/// The registered versions are counted, so that a large registry need not be searched for them.
+#[test]
+fn the_registered_versions_follow_every_change() {
+    let mut endpoints = EndpointTable::default();
+    let of_version =
+        |id: &str, version: &str| EndpointEntry { version: version.parse().ok(), ..entry(id, "a") };
+    let service = entry("e", "a").service;
+    let versions = |endpoints: &EndpointTable| endpoints.versions_of(&service).len();
+    for (id, version) in [("e1", "v1"), ("e2", "v1"), ("e3", "v2")] {
+        endpoints.upsert(NOW, of_version(id, version));
+    }
+    assert_eq!(versions(&endpoints), 2);
+    endpoints.upsert(NOW, of_version("e3", "v1"));
+    assert_eq!(versions(&endpoints), 1);
+    endpoints.remove(NOW, &endpoint_id("e1"), false);
+    endpoints.remove(NOW, &endpoint_id("e3"), true);
+    assert_eq!(versions(&endpoints), 1);
+    endpoints.remove(NOW, &endpoint_id("e2"), false);
+    assert_eq!(endpoints.expire(NOW + 60_000), [endpoint_id("e3")]);
+    assert_eq!(versions(&endpoints), 0);
+    assert_eq!(endpoints.service_of(ServiceVersion::of(&of_version("e1", "v1"))), None);
+}
