--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -405,8 +405,8 @@
     }
 
     /// Returns a live VM that holds changes of the store which a copy with `progress` lacks, from the
-    /// local zone if possible. The VM is chosen at random: when a whole fleet starts, a fixed choice would send every VM to the
-    /// same peer, and all of them would have to wait.
+    /// local zone if possible. The VM is chosen at random: when a whole fleet starts, a fixed choice
+    /// would send every VM to the same peer, and all of them would have to wait.
     pub fn peer_ahead_of(
         &self,
         now: BootMs,
