Endpoints whose entries may have lapsed serve streams of their version

Candidates are now chosen within the version. Streams that may be resumed for longer than versions are remembered (an hour) are never known by their only version. The query loop and the choice of a backup are written more simply.

--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -18,10 +18,6 @@
 /// announced load expires in the other zones.
 const REMOTE_NOTE_INTERVAL_MS: u64 = PEER_LOAD_TTL_MS * 2 / 5;
 
-/// Time for which a software version that is no longer in service is remembered, in milliseconds. It
-/// exceeds the time for which any stream may be resumed.
-const VERSION_MEMORY_MS: u64 = 3_600_000;
-
 /// Performs the periodic tasks. Runs until the process exits.
 pub async fn run(context: Rc<Context>) {
     let (mut next_expire_ms, mut next_note_ms) = (boot_now(), boot_now());
@@ -92,7 +88,7 @@
         state.loads.expire(now);
         state.outcomes.expire(now);
         state.suspects.requests.expire(now);
-        state.stream_versions.expire(now, VERSION_MEMORY_MS);
+        state.stream_versions.expire(now);
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
         let limits = &state.endpoint_limits;
--- a/crates/daemon/src/store_updates.rs
+++ b/crates/daemon/src/store_updates.rs
@@ -178,8 +178,8 @@
     match registry::decode(id, &value) {
         Ok(entry) => {
             info!(source:% = source, endpoint = id.as_str(), service = entry.service.as_str(),
-                version = version_text(&entry), zone = entry.zone.as_str(), leaving = entry.terminating,
-                warmup_left_ms = entry.warmup_remaining_ms, position:% = position;
+                version = version_text(&entry), zone = entry.zone.as_str(),
+                leaving = entry.terminating, warmup_left_ms = entry.warmup_remaining_ms, position:% = position;
                 "endpoint registered");
             if state.endpoints.is_ready(id) && state.endpoints.is_new_start(&entry) {
                 state.vanished_endpoints.push(id.clone());
--- a/crates/daemon/src/stream_gossip.rs
+++ b/crates/daemon/src/stream_gossip.rs
@@ -17,11 +17,11 @@
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
-/// Times at which a query is sent, in milliseconds from the first one: a datagram may be lost.
-const QUERY_TIMES_MS: [u64; 2] = [0, 70];
-/// Time after the last query in which a record may arrive, in milliseconds. It is several times the
-/// round trip between zones, including a relay.
-const QUERY_WAIT_MS: u64 = 100;
+/// Number of times that a query is sent: a datagram may be lost.
+const QUERY_COUNT: usize = 2;
+/// Time after a query in which a record may arrive, in milliseconds. It is several times the round
+/// trip between zones, including a relay.
+const QUERY_WAIT_MS: u64 = 85;
 
 /// A message on a stream that is to be sent to peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,12 +45,9 @@
             return None;
         }
         let mut changes = self.changes();
-        let next_times_ms = QUERY_TIMES_MS[1..].iter().copied();
-        let last_ms = QUERY_TIMES_MS[QUERY_TIMES_MS.len() - 1] + QUERY_WAIT_MS;
-        let ends_ms = next_times_ms.chain([last_ms]);
-        for (sent_ms, end_ms) in QUERY_TIMES_MS.into_iter().zip(ends_ms) {
+        for _ in 0..QUERY_COUNT {
             self.queue_stream_message(StreamMessage::Query(stream));
-            let deadline_ms = boot_now() + (end_ms - sent_ms);
+            let deadline_ms = boot_now() + QUERY_WAIT_MS;
             loop {
                 let now = boot_now();
                 let known = self.with(|state| state.stream_versions.get(now, stream));
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -197,11 +197,17 @@
         self.by_id.get(id).is_none_or(|endpoint| endpoint.state == EndpointState::Terminating)
     }
 
-    /// Returns the endpoints of `service` that may receive new requests. Unconfirmed endpoints are
-    /// returned only if no endpoint is ready.
-    pub fn candidates(&self, service: &ServiceId) -> Vec<&Endpoint> {
+    /// Returns the endpoints of `service`, and of `version` if given, that may receive new requests.
+    /// Unconfirmed endpoints are returned only if none of these is ready.
+    pub fn candidates(
+        &self,
+        service: &ServiceId,
+        version: Option<ServiceVersion>,
+    ) -> Vec<&Endpoint> {
         let is_eligible = |endpoint: &&Endpoint| {
-            endpoint.entry.service == *service && !self.is_zone_drained(&endpoint.entry.zone)
+            endpoint.entry.service == *service
+                && version.is_none_or(|version| version == endpoint.service_version)
+                && !self.is_zone_drained(&endpoint.entry.zone)
         };
         let in_state = |ready: bool| {
             let matches_state = move |endpoint: &&Endpoint| match endpoint.state {
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -102,12 +102,11 @@
 }
 
 impl PlacementRequest<'_> {
-    /// Reports whether the request may be sent to `endpoint`, regardless of load.
+    /// Reports whether the request may be sent to `endpoint`, regardless of load and version.
     fn allows(&self, endpoint: &Endpoint) -> bool {
         let zone_fits =
             self.allowed_zones.is_empty() || self.allowed_zones.contains(&endpoint.entry.zone);
-        let version_fits = self.version.is_none_or(|version| version == endpoint.service_version);
-        zone_fits && version_fits && !self.excluded_endpoints.contains(&endpoint.entry.id)
+        zone_fits && !self.excluded_endpoints.contains(&endpoint.entry.id)
     }
 }
 
@@ -124,7 +123,7 @@
 
 /// Reports whether any endpoint may serve the request, now or once it has room.
 pub fn has_permitted_endpoint(fleet: FleetView<'_>, request: PlacementRequest<'_>) -> bool {
-    let candidates = fleet.endpoints.candidates(&request.service.id);
+    let candidates = fleet.endpoints.candidates(&request.service.id, request.version);
     candidates.into_iter().any(|endpoint| request.allows(endpoint))
 }
 
@@ -134,7 +133,7 @@
     fleet: FleetView<'_>,
     request: PlacementRequest<'_>,
 ) -> Placement {
-    let candidates = fleet.endpoints.candidates(&request.service.id);
+    let candidates = fleet.endpoints.candidates(&request.service.id, request.version);
     let permitted: Vec<_> = candidates.into_iter().filter(|e| request.allows(e)).collect();
     if permitted.is_empty() {
         return Placement::NoEndpoint;
@@ -202,7 +201,7 @@
     stream: StreamKey,
     count: usize,
 ) -> Vec<EndpointId> {
-    let candidates = fleet.endpoints.candidates(&request.service.id);
+    let candidates = fleet.endpoints.candidates(&request.service.id, request.version);
     let permitted = candidates.into_iter().filter(|endpoint| request.allows(endpoint));
     let known = permitted.filter(|endpoint| fleet.load_is_complete(endpoint));
     let ids: Vec<_> = known.map(|endpoint| &endpoint.entry.id).collect();
@@ -228,8 +227,8 @@
     resumable_stream: Option<StreamKey>,
 ) -> Option<EndpointId> {
     let engine = request.service.engine.filter(|engine| engine.supports_kv_backup)?;
-    let candidates = fleet.endpoints.candidates(&request.service.id);
-    if mean_memory_fraction(fleet, engine, &candidates) > MAX_MEAN_MEMORY_FRACTION_FOR_BACKUPS {
+    let all = fleet.endpoints.candidates(&request.service.id, None);
+    if mean_memory_fraction(fleet, engine, &all) > MAX_MEAN_MEMORY_FRACTION_FOR_BACKUPS {
         return None;
     }
     let current_zone = fleet.endpoints.get(current_engine).map(|endpoint| &endpoint.entry.zone);
@@ -240,18 +239,20 @@
         is_trusted
             && memory_after as f64 <= engine.kv_cache_tokens as f64 * MAX_BACKUP_MEMORY_FRACTION
     };
+    let candidates = fleet.endpoints.candidates(&request.service.id, request.version);
     let others = candidates
         .into_iter()
         .filter(|endpoint| endpoint.entry.id != *current_engine)
         .filter(|endpoint| fleet.load_is_complete(endpoint))
         .filter(|endpoint| !fleet.unreachable_zones.contains(&endpoint.entry.zone))
         .filter(|endpoint| request.allows(endpoint));
-    let mut suitable = others.filter(has_spare_memory);
+    let suitable = others.filter(has_spare_memory);
     if let Some(stream) = resumable_stream {
         let ids: Vec<_> = suitable.map(|endpoint| &endpoint.entry.id).collect();
-        return rank_candidates(&stream.0.to_string(), ids.into_iter()).first().cloned().cloned();
+        let ranked = rank_candidates(&stream.0.to_string(), ids.into_iter());
+        return ranked.first().map(|id| (*id).clone());
     }
-    let costs = suitable.by_ref().map(|endpoint| {
+    let costs = suitable.map(|endpoint| {
         let zone_cost = match Some(&endpoint.entry.zone) == current_zone {
             true => 0.0,
             false => CROSS_ZONE_COST,
--- a/crates/routing/src/stream_versions.rs
+++ b/crates/routing/src/stream_versions.rs
@@ -16,7 +16,7 @@
 /// Time for which a stream may be resumed after its first event, as a multiple of the timeout of its
 /// route. The response may last for one timeout, and the caller's retry may wait after that.
 const RESUME_PERIOD_TIMEOUTS: u64 = 2;
-/// Maximum number of streams whose version is remembered.
+/// Maximum number of streams whose version is remembered. Their records take about 1 MB.
 const MAX_STREAMS: usize = 16_384;
 /// Maximum interval between two observations of the endpoints, in milliseconds. A VM that was
 /// suspended for longer may have missed a version.
@@ -52,6 +52,10 @@
     route_timeout_ms.saturating_mul(RESUME_PERIOD_TIMEOUTS)
 }
 
+/// Time for which a software version that is no longer in service is remembered, in milliseconds.
+/// Streams that may be resumed for longer are never known by their only version.
+const VERSION_MEMORY_MS: u64 = 3_600_000;
+
 /// Version of a stream that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamVersion {
@@ -119,7 +123,7 @@
     ) -> Option<ServiceVersion> {
         let has_gap = now.since(self.last_observation_ms) > MAX_OBSERVATION_GAP_MS;
         let since_ms = self.observing_since_ms.filter(|_| !has_gap)?;
-        if now.since(since_ms) < period_ms {
+        if now.since(since_ms) < period_ms || period_ms > VERSION_MEMORY_MS {
             return None;
         }
         let recent = self.last_seen_ms.iter().filter(|((seen_service, _), seen_ms)| {
@@ -129,9 +133,9 @@
         versions.next().filter(|_| versions.next().is_none())
     }
 
-    /// Discards streams that can no longer be resumed, and versions last seen before `period_ms`.
-    pub fn expire(&mut self, now: BootMs, period_ms: u64) {
+    /// Discards streams that can no longer be resumed, and versions that left service long ago.
+    pub fn expire(&mut self, now: BootMs) {
         self.streams.retain(|_, known| known.until_ms > now);
-        self.last_seen_ms.retain(|_, seen_ms| now.since(*seen_ms) <= period_ms);
+        self.last_seen_ms.retain(|_, seen_ms| now.since(*seen_ms) <= VERSION_MEMORY_MS);
     }
 }
--- a/crates/routing/tests/testsuite/endpoints.rs
+++ b/crates/routing/tests/testsuite/endpoints.rs
@@ -6,7 +6,7 @@
 
 fn candidate_ids(endpoints: &EndpointTable) -> Vec<String> {
     let service = "engines".parse().expect("valid id");
-    endpoints.candidates(&service).iter().map(|e| e.entry.id.to_string()).collect()
+    endpoints.candidates(&service, None).iter().map(|e| e.entry.id.to_string()).collect()
 }
 
 #[test]
--- a/crates/routing/tests/testsuite/stream_versions.rs
+++ b/crates/routing/tests/testsuite/stream_versions.rs
@@ -181,3 +181,34 @@
     assert_eq!(sole(blind + PERIOD_MS), None);
     assert_eq!(sole(blind + PERIOD_MS + 2 * STEP_MS), Some(version("v1")));
 }
+
+/// Guards against refusals while the registry is away: the entries of a version may merely have
+/// lapsed, and the entries of another version are no substitute.
+#[test]
+fn unconfirmed_endpoints_of_the_version_count_if_none_of_it_is_ready() {
+    let mut state = two_versions(4);
+    let service = engine_service();
+    for id in ["e0", "e2"] {
+        state.endpoints.remove(NOW, &endpoint_id(id), true);
+    }
+    let placed = choose_endpoint(NOW, state.fleet(), bound(&state, &service, "v1"));
+    assert!(matches!(&placed, Placement::Endpoint(id) if ["e0", "e2"].contains(&id.as_str())));
+    let unbound = state.request(&service, generation_load(3_000), 5);
+    let placed = choose_endpoint(NOW, state.fleet(), unbound);
+    assert!(matches!(&placed, Placement::Endpoint(id) if ["e1", "e3"].contains(&id.as_str())));
+}
+
+#[test]
+fn a_period_longer_than_versions_are_remembered_is_never_certain() {
+    let mut versions = StreamVersions::default();
+    let state = two_versions(1);
+    let day_ms = 24 * 3_600_000;
+    let mut now = NOW;
+    while now < NOW + day_ms {
+        versions.observe(now, &state.endpoints, true);
+        versions.expire(now);
+        now = now + 1_000;
+    }
+    assert_eq!(versions.sole_version(now, &service_id(), day_ms / 2), None);
+    assert_eq!(versions.sole_version(now, &service_id(), PERIOD_MS), Some(version("v1")));
+}
