A stream whose answer was lost does not go on from a backup

So before the answer begins a backup saves nothing, and a broken connection does not tell a crash from a lost answer.

Change: a run that is lost before its answer began is given up, as may have run, or begins anew where the route allows that. Streams whose answer has begun go on as before. A run that stays at its engine after a failed move keeps how far its answer came.

Tests: generations::a_stream_whose_answer_was_lost_is_not_run_again (2 runs before, 1 now) and a_resumable_stream_whose_answer_was_lost_begins_anew failed before. Two more rows in the table of recoveries.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -263,6 +263,7 @@
         GenerationState {
             kind: self.call.route.kind,
             event_delivered: self.delivered_events > 0,
+            answer_began: self.progress != RunProgress::Waiting,
             remaining_tokens: self.remaining_tokens(),
             has_backup,
             supports_kv_copy: self
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -169,6 +169,7 @@
     /// Resumes the run from `backup`. The old run is kept until the new one has started, but no
     /// longer than `CUTOVER_TIMEOUT_MS`, so that the two runs do not overlap for too long.
     async fn cut_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, RelayEnd> {
+        let progress = self.progress;
         let (outcome, old_run) = {
             let mut start = Box::pin(self.start_run(StartFrom::Backup(backup)));
             match timeout(Duration::from_millis(CUTOVER_TIMEOUT_MS), start.as_mut()).await {
@@ -186,6 +187,7 @@
                 run.termination_handled = false;
                 self.last_endpoint = Some(run.endpoint.clone());
                 self.run_alive_ms = Some(boot_now());
+                self.progress = progress;
                 Ok(Box::new(run))
             }
             (StartOutcome::Lost(backup), None) => {
--- a/crates/daemon/tests/testsuite/generations.rs
+++ b/crates/daemon/tests/testsuite/generations.rs
@@ -284,3 +284,26 @@
     assert_eq!((reply.status, env.endpoint_state.received_requests().len()), (504, 1));
     assert!(reply.body.contains("may_have_run"), "{}", reply.body);
 }
+
+/// Guards against a second run of a request whose engine may have run it before the answer was lost.
+/// A run that has written nothing has left nothing to go on from.
+#[test]
+fn a_stream_whose_answer_was_lost_is_not_run_again() {
+    let (env, engines) = TestEnv::start(two_engines);
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::DropsConnection));
+    let reply = generation_request("surveys", "r1").send_and_read(env.daemon.address());
+    assert_eq!(reply.status, 502);
+    assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+    assert_eq!(env.endpoint_state.received_requests().len(), 1);
+}
+
+#[test]
+fn a_resumable_stream_whose_answer_was_lost_begins_anew() {
+    let (env, engines) = TestEnv::start(two_engines);
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::DropsConnection));
+    let reply = generation_request("briefs", "r1").send_and_read(env.daemon.address());
+    assert_eq!(reply.status, 502);
+    let runs = env.endpoint_state.received_requests();
+    assert_eq!(runs.len(), 2, "the route allows two endpoints");
+    assert!(runs.iter().all(|run| !run.resumes_from_kv()), "there is nothing to go on from");
+}
--- a/crates/routing/src/continuity.rs
+++ b/crates/routing/src/continuity.rs
@@ -3,6 +3,10 @@
 //! Engines may be reclaimed two seconds after their termination notice, whereas a generation runs
 //! for ten seconds. A generation resumes from a backup of the KV cache while a backup exists,
 //! restarts only if the route allows a restart, and never runs on two endpoints at the same time.
+//!
+//! A run that is lost before its answer began may have run in full, if only the answer was lost. No
+//! backup of it is used then: none can be known to exist, and another endpoint could run the request
+//! a second time.
 
 use crate::table::RouteKind;
 
@@ -28,6 +32,8 @@
     pub kind: RouteKind,
     /// Whether at least one event has reached the caller.
     pub event_delivered: bool,
+    /// Whether the answer of the current run has begun.
+    pub answer_began: bool,
     /// Estimated number of tokens still to be generated.
     pub remaining_tokens: u64,
     /// Whether another endpoint that accepts requests holds a backup that has not been used yet.
@@ -77,6 +83,11 @@
 pub fn choose_recovery(interruption: Interruption, state: GenerationState) -> RecoveryAction {
     let resumable = matches!(state.kind, RouteKind::Generation { resumable: true });
     let may_restart = resumable && state.endpoints_used < state.max_endpoints;
+    let has_backup = state.has_backup
+        && match interruption {
+            Interruption::Terminating => true,
+            Interruption::Disconnected | Interruption::Stalled => state.answer_began,
+        };
     match interruption {
         _ if state.failed_endpoints >= MAX_ENDPOINT_FAILURES => RecoveryAction::Fail,
         Interruption::Terminating
@@ -84,7 +95,7 @@
         {
             RecoveryAction::KeepRunning
         }
-        _ if state.has_backup => RecoveryAction::ResumeFromBackup,
+        _ if has_backup => RecoveryAction::ResumeFromBackup,
         Interruption::Terminating if state.supports_kv_copy && state.event_delivered => {
             RecoveryAction::Migrate
         }
--- a/crates/routing/tests/testsuite/continuity.rs
+++ b/crates/routing/tests/testsuite/continuity.rs
@@ -8,6 +8,7 @@
 const NOT_RESUMABLE: GenerationState = GenerationState {
     kind: RouteKind::Generation { resumable: false },
     event_delivered: true,
+    answer_began: true,
     remaining_tokens: 500,
     has_backup: false,
     supports_kv_copy: true,
@@ -24,6 +25,10 @@
 #[test]
 fn each_interruption_has_a_next_step() {
     let backed_up = GenerationState { has_backup: true, ..NOT_RESUMABLE };
+    let unanswered =
+        GenerationState { event_delivered: false, answer_began: false, ..NOT_RESUMABLE };
+    let unanswered_resumable =
+        GenerationState { event_delivered: false, answer_began: false, ..RESUMABLE };
     let exhausted = GenerationState { endpoints_used: 2, ..RESUMABLE };
     let mut table = String::new();
     for (name, run) in [
@@ -34,6 +39,11 @@
         ("not resumable, about to end", GenerationState { remaining_tokens: 20, ..NOT_RESUMABLE }),
         ("resumable, endpoints used up", exhausted),
         ("no event yet", GenerationState { event_delivered: false, ..NOT_RESUMABLE }),
+        ("no answer yet, backup", GenerationState { has_backup: true, ..unanswered }),
+        (
+            "no answer yet, resumable, backup",
+            GenerationState { has_backup: true, ..unanswered_resumable },
+        ),
         ("three endpoint failures", GenerationState { failed_endpoints: 3, ..backed_up }),
     ] {
         let next = [Interruption::Terminating, Interruption::Disconnected, Interruption::Stalled]
@@ -48,6 +58,8 @@
     not resumable, about to end: move, give_up, stay
     resumable, endpoints used up: move, give_up, stay
     no event yet: stay, give_up, stay
+    no answer yet, backup: from_backup, give_up, stay
+    no answer yet, resumable, backup: from_backup, anew, anew
     three endpoint failures: give_up, give_up, give_up
     ");
 }
