Endpoints say in answers that they are leaving, or want nothing for a while

Change: what an answer says of its endpoint is decoded in one place (platform::endpoint_signs). A notice is kept by the start of the endpoint (routing::leaving_notices): it holds over entries that say 'ready', over lapses and restores, ends with the next start, and is told to peers with that start, so that a late word on an earlier start doesn't touch the next one. An endpoint's own notice could be overwritten by its registry entry before; now it can't. A pause is a VM's own (routing::endpoint_pauses); it comes before cold and named rates, counts for requests, backups, copies and reports, is no failure and excludes nothing. Bad values are ignored and counted, long ones reduced to 300 s. Both count on answers that belong to the endpoint: not 421, not another request's.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -4,7 +4,8 @@
 use bytes::Bytes;
 use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::{
-    ForwardedHeaders, KvSource, RequestHead, ResponseKind, classify_response, endpoints,
+    EndpointSigns, ForwardedHeaders, KvSource, RequestHead, ResponseKind, classify_response,
+    endpoints,
 };
 use gypsumchute_routing::admission::retry_after_ms;
 use gypsumchute_routing::load::Load;
@@ -184,12 +185,14 @@
             self.body.clone(),
             forwarding,
         );
+        let started_wall_ms = self.context.endpoint_start_ms(endpoint);
         let response = connection.send(request).await?;
         let request_id = self.caller.request_id.as_ref();
         let kind = classify_response(response.head.status, &response.head.headers, request_id);
         if !matches!(kind, ResponseKind::Foreign | ResponseKind::WrongEndpoint) {
-            let limit = endpoints::named_limit(&response.head.headers);
-            self.context.record_endpoint_limit(endpoint, limit);
+            let signs = EndpointSigns::of_response(response.head.status, &response.head.headers);
+            self.context.record_endpoint_limit(endpoint, signs.limit);
+            self.context.record_endpoint_signs(endpoint, started_wall_ms, signs);
         }
         Ok((response, kind))
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -8,6 +8,7 @@
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReports, Suspects};
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
+use gypsumchute_routing::endpoint_pauses::EndpointPauses;
 use gypsumchute_routing::endpoint_rate::EndpointRateLimiter;
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
@@ -19,6 +20,7 @@
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, ServiceId, ZoneId};
+use log::info;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::cell::{Cell, RefCell};
@@ -70,6 +72,8 @@
     pub retries: RetryBudget,
     /// Request rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
+    /// Pauses that endpoints have asked this VM for.
+    pub endpoint_pauses: EndpointPauses,
     /// Limits the requests to endpoints that are cold or have named a limit.
     pub rate_limiter: EndpointRateLimiter,
     /// Requests and segments of prompts that may have crashed endpoints.
@@ -165,6 +169,7 @@
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
             endpoint_limits: EndpointLimits::default(),
+            endpoint_pauses: EndpointPauses::default(),
             rate_limiter: EndpointRateLimiter::default(),
             suspects: Suspects {
                 requests: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
@@ -352,14 +357,17 @@
         taken
     }
 
-    /// Records that `endpoint` reported a termination notice, and announces the notice to peers.
-    pub fn record_termination_notice(&self, endpoint: &EndpointId) {
+    /// Records that the endpoint that started at `started_wall_ms` gave a termination notice itself,
+    /// and announces the notice to peers.
+    pub fn record_termination_notice(&self, endpoint: &EndpointId, started_wall_ms: Option<u64>) {
         let now = boot_now();
         let is_new_notice = self.with(|state| {
             state.termination_notices.insert(endpoint.clone(), now);
-            state.endpoints.mark_terminating(endpoint)
+            state.endpoints.mark_terminating(now, endpoint, started_wall_ms)
         });
         if is_new_notice {
+            info!(endpoint = endpoint.as_str(), started_wall_ms:? = started_wall_ms;
+                "endpoint says that it is leaving; it gets no new requests");
             self.announce_soon(endpoint);
             self.notify_registry_changed();
         }
--- a/crates/daemon/src/endpoint_rates.rs
+++ b/crates/daemon/src/endpoint_rates.rs
@@ -1,28 +1,33 @@
-//! Applies the rates that endpoints take, because they are cold or have named a limit.
+//! Applies what endpoints take: the rates of those that are cold or have named a limit, and the
+//! pauses that they have asked this VM for.
 
 use crate::context::{Context, State};
+use gypsumchute_platform::{EndpointSigns, NamedPause};
 use gypsumchute_routing::endpoint_rate::{EndpointRate, SendPermission};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, RequestRate, VmId};
 use log::info;
 
-/// Rate of an endpoint that this VM may not send to now.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// Why this VM may not send to an endpoint now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RateExhausted {
-    /// Whether the endpoint has named a limit.
+    /// Whether the endpoint has named a limit or a pause.
     pub is_named: bool,
     /// Time after which this VM may send a request, in milliseconds; `None` if other VMs use the
     /// whole rate.
     pub wait_ms: Option<u64>,
-    /// Rate that the endpoint takes from all VMs together.
-    pub rate: EndpointRate,
+    /// Time in which the endpoint takes one request from all VMs together, in milliseconds.
+    pub interval_ms: u64,
 }
 
 impl Context {
     /// Takes permission to send a request other than a new one to `endpoint`, which may have named a
-    /// limit.
+    /// limit or asked for a pause.
     pub fn may_send_to(&self, endpoint: &EndpointId) -> bool {
         let now = boot_now();
+        if self.has_pause(endpoint) {
+            return false;
+        }
         let permission = self.with(|state| {
             let rate = state.named_rate(now, endpoint)?;
             Some(state.acquire_rate(now, endpoint, rate, &self.settings.vm))
@@ -30,6 +35,45 @@
         permission.is_none_or(|permission| permission == SendPermission::Granted)
     }
 
+    /// Reports whether `endpoint` wants nothing from this VM now.
+    pub fn has_pause(&self, endpoint: &EndpointId) -> bool {
+        self.with(|state| state.pause_ms(boot_now(), endpoint)).is_some()
+    }
+
+    /// Returns the start time of `endpoint` that is known now, to which an answer to a request sent
+    /// now belongs.
+    pub fn endpoint_start_ms(&self, endpoint: &EndpointId) -> Option<u64> {
+        self.with(|state| state.endpoints.started_wall_ms(endpoint))
+    }
+
+    /// Records a termination notice and a pause that an answer of the endpoint that started at
+    /// `started_wall_ms` names.
+    pub fn record_endpoint_signs(
+        &self,
+        endpoint: &EndpointId,
+        started_wall_ms: Option<u64>,
+        signs: EndpointSigns,
+    ) {
+        if signs.is_leaving {
+            self.metrics.count_endpoint_sign("leaving");
+            self.record_termination_notice(endpoint, started_wall_ms);
+        }
+        match signs.pause {
+            NamedPause::None => {}
+            NamedPause::Invalid => self.metrics.count_endpoint_sign("invalid_pause"),
+            NamedPause::For { pause_ms, is_reduced } => {
+                let sign = if is_reduced { "reduced_pause" } else { "pause" };
+                self.metrics.count_endpoint_sign(sign);
+                info!(endpoint = endpoint.as_str(), pause_ms, is_reduced;
+                    "endpoint wants nothing from this VM for a while");
+                let until_ms = boot_now() + pause_ms;
+                self.with(|state| {
+                    state.endpoint_pauses.record(endpoint, started_wall_ms, until_ms)
+                });
+            }
+        }
+    }
+
     /// Records the request rate limit that `endpoint` named in an answer, or that it named none.
     pub fn record_endpoint_limit(&self, endpoint: &EndpointId, rate: Option<RequestRate>) {
         let now = boot_now();
@@ -43,6 +87,13 @@
 }
 
 impl State {
+    /// Returns the time for which `endpoint` wants nothing from this VM, in milliseconds, if it has
+    /// asked for a pause.
+    fn pause_ms(&self, now: BootMs, endpoint: &EndpointId) -> Option<u64> {
+        let started_wall_ms = self.endpoints.started_wall_ms(endpoint);
+        self.endpoint_pauses.wait_ms(now, endpoint, started_wall_ms)
+    }
+
     /// Returns the rate that `endpoint` takes because of a limit that it has named.
     fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
         let limit = self.endpoint_limits.get(endpoint)?;
@@ -87,14 +138,19 @@
         cold_per_s: f64,
         local_vm: &VmId,
     ) -> Result<(), RateExhausted> {
+        if let Some(pause_ms) = self.pause_ms(now, endpoint) {
+            let wait_ms = Some(pause_ms);
+            return Err(RateExhausted { is_named: true, wait_ms, interval_ms: pause_ms });
+        }
         let Some(rate) = self.endpoint_rate(now, endpoint, cold_per_s) else { return Ok(()) };
         let is_named = self.named_rate(now, endpoint).is_some();
+        let interval_ms = rate.interval_ms();
         match self.acquire_rate(now, endpoint, rate, local_vm) {
             SendPermission::Granted => Ok(()),
             SendPermission::Later { wait_ms } => {
-                Err(RateExhausted { is_named, wait_ms: Some(wait_ms), rate })
+                Err(RateExhausted { is_named, wait_ms: Some(wait_ms), interval_ms })
             }
-            SendPermission::OtherVms => Err(RateExhausted { is_named, wait_ms: None, rate }),
+            SendPermission::OtherVms => Err(RateExhausted { is_named, wait_ms: None, interval_ms }),
         }
     }
 }
--- a/crates/daemon/src/engine_reports.rs
+++ b/crates/daemon/src/engine_reports.rs
@@ -7,7 +7,7 @@
 //! costs as much as a health check.
 
 use crate::context::Context;
-use gypsumchute_platform::endpoints::{EndpointReport, read_report};
+use gypsumchute_platform::endpoints::{EndpointReport, ReportError, read_report};
 use gypsumchute_units::EndpointId;
 use gypsumchute_units::time::boot_now;
 use log::info;
@@ -54,13 +54,22 @@
 
 /// Polls one engine and records its termination notice, if there is one.
 async fn poll_engine(context: Rc<Context>, endpoint: EndpointId, address: SocketAddr) {
+    let known_start = context.endpoint_start_ms(&endpoint);
     match read_report(address, REPORT_TIMEOUT_MS).await {
-        Ok(EndpointReport { ends_in_ms: Some(ends_in_ms) }) => {
-            info!(endpoint = endpoint.as_str(), ends_in_ms;
-                "endpoint reported that it is terminating");
-            context.record_termination_notice(&endpoint);
+        Ok(EndpointReport { ends_in_ms, started_wall_ms, signs }) => {
+            let started_wall_ms = started_wall_ms.or(known_start);
+            context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
+            if let Some(ends_in_ms) = ends_in_ms {
+                info!(endpoint = endpoint.as_str(), ends_in_ms;
+                    "endpoint reported that it is terminating");
+                context.record_termination_notice(&endpoint, started_wall_ms);
+            }
+        }
+        Err(ReportError::Status(status, signs)) => {
+            info!(endpoint = endpoint.as_str(), status = status.as_u16();
+                "endpoint report refused");
+            context.record_endpoint_signs(&endpoint, known_start, signs);
         }
-        Ok(EndpointReport { ends_in_ms: None }) => {}
         // No action is needed: the runs at the engine detect on their own whether it is gone.
         Err(err) => info!(endpoint = endpoint.as_str(), error:% = err; "endpoint report failed"),
     }
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -376,8 +376,11 @@
             }
             ResponseKind::NotRun | ResponseKind::WrongEndpoint => {
                 self.endpoints_used -= 1;
-                self.call.context.record_outcome(&endpoint, RequestOutcome::Rejected);
-                self.excluded.insert(endpoint);
+                // An endpoint that asked for a pause is not at fault, and is passed over until its end.
+                if !self.call.context.has_pause(&endpoint) {
+                    self.call.context.record_outcome(&endpoint, RequestOutcome::Rejected);
+                    self.excluded.insert(endpoint);
+                }
                 StartOutcome::NotRun
             }
             ResponseKind::Failure => {
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -216,11 +216,14 @@
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
         let version = run.version;
         let target = CopyTarget { endpoint, address, version, load_guard };
-        let source_address = run.address;
+        let (source, source_address) = (run.endpoint.clone(), run.address);
+        let context = context.clone();
         Some(Box::pin(async move {
-            let result =
+            let source_start = context.endpoint_start_ms(&source);
+            let (result, signs) =
                 copy_kv_cache(source_address, target.address, &request_id, false, COPY_TIMEOUT_MS)
                     .await;
+            context.record_endpoint_signs(&source, source_start, signs);
             (target, result)
         }))
     }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -183,6 +183,7 @@
         own_faults_milli: milli(suspicion.endpoint_errors),
         leaving: state.announces_termination(now, endpoint),
         limit: state.endpoint_limits.get(endpoint).map(|limit| encode_limit(now, limit)),
+        leaving_start_ms: state.endpoints.leaving_start_ms(endpoint),
     }
 }
 
@@ -207,6 +208,8 @@
     suspicion: Suspicion,
     /// Whether the peer announces a termination notice of the endpoint.
     terminating: bool,
+    /// Start of the endpoint that the notice belongs to, if it reports its starts.
+    leaving_start_ms: Option<u64>,
     /// What the endpoint told the peer of its request rate limit.
     limit: Option<RequestLimit>,
 }
@@ -232,6 +235,7 @@
             endpoint_errors: from_milli(report.own_faults_milli),
         },
         terminating,
+        leaving_start_ms: report.leaving_start_ms,
         limit: report.limit,
     })
 }
@@ -254,7 +258,9 @@
             per_s:% = limit.rate.unwrap_or_default();
             "peer VM reported a change of the endpoint's request rate limit");
     }
-    let is_new_notice = report.terminating && state.endpoints.mark_terminating(&report.endpoint);
+    let start = report.leaving_start_ms;
+    let is_new_notice =
+        report.terminating && state.endpoints.mark_terminating(now, &report.endpoint, start);
     if is_new_notice {
         info!(endpoint = report.endpoint.as_str();
             "peer VM announced that the endpoint is terminating");
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -65,7 +65,7 @@
     },
 }
 
-/// Endpoints that were passed over because of the rate that they take.
+/// Endpoints that were passed over because of the rate that they take or a pause.
 #[derive(Default)]
 struct LimitedEndpoints {
     /// Whether one of them is cold and has named no limit.
@@ -82,7 +82,7 @@
         if let Some(wait_ms) = exhausted.wait_ms {
             self.wait_ms = shorter(self.wait_ms, wait_ms);
         }
-        self.interval_ms = shorter(self.interval_ms, exhausted.rate.interval_ms());
+        self.interval_ms = shorter(self.interval_ms, exhausted.interval_ms);
     }
 
     /// Returns the outcome if no endpoint is left besides these.
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -109,7 +109,10 @@
             let endpoint = placed.endpoint.clone();
             self.last_endpoint = Some(endpoint.clone());
             let sent = self.send(placed).await;
-            self.excluded.insert(endpoint);
+            // An endpoint that asked for a pause is passed over until its end.
+            if !self.call.context.has_pause(&endpoint) {
+                self.excluded.insert(endpoint);
+            }
             let retry_reason = match sent {
                 SendOutcome::Answered(reply) => {
                     self.call.record_completed();
@@ -213,7 +216,11 @@
         if result.is_err() {
             self.call.record_silent_run(&endpoint, self.call.unanswered_run(), sent_ms);
         }
-        self.call.context.record_outcome(&endpoint, outcome);
+        let asks_for_pause =
+            matches!(sent, SendOutcome::NotRun) && self.call.context.has_pause(&endpoint);
+        if !asks_for_pause {
+            self.call.context.record_outcome(&endpoint, outcome);
+        }
         sent
     }
 
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -7,6 +7,8 @@
 mod fleet;
 mod folder;
 mod generations;
+mod leaving_endpoints;
+mod paused_endpoints;
 mod peer_sync;
 mod plain;
 mod poison;
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -166,6 +166,10 @@
     /// Request rate limit that the endpoint names; absent if the sender knows nothing of one.
     #[prost(message, optional, tag = "9")]
     pub limit: ::core::option::Option<RequestLimit>,
+    /// Start time of the endpoint that `leaving` belongs to, in milliseconds of the endpoint's wall
+    /// clock; absent if the endpoint reports none.
+    #[prost(uint64, optional, tag = "10")]
+    pub leaving_start_ms: ::core::option::Option<u64>,
 }
 /// What an answer of an endpoint said of its request rate limit.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! Endpoints that the platform's registry reports, and which of them may receive new requests.
 
+use crate::leaving_notices::LeavingNotices;
 use crate::stream_versions::ServiceVersion;
 use gypsumchute_units::{BootMs, EndpointId, ServiceId, SoftwareVersion, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -71,12 +72,16 @@
     /// Number of endpoints of each service and software version.
     version_counts: BTreeMap<(ServiceId, ServiceVersion), usize>,
     drained_zones: BTreeSet<ZoneId>,
+    leaving_notices: LeavingNotices,
 }
 
 impl EndpointTable {
-    /// Adds or replaces an entry. Returns whether the endpoint changed.
+    /// Adds or replaces an entry. An endpoint that has given notice itself stays terminating until
+    /// it starts again. Returns whether the endpoint changed.
     pub fn upsert(&mut self, now: BootMs, entry: EndpointEntry) -> bool {
-        let state = match entry.terminating {
+        self.leaving_notices.on_started(&entry.id, entry.started_wall_ms);
+        let has_notice = self.leaving_notices.has_notice(&entry.id, entry.started_wall_ms);
+        let state = match entry.terminating || has_notice {
             true => EndpointState::Terminating,
             false => EndpointState::Ready,
         };
@@ -100,7 +105,12 @@
                 endpoint.state = EndpointState::Unconfirmed { until_ms: now + UNCONFIRMED_TTL_MS };
                 true
             }
-            Some(_) => self.discard(id),
+            Some(_) => {
+                if !unreliable {
+                    self.leaving_notices.on_removed(id);
+                }
+                self.discard(id)
+            }
         }
     }
 
@@ -120,11 +130,21 @@
         }
     }
 
-    /// Records a termination notice from the endpoint itself. Returns whether the state of a known
-    /// endpoint changed.
-    pub fn mark_terminating(&mut self, id: &EndpointId) -> bool {
+    /// Records that the endpoint that started at `started_wall_ms` has said itself that it is
+    /// leaving. Returns whether the state of a known endpoint changed.
+    pub fn mark_terminating(
+        &mut self,
+        now: BootMs,
+        id: &EndpointId,
+        started_wall_ms: Option<u64>,
+    ) -> bool {
+        let known_start = self.by_id.get(id).and_then(|known| known.entry.started_wall_ms);
+        self.leaving_notices.record(now, id, started_wall_ms.or(known_start));
         match self.by_id.get_mut(id) {
-            Some(endpoint) if endpoint.state != EndpointState::Terminating => {
+            Some(endpoint)
+                if endpoint.state != EndpointState::Terminating
+                    && self.leaving_notices.has_notice(id, known_start) =>
+            {
                 endpoint.state = EndpointState::Terminating;
                 true
             }
@@ -132,8 +152,22 @@
         }
     }
 
+    /// Returns the start time that the notice of an endpoint belongs to, in milliseconds of the
+    /// endpoint's own wall clock, if it has given notice and reports its starts.
+    pub fn leaving_start_ms(&self, id: &EndpointId) -> Option<u64> {
+        self.leaving_notices.started_wall_ms(id)
+    }
+
     /// Removes unconfirmed endpoints that were not registered again in time, and returns their ids.
     pub fn expire(&mut self, now: BootMs) -> Vec<EndpointId> {
+        for id in self.leaving_notices.expire(now, |id| self.by_id.contains_key(id)) {
+            match self.by_id.get_mut(&id) {
+                Some(endpoint) if !endpoint.entry.terminating => {
+                    endpoint.state = EndpointState::Ready;
+                }
+                _ => {}
+            }
+        }
         let has_expired = |endpoint: &Endpoint| match endpoint.state {
             EndpointState::Unconfirmed { until_ms } => until_ms <= now,
             EndpointState::Ready | EndpointState::Terminating => false,
@@ -159,6 +193,12 @@
         self.drained_zones.contains(zone)
     }
 
+    /// Returns the start time of a registered endpoint by its own wall clock, in milliseconds, if it
+    /// reports one.
+    pub fn started_wall_ms(&self, id: &EndpointId) -> Option<u64> {
+        self.by_id.get(id).and_then(|endpoint| endpoint.entry.started_wall_ms)
+    }
+
     /// Returns the endpoint with this id.
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
         self.by_id.get(id)
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod endpoint_limits;
 mod endpoint_rate;
 mod endpoints;
+mod leaving_endpoints;
 mod load;
 mod outcomes;
 mod placement;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -58,6 +58,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     endpoint_crashes: Counter<u64>,
+    endpoint_signs: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -85,6 +86,7 @@
             refusals: meter.u64_counter("gypsumchute_refusals").build(),
             retries: meter.u64_counter("gypsumchute_retries").build(),
             endpoint_crashes: meter.u64_counter("gypsumchute_endpoint_crashes").build(),
+            endpoint_signs: meter.u64_counter("gypsumchute_endpoint_signs").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -114,6 +116,11 @@
         self.endpoint_crashes.add(1, &[KeyValue::new("source", source)]);
     }
 
+    /// Counts an answer in which an endpoint says something of itself, by what it says.
+    pub fn count_endpoint_sign(&self, sign: &'static str) {
+        self.endpoint_signs.add(1, &[KeyValue::new("sign", sign)]);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
--- a/tests/testsuite/soak/faults.rs
+++ b/tests/testsuite/soak/faults.rs
@@ -105,7 +105,7 @@
         while !shared.stop.load(Ordering::Relaxed) {
             let proxied = self.endpoints.choose(&mut rng).expect("endpoints");
             let duration = Duration::from_millis(rng.random_range(100..1_200));
-            match rng.random_range(0..3) {
+            match rng.random_range(0..5) {
                 0 => {
                     let behaviours = [
                         Behaviour::DropsConnection,
@@ -132,6 +132,19 @@
                     thread::sleep(duration);
                     proxied.proxy.set_fault(Fault::NoFault);
                 }
+                2 => {
+                    let pause_s = rng.random_range(0.1..1.5);
+                    proxied.endpoint.set_retry_after(Some(&format!("{pause_s:.2}")));
+                    thread::sleep(duration);
+                    proxied.endpoint.set_retry_after(None);
+                }
+                3 => {
+                    // The registry says that the endpoint is ready all the time.
+                    proxied.endpoint.set_leaving(true);
+                    thread::sleep(duration);
+                    proxied.endpoint.start_again();
+                    self.register(proxied, "ready");
+                }
                 _ => {
                     self.register(proxied, "draining");
                     thread::sleep(duration);
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -4,7 +4,8 @@
 //!
 //! - Daemons are killed, suspended, terminated, told to reload, and restarted, several at once.
 //! - The store rejects calls, resets connections or stops responding, for all daemons or for one.
-//! - Endpoints fail, drain and return, behind proxies that close connections, stall connections and
+//! - Endpoints fail, drain and return, say in answers that they are leaving and start again, and ask
+//!   for pauses, behind proxies that close connections, stall connections and
 //!   stall responses.
 //! - The store is restored from an older backup, and what it lost is written again.
 //! - A zone goes out of service and returns, and new configuration versions are published.
