A VM asks peers and the store before it trusts the only version it knows

Cause: a caller takes a stream up at a VM that is out of step, because it is cut off or has not read the latest changes. The VM took the only software version that it had seen for the stream's, before it asked its peers: for up to 2.2 s after its last word from the store, while engines of another version had joined and begun the stream through other VMs.

Change: peers are always asked for a record, and the only version counts once the store has answered, after the caller asked, that nothing was missed (registry_check: one watch that doesn't wait, 300 ms at most). Both run at once. Without an answer the stream is unknown, and refused as before.

Tests, out_of_step:: failed before: a_vm_cut_off_from_peers_and_store_... and a_vm_that_has_not_read_the_latest_changes_... (streams of v2 went on at an engine of v1); passed before: a_vm_cut_off_from_the_store_only_... (6 of 6 taken up) and an_unknown_stream_goes_on_....

--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -3,6 +3,7 @@
 
 use super::Generation;
 use super::run::{StartFrom, StartOutcome};
+use crate::registry_check::read_missed_changes;
 use gypsumchute_routing::stream_versions::{
     ServiceVersion, StreamKey, StreamVersion, resume_period_ms,
 };
@@ -20,7 +21,8 @@
 enum VersionSource {
     /// This VM has a record of the stream.
     Record,
-    /// No other version was in service since the stream can have begun.
+    /// No other version was in service since the stream can have begun, and the store has confirmed
+    /// that up to now.
     SoleVersion,
     /// A peer VM sent its record of the stream.
     Peer,
@@ -92,6 +94,10 @@
     }
 
     /// Returns the version that began a stream and how it became known, or `None` if no VM knows.
+    ///
+    /// What this VM knows of the versions in service may be older than the stream: a version that
+    /// has joined since may have begun it through another VM. So peers are asked for a record of the
+    /// stream, and the only version counts once the store has confirmed it after the caller asked.
     async fn find_version(
         &self,
         stream: Option<StreamKey>,
@@ -103,18 +109,40 @@
         if let Some(record) = record {
             return Some((record.version, VersionSource::Record));
         }
-        // A route with several services may have begun the stream at any of them.
-        if let [_] = self.call.route.services[..] {
-            let period_ms = resume_period_ms(self.call.route.response_timeout_ms);
-            let service = &self.call.service.id;
-            let sole =
-                context.with(|state| state.stream_versions.sole_version(now, service, period_ms));
-            if let Some(version) = sole {
-                return Some((version, VersionSource::SoleVersion));
+        let ask_peers = async {
+            match stream {
+                Some(stream) => context.ask_for_stream(stream).await,
+                None => None,
             }
+        };
+        let (record, sole) = tokio::join!(ask_peers, self.confirm_sole_version());
+        match (record, sole) {
+            (Some(record), _) => Some((record.version, VersionSource::Peer)),
+            (None, Some(sole)) => Some((sole, VersionSource::SoleVersion)),
+            (None, None) => None,
+        }
+    }
+
+    /// Returns the only version that has been in service since the stream can have begun, if there
+    /// is one and the store confirms it now.
+    async fn confirm_sole_version(&self) -> Option<ServiceVersion> {
+        // A route with several services may have begun the stream at any of them.
+        let [_] = self.call.route.services[..] else { return None };
+        let context = &self.call.context;
+        let period_ms = resume_period_ms(self.call.route.response_timeout_ms);
+        let service = &self.call.service.id;
+        let sole_version = || {
+            let now = boot_now();
+            context.with(|state| {
+                state.stream_versions.see(now, &state.endpoints);
+                state.stream_versions.sole_version(now, service, period_ms)
+            })
+        };
+        sole_version()?;
+        match read_missed_changes(context).await {
+            true => sole_version(),
+            false => None,
         }
-        let record = context.ask_for_stream(stream?).await?;
-        Some((record.version, VersionSource::Peer))
     }
 
     /// Tries the engines that may hold a backup of the run of `first_attempt`, and returns the run
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,7 +15,7 @@
 //! - [`gossip`] and [`crash_gossip`] exchange load, membership and crashes with peers;
 //!   [`maintenance`] discards expired state;
 //! - [`stream_gossip`] tells peers at which software version a stream began, and asks them when a
-//!   caller resumes it;
+//!   caller resumes it; [`registry_check`] reads what this VM may have missed before that;
 //! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon, and
 //!   [`reload`] applies changed settings.
 
@@ -35,6 +35,7 @@
 pub mod placing;
 pub mod plain;
 pub mod process;
+pub mod registry_check;
 pub mod reload;
 pub mod reply;
 pub mod status_server;
--- a/crates/routing/src/stream_versions.rs
+++ b/crates/routing/src/stream_versions.rs
@@ -105,6 +105,11 @@
             Some(_) if !has_gap => {}
             _ => self.observing_since_ms = Some(now),
         }
+        self.see(now, endpoints);
+    }
+
+    /// Records the versions that are in service, between two observations.
+    pub fn see(&mut self, now: BootMs, endpoints: &EndpointTable) {
         for seen in endpoints.versions() {
             match self.last_seen_ms.get_mut(seen) {
                 Some(last_seen_ms) => *last_seen_ms = now,
