A stream whose engine turns out to run another version does not go on at the former one

Cause: an engine that starts again under its id with another version of its software is taken for the old version until the registry says otherwise. A stream that began there in between was bound to the former version, and went on there once the engine was lost.

Change: each event is held against the version that the registry names for its engine by then. If it is another one, the stream is bound to that one from then on, here and at peers, its backup is dropped, and a run that only continued the stream ends as failed. A stream is not continued elsewhere while the registry contradicts the version of its last run. What stays open: a stream that begins and breaks there before the registry says so.

Test: out_of_step::a_stream_of_an_engine_that_changed_its_version_unseen_... failed before (the stream was completed at the former version).

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -245,7 +245,10 @@
         backup: Option<Backup>,
     ) -> Result<StartFrom, Refusal> {
         let backup = backup.filter(|backup| self.is_usable(backup));
-        let next = choose_recovery(interruption, self.run_state(backup.is_some()));
+        let next = match self.has_certain_version() {
+            true => choose_recovery(interruption, self.run_state(backup.is_some())),
+            false => RecoveryAction::Fail,
+        };
         self.log_recovery(interruption, next);
         match (next, backup) {
             (RecoveryAction::ResumeFromBackup, Some(backup)) => Ok(StartFrom::Backup(backup)),
@@ -361,6 +364,7 @@
                 endpoint,
                 address,
                 version,
+                continues_stream: self.version.is_some(),
                 response,
                 events: EventReader::default(),
                 backup,
@@ -445,6 +449,7 @@
             run.last_event_at = Instant::now();
             self.record_progress(boot_now());
             run.load_guard.release_prefill_load();
+            self.correct_version(run)?;
             self.bind_begun_stream(run.version);
             self.send_response_head(run);
             self.delivered_events += 1;
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -2,13 +2,14 @@
 //! this VM.
 
 use super::Generation;
-use super::run::{StartFrom, StartOutcome};
+use super::run::{Run, RunFailure, StartFrom, StartOutcome};
 use crate::registry_check::read_missed_changes;
+use gypsumchute_routing::endpoints::Endpoint;
 use gypsumchute_routing::stream_versions::{
     ServiceVersion, StreamKey, StreamVersion, resume_period_ms,
 };
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{Refusal, RefusalReason, RequestId};
+use gypsumchute_units::{EndpointId, Refusal, RefusalReason, RequestId};
 use log::info;
 
 /// Time for which engines are tried for the backup of a stream, in milliseconds: enough for all of
@@ -47,6 +48,48 @@
         }
     }
 
+    /// Corrects the version of the stream if the registry now names another one for the engine of
+    /// `run`, which wrote the event that has just arrived. The engine had started again under its id
+    /// before the run began, and the registry had not said so yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an earlier run began the stream: the event does not belong to it.
+    pub(super) fn correct_version(&mut self, run: &mut Run) -> Result<(), RunFailure> {
+        let registered = self.registered_version(&run.endpoint);
+        let Some(version) = registered.filter(|version| *version != run.version) else {
+            return Ok(());
+        };
+        info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
+            version = self.call.software_version(&run.endpoint);
+            "engine of a running stream has another software version than was known");
+        if run.continues_stream {
+            return Err(RunFailure::InvalidResponse("event of another version".to_owned()));
+        }
+        run.version = version;
+        run.backup = None;
+        if self.version.take().is_some() {
+            self.bind_begun_stream(version);
+        }
+        Ok(())
+    }
+
+    /// Reports whether the last run was at the version that began the stream, as far as is known
+    /// now. It is not certain if the registry has named another version for its engine since.
+    pub(super) fn has_certain_version(&self) -> bool {
+        let registered = self.last_endpoint.as_ref().and_then(|id| self.registered_version(id));
+        match (self.version, registered) {
+            (Some(version), Some(registered)) => version == registered,
+            (None, _) | (_, None) => true,
+        }
+    }
+
+    /// Returns the service and software version that the registry names for `endpoint`.
+    fn registered_version(&self, endpoint: &EndpointId) -> Option<ServiceVersion> {
+        let found = |endpoint: &Endpoint| endpoint.service_version;
+        self.call.context.with(|state| state.endpoints.get(endpoint).map(found))
+    }
+
     /// Starts the run of a stream that the caller resumes, at the version that began the stream. The
     /// stream is known by the attempt that brought its first event. Refuses the request if the
     /// version is not known for certain.
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -77,6 +77,8 @@
     pub(super) address: SocketAddr,
     /// Service and software version of `endpoint`.
     pub(super) version: ServiceVersion,
+    /// Whether an earlier run began the stream.
+    pub(super) continues_stream: bool,
     /// Response whose body is the event stream.
     pub(super) response: ResponseStream,
     /// Splits the response body into events.
--- a/crates/daemon/tests/testsuite/out_of_step.rs
+++ b/crates/daemon/tests/testsuite/out_of_step.rs
@@ -156,3 +156,36 @@
     assert!(sent_at.elapsed() < Duration::from_millis(300), "{:?}", sent_at.elapsed());
     eventually("the run at an engine of v1", || release.engines_of("again")[0].starts_with("old"));
 }
+
+/// An engine starts again under its id with another version of its software, and the registry has
+/// not said so yet when a stream begins there.
+#[test]
+fn a_stream_of_an_engine_that_changed_its_version_unseen_does_not_go_on_at_the_former_one() {
+    let (store, state) = (configured_store(), SharedEndpointState::default());
+    let slow = Behaviour::Streams { events: 80, event_interval_ms: 25 };
+    let mut changed = Endpoint::start(&state, "changed", slow).with_version("v2");
+    // The entry of its former start.
+    let mut former = changed.registry_entry("engines", "a", "ready");
+    former["version"] = "v1".into();
+    former["born"] = 1_000.into();
+    store.put("servers/changed", &former);
+    let first = Daemon::start(store.address(), "vm-1", "a", &[]);
+    first.wait_ready(true);
+    let second = Daemon::start(store.address(), "vm-2", "a", &[first.settings.peers_listen]);
+    second.wait_ready(true);
+    let mut stream = generation_request("briefs", "first").send(first.address());
+    stream.next_chunk().expect("open stream").expect("first event");
+    let old = Endpoint::start(&state, "old", slow).with_version("v1");
+    register_endpoint(&store, &old, "engines", "a", "ready");
+    register_endpoint(&store, &changed, "engines", "a", "ready");
+    sleep(Duration::from_millis(400));
+    changed.kill();
+    assert!(!stream.read_to_end().complete, "no engine of its version is left");
+    let again = generation_request("briefs", "again");
+    let again = again.header("Resumes", "first").header("Last-Event-Id", "1");
+    let reply = again.send(second.address()).read_to_end();
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    let received = state.received_requests();
+    let runs: Vec<_> = received.iter().filter(|r| r.executed && r.endpoint == "old").collect();
+    assert!(runs.is_empty(), "the stream went on at the former version");
+}
