--- a/crates/daemon/tests/testsuite/leaving_endpoints.rs
+++ b/crates/daemon/tests/testsuite/leaving_endpoints.rs
@@ -160,3 +160,24 @@
     assert!(started.elapsed() < Duration::from_secs(6));
     assert_eq!(arrivals(&env.endpoint_state, "engine-1"), before);
 }
+
+/// Without the store, VMs ask the engines of their streams. One that only drains serves on there, and
+/// one that says in the headers of its report that it is leaving does not.
+#[test]
+fn a_report_that_says_the_engine_is_leaving_moves_its_streams() {
+    let slow = Behaviour::Streams { events: 60, event_interval_ms: 100 };
+    let (env, engines) = TestEnv::start(|state| {
+        let start = |id| (Endpoint::start(state, id, slow), "engines", "a");
+        ["engine-1", "engine-2"].map(start).into()
+    });
+    let caller = generation_request("surveys", "r1").timeout_ms(20_000);
+    let mut stream = caller.send(env.daemon.address());
+    let first = stream.next_chunk().expect("open stream").expect("next event");
+    let running = env.last_run_endpoint("r1");
+    env.store_mode(StoreMode::RejectsCalls);
+    let engine = engines.iter().find(|engine| engine.id == running).expect("running engine");
+    engine.set_leaving(true);
+    eventually("the run to move", || env.last_run_endpoint("r1") != running);
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(60)));
+}
