gypsumchute losses: requests that were not answered whole, by cause

Cause: what binds the worst windows was told by hand from single requests. Change: a subcommand that reads the daemons' logs as they are, of any number of VMs, and prints a table by cause with the tokens that the requests needed. Bad lines are skipped, a file that can't be read is named.

Test: cli::losses_are_counted_by_cause.

--- a/src/bin/gypsumchute/commands/mod.rs
+++ b/src/bin/gypsumchute/commands/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod explain;
 mod hash_key;
+mod losses;
 mod show;
 mod status;
 
@@ -25,6 +26,7 @@
     Drain(drain::Args),
     Demo(demo::Args),
     Bench(bench::Args),
+    Losses(losses::Args),
 }
 
 /// Returns the parser of all subcommands.
@@ -37,7 +39,8 @@
     let drain = drain::parser().map(Command::Drain);
     let demo = demo::parser().map(Command::Demo);
     let bench = bench::parser().map(Command::Bench);
-    construct!([check, show, hash_key, status, explain, drain, demo, bench])
+    let losses = losses::parser().map(Command::Losses);
+    construct!([check, show, hash_key, status, explain, drain, demo, bench, losses])
 }
 
 impl Command {
@@ -52,6 +55,7 @@
             Command::Drain(args) => args.exec(),
             Command::Demo(args) => args.exec(),
             Command::Bench(args) => args.exec(),
+            Command::Losses(args) => args.exec(),
         }
     }
 }
--- a/src/gypsumchute/ops/mod.rs
+++ b/src/gypsumchute/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod embedded;
 pub mod explain;
 pub mod hash_key;
+pub mod losses;
 pub mod run;
 pub mod show;
 pub mod status;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -99,3 +99,45 @@
     });
     assert!(listed, "`status` does not list both VMs");
 }
+
+#[test]
+fn losses_are_counted_by_cause() {
+    let log = [
+        r#"message="request placed" request=a endpoint=e needs_tokens=100"#,
+        r#"1.2 vm-1 message="request ended" request=a outcome=answered status=200"#,
+        r#"message="request placed" request=b endpoint=e needs_tokens=300"#,
+        r#"message="run was lost or must move; recovery chosen" request=b loss=leaving next=move"#,
+        r#"message="run was lost or must move; recovery chosen" request=b loss=broken next=give_up"#,
+        r#"message="request ended" request=b outcome=endpoint_lost status=502"#,
+        r#"message="request placed" request=c endpoint=e needs_tokens=200"#,
+        r#"message="request ended" request=d outcome=no_room status=503"#,
+        r#"message="request placed" request=e needs_tokens=0"#,
+        r#"message="request ended" request=e outcome=failed status=500"#,
+        r#"message="request ended" request=f outcome=endpoint_lost status=502"#,
+        r#"message="request ended" request=g outcome=timed_out status=504"#,
+        r#"message="request ended" request=h outcome=caller_left status=200"#,
+        r#"message="endpoint registered" endpoint=e"#,
+        r#"message="request refused" request=i reason=unknown_key"#,
+        "no pairs at all",
+        "request= message=\"",
+    ];
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("log");
+    fs::write(&path, [log.join("\n").as_bytes(), b"\n\xff\xfe"].concat()).unwrap();
+    let (exit_code, stdout, _) = run_gypsumchute(&["losses", path.to_str().unwrap()]);
+    assert_eq!(exit_code, 0);
+    insta::assert_snapshot!(stdout.trim_end(), @r"
+    cause                                 requests  tokens  of all tokens
+    ended with its VM                     1         200     33.3%
+    engine left before the run had moved  1         300     50.0%
+    endpoint or its answer lost           1         0       0.0%
+    refused: no room                      1         0       0.0%
+    time limit                            1         0       0.0%
+    the service's own error               1         0       0.0%
+    caller left                           1         0       0.0%
+    all requests                          8         600
+    ");
+    let (exit_code, _, stderr) = run_gypsumchute(&["losses", "no-such-file"]);
+    assert_eq!(exit_code, 1);
+    assert!(stderr.contains("cannot read no-such-file"), "{stderr}");
+}
