--- a/crates/fleet/src/store_copy.rs
+++ b/crates/fleet/src/store_copy.rs
@@ -48,8 +48,8 @@
     /// Items by key, including remembered deleted keys.
     items: BTreeMap<String, StoreItem>,
     progress: CopyProgress,
-    /// Position up to which deleted keys may have been dropped. A VM that knows only older positions
-    /// needs a snapshot.
+    /// Position up to which deleted keys may have been dropped, or may never have been known. A VM
+    /// that knows only older positions needs a snapshot.
     deletions_dropped_through: StorePosition,
 }
 
@@ -96,6 +96,10 @@
         listing: Vec<StoreItem>,
     ) -> Vec<String> {
         let listed: BTreeSet<_> = listing.iter().map(|item| item.key.clone()).collect();
+        if position > self.progress.position {
+            // Keys that this copy never had may have been deleted in between.
+            self.deletions_dropped_through = self.deletions_dropped_through.max(position);
+        }
         let mut changed = self.apply(position, listing);
         let missing = self.items.values_mut().filter(|item| !listed.contains(&item.key));
         for item in missing.filter(|item| item.position <= position) {
--- a/crates/fleet/tests/testsuite/store_copy.rs
+++ b/crates/fleet/tests/testsuite/store_copy.rs
@@ -91,6 +91,23 @@
     prop::collection::vec((0u8..5, any::<bool>()), 1..40)
 }
 
+/// A VM that has started from a snapshot does not know which keys were deleted before it.
+#[test]
+fn a_copy_that_began_with_a_snapshot_passes_on_earlier_deletions() {
+    let mut survivor = StoreReplica::default();
+    survivor.apply(at(5), vec![item("gone", 4, Some("x")), item("kept", 5, Some("y"))]);
+    let mut started = StoreReplica::default();
+    started.apply_listing(at(9), vec![item("kept", 5, Some("y"))]);
+    started.apply(at(11), vec![item("later", 11, Some("z"))]);
+    let update = started.update_since(survivor.progress());
+    match update.is_snapshot {
+        true => drop(survivor.apply_listing(update.progress.position, update.items)),
+        false => drop(survivor.apply(update.progress.position, update.items)),
+    }
+    assert_eq!(rendered_items(&survivor), ["kept@5=y", "later@11=z"]);
+    assert!(!started.update_since(progress(10)).is_snapshot, "it knows all deletions since 9");
+}
+
 proptest! {
     #[test]
     fn copies_agree_after_changes_in_any_order(
