Copies of the store: a property test over restarts, listings and pulls

Change: a property test lets four copies watch, list, pull from each other and start again in any order, and holds each against the store's history: what was deleted before a copy's position is not shown.

--- a/crates/fleet/tests/testsuite/store_copy.rs
+++ b/crates/fleet/tests/testsuite/store_copy.rs
@@ -146,3 +146,85 @@
         prop_assert_eq!(known, expected);
     }
 }
+
+/// One step in the life of a few copies.
+#[derive(Debug, Clone)]
+enum Step {
+    /// The store changes or deletes a key.
+    Write { key: u8, deleted: bool },
+    /// A copy reads the changes that it lacks from the store.
+    Watch { copy: usize },
+    /// A copy reads a listing of the store.
+    List { copy: usize },
+    /// A copy reads from another one what it lacks.
+    Pull { copy: usize, from: usize },
+    /// A VM starts again, without a copy.
+    Restart { copy: usize },
+}
+
+const COPIES: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    let copy = 0..COPIES;
+    prop_oneof![
+        4 => (0u8..5, any::<bool>()).prop_map(|(key, deleted)| Step::Write { key, deleted }),
+        2 => copy.clone().prop_map(|copy| Step::Watch { copy }),
+        1 => copy.clone().prop_map(|copy| Step::List { copy }),
+        4 => (copy.clone(), copy.clone()).prop_map(|(copy, from)| Step::Pull { copy, from }),
+        1 => copy.prop_map(|copy| Step::Restart { copy }),
+    ]
+}
+
+/// Applies to `copy` what `from` sends to it, as a VM that is behind does.
+fn pull(copies: &mut [StoreReplica], copy: usize, from: usize) {
+    if !copies[copy].progress().is_behind(&copies[from].progress()) {
+        return;
+    }
+    let update = copies[from].update_since(copies[copy].progress());
+    match update.is_snapshot {
+        true => copies[copy].apply_listing(update.progress.position, update.items),
+        false => copies[copy].apply(update.progress.position, update.items),
+    };
+}
+
+proptest! {
+    /// A copy that is complete up to a position shows no key that was deleted before it.
+    #[test]
+    fn no_copy_shows_what_was_deleted_before_its_position(
+        steps in prop::collection::vec(step(), 0..80),
+    ) {
+        let mut history: Vec<StoreItem> = Vec::new();
+        let mut copies: Vec<_> = (0..COPIES).map(|_| StoreReplica::default()).collect();
+        for step in steps {
+            let now = at(history.len() as u64);
+            match step {
+                Step::Write { key, deleted } => {
+                    let value = (!deleted).then_some("v");
+                    history.push(item(&format!("key-{key}"), now.revision + 1, value));
+                }
+                Step::Watch { copy } if copies[copy].position().revision > 0 => {
+                    let after = copies[copy].position();
+                    let changes = history.iter().filter(|item| item.position > after);
+                    let changes: Vec<_> = changes.cloned().collect();
+                    copies[copy].apply(now, changes);
+                }
+                Step::Watch { copy } | Step::List { copy } => {
+                    let mut newest: BTreeMap<String, StoreItem> = BTreeMap::new();
+                    newest.extend(history.iter().map(|item| (item.key.clone(), item.clone())));
+                    let listing = newest.into_values().filter(|item| item.value.is_some());
+                    copies[copy].apply_listing(now, listing.collect());
+                }
+                Step::Pull { copy, from } => pull(&mut copies, copy, from),
+                Step::Restart { copy } => copies[copy] = StoreReplica::default(),
+            }
+            for copy in &copies {
+                let known = history.iter().take(copy.position().revision as usize);
+                for event in known.filter(|event| event.value.is_none()) {
+                    let shown = copy.get(&event.key).map(|item| item.position);
+                    let is_gone = shown.is_none_or(|shown| shown > event.position);
+                    prop_assert!(is_gone, "{} was deleted at {}", event.key, event.position);
+                }
+            }
+        }
+    }
+}
