A reader whose watch takes too long lists the store

Several odd values of a megabyte made it too large to arrive within the watch's time on a busy machine, and the reader asked for the same answer again and again, so that the VM followed nothing. A slow link does the same.

Change: after a watch that timed out, the next read is a listing, whose pages are limited; then watches again.

The stand-in store can delay answers that have changes.

Their addresses come from eight subnets in place of one.

--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -39,6 +39,7 @@
 /// Reads the store while this VM is a reader. Runs until the process exits.
 pub async fn run(context: Rc<Context>, store: StoreClient) {
     let mut failures = 0u32;
+    let mut way = ReadWay::Watch;
     let mut rate_limiter = ReadRateLimiter::new(boot_now());
     let mut was_reader = false;
     loop {
@@ -53,8 +54,9 @@
             continue;
         }
         sleep(Duration::from_millis(rate_limiter.next_delay_ms(boot_now()))).await;
-        match read_once(&context, &store).await {
+        match read_once(&context, &store, way).await {
             Ok(()) => {
+                way = ReadWay::Watch;
                 if failures > 0 {
                     info!(failures; "store read succeeded again");
                 }
@@ -65,6 +67,7 @@
                 });
             }
             Err(err) => {
+                way = way.after_failure(&err);
                 failures += 1;
                 if failures == 1 {
                     warn!(error:% = err; "store read failed");
@@ -87,6 +90,26 @@
     }
 }
 
+/// How the next read of the store is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadWay {
+    /// By a watch, unless nothing is known yet.
+    Watch,
+    /// By a listing, whose pages are small.
+    List,
+}
+
+impl ReadWay {
+    /// Returns how to read after a read of this kind failed. The answer to a watch has all changes at
+    /// once, and may be too large to arrive in time however often it is asked for.
+    fn after_failure(self, err: &StoreError) -> Self {
+        match self {
+            ReadWay::Watch if err.is_timeout() => ReadWay::List,
+            ReadWay::Watch | ReadWay::List => ReadWay::Watch,
+        }
+    }
+}
+
 /// Rate limiter for reads: allows a burst after a quiet period, then one read per interval.
 #[derive(Debug)]
 pub struct ReadRateLimiter {
@@ -109,9 +132,13 @@
 
 /// Fetches the next changes, or the complete contents if none are known yet, if the store has
 /// discarded the changes that this VM missed, or if it was restored from a backup.
-async fn read_once(context: &Rc<Context>, store: &StoreClient) -> Result<(), StoreError> {
+async fn read_once(
+    context: &Rc<Context>,
+    store: &StoreClient,
+    way: ReadWay,
+) -> Result<(), StoreError> {
     let known = context.with(|state| state.store_copy.position());
-    if known.revision == 0 {
+    if known.revision == 0 || way == ReadWay::List {
         return list(context, store).await;
     }
     match watch(context, store, known).await {
--- a/crates/daemon/tests/testsuite/odd_entries.rs
+++ b/crates/daemon/tests/testsuite/odd_entries.rs
@@ -269,3 +269,11 @@
         registry.assert_followed(&format!("seed {seed}"));
     }
 }
+
+/// The answer to a watch has all changes at once, and may take longer than a reader waits.
+#[test]
+fn changes_that_take_too_long_to_arrive_are_read_by_a_listing() {
+    let registry = Registry::start();
+    registry.store.set_change_delay(Duration::from_secs(4));
+    registry.assert_followed("changes that arrive slowly");
+}
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -15,6 +15,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
+/// Number of subnets of the loopback network that the daemons of a process take their IP addresses
+/// from, and number of daemons in each.
+const SUBNETS: u16 = 8;
+const DAEMONS_PER_SUBNET: u16 = 240;
 /// Maximum time that [`eventually`] waits for a condition.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -111,11 +115,12 @@
 
 /// Returns a loopback IP address that no other daemon of this process uses.
 fn next_ip() -> Ipv4Addr {
-    use std::sync::atomic::{AtomicU8, Ordering};
-    static NEXT: AtomicU8 = AtomicU8::new(10);
-    let last_byte = NEXT.fetch_add(1, Ordering::Relaxed);
-    assert!(last_byte >= 10, "the tests of this process use more than 246 daemons");
-    Ipv4Addr::new(127, 0, 7, last_byte)
+    use std::sync::atomic::{AtomicU16, Ordering};
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [subnet, last_byte] = [number / DAEMONS_PER_SUBNET, number % DAEMONS_PER_SUBNET];
+    assert!(subnet < SUBNETS, "the tests of this process use too many daemons");
+    Ipv4Addr::new(127, 0, 7 + subnet as u8, 10 + last_byte as u8)
 }
 
 /// Waits until `holds` returns true, and panics after [`MAX_WAIT`].
