Tests of VMs that are cut off from all endpoints, which fail

Cause: a VM serves only over its own links. Change: connections to endpoints are opened through a Dial trait, so that a test can cut the links of one VM; seven tests of such VMs.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::stream_gossip::StreamMessage;
 use gypsumchute_config::DaemonSettings;
-use gypsumchute_exchange::BufferBudget;
+use gypsumchute_exchange::{BufferBudget, Dial};
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
@@ -124,6 +124,8 @@
 pub struct Context {
     /// Settings that the process was started with.
     pub settings: DaemonSettings,
+    /// Opens the connections to endpoints.
+    pub dialer: Rc<dyn Dial>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Memory for request bodies, which are buffered as a whole.
@@ -155,8 +157,9 @@
 }
 
 impl Context {
-    /// Creates a context without a configuration, endpoints or known peers.
-    pub fn new(settings: DaemonSettings) -> Rc<Self> {
+    /// Creates a context without a configuration, endpoints or known peers. `dialer` opens the
+    /// connections to endpoints.
+    pub fn new(settings: DaemonSettings, dialer: Rc<dyn Dial>) -> Rc<Self> {
         let me = PeerAddress {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
@@ -193,6 +196,7 @@
         };
         Rc::new(Context {
             settings,
+            dialer,
             metrics: Metrics::new(),
             request_buffers: BufferBudget::new(REQUEST_BUFFER_BYTES),
             response_buffers: BufferBudget::new(RESPONSE_BUFFER_BYTES),
--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -84,8 +84,9 @@
         if !self.is_usable(&backup) || !context.may_send_to(&backup.endpoint) {
             return Err(StartOutcome::NotRun);
         }
-        let opened =
-            Connection::open(backup.address, BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long).await;
+        let dialer = &*context.dialer;
+        let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
+        let opened = Connection::open(dialer, backup.address, limit_ms, timeouts).await;
         let Ok(connection) = opened else {
             context.record_outcome(&backup.endpoint, RequestOutcome::TransportError);
             return Err(StartOutcome::NotRun);
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -132,7 +132,8 @@
             self.log_placement(&endpoint);
             let load_guard = self.context.reserve_load(&endpoint, self.load_before_prefill());
             let limit_ms = CONNECT_TIMEOUT_MS.min(self.remaining_ms());
-            match Connection::open(address, limit_ms, TcpTimeouts::Long).await {
+            let dialer = &*self.context.dialer;
+            match Connection::open(dialer, address, limit_ms, TcpTimeouts::Long).await {
                 // The endpoint may have gone out of service while the connection was being opened.
                 Ok(_)
                     if !self.context.with(|state| state.endpoints.accepts_requests(&endpoint)) =>
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -6,6 +6,7 @@
     store_reader, stream_gossip,
 };
 use gypsumchute_config::{ConfigSource, DaemonSettings};
+use gypsumchute_exchange::{Dial, TcpDialer};
 use gypsumchute_fleet::StorePosition;
 use gypsumchute_platform::{READINESS_PATH, StoreClient};
 use gypsumchute_units::time::boot_now;
@@ -60,7 +61,7 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let sigterm = sigterm()?;
-        let context = Context::new(settings);
+        let context = Context::new(settings, Rc::new(TcpDialer));
         spawn_local(reload::run(context.clone(), path.to_owned(), signal(SignalKind::hangup())?));
         run_tasks(context, sigterm).await
     })
@@ -74,9 +75,23 @@
 pub fn run_until(
     settings: DaemonSettings,
     stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    run_with_dialer(settings, Rc::new(TcpDialer), stop)
+}
+
+/// Runs the daemon like [`run_until`], with `dialer` for the connections to endpoints.
+///
+/// # Errors
+///
+/// Returns an error if the daemon fails to start.
+pub fn run_with_dialer(
+    settings: DaemonSettings,
+    dialer: Rc<dyn Dial>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async { run_tasks(Context::new(settings), stop).await })
+    let context = Context::new(settings, dialer);
+    LocalSet::new().block_on(&runtime, run_tasks(context, stop))
 }
 
 /// Installs a SIGTERM handler and returns a future that completes on SIGTERM.
--- /dev/null
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -0,0 +1,186 @@
+//! VMs that have lost their links to all endpoints, while callers, the store and other VMs still reach
+//! them.
+
+use crate::links::{ALL_CUTS, Cut, Links};
+use crate::support::{
+    API_KEY, Daemon, complete_stream, configured_store, eventually, generation_request,
+    register_endpoint,
+};
+use gypsumchute_config::ConfigSource;
+use gypsumchute_platform_standin::{
+    Behaviour, CallerRequest, CompleteResponse, Endpoint, SharedEndpointState, Store,
+};
+use std::time::{Duration, Instant};
+
+/// VMs and endpoints of the zones `a` and `b`: in each zone, two engines and two replicas of a plain
+/// service.
+struct Fleet {
+    state: SharedEndpointState,
+    daemons: Vec<Daemon>,
+    links: Vec<Links>,
+    endpoints: Vec<Endpoint>,
+    store: Store,
+}
+
+impl Fleet {
+    /// Starts a VM in each of `zones`, and waits until the VMs know each other.
+    fn start(zones: &[&str]) -> Self {
+        let (store, state) = (configured_store(), SharedEndpointState::default());
+        let streams = Behaviour::Streams { events: 5, event_interval_ms: 10 };
+        let mut endpoints = Vec::new();
+        for zone in ["a", "b"] {
+            for n in 1..=2 {
+                let engine = Endpoint::start(&state, &format!("engine-{zone}-{n}"), streams);
+                register_endpoint(&store, &engine, "engines", zone, "ready");
+                let book =
+                    Endpoint::start(&state, &format!("book-{zone}-{n}"), Behaviour::Succeeds);
+                register_endpoint(&store, &book, "books", zone, "ready");
+                endpoints.extend([engine, book]);
+            }
+        }
+        let mut fleet = Fleet { state, daemons: vec![], links: vec![], endpoints, store };
+        zones.iter().for_each(|zone| fleet.add_daemon(zone));
+        fleet.daemons.iter().for_each(|daemon| daemon.wait_ready(true));
+        std::thread::sleep(Duration::from_millis(1_000));
+        fleet
+    }
+
+    fn add_daemon(&mut self, zone: &str) {
+        let links = Links::default();
+        let source = ConfigSource::Store(self.store.address());
+        let vm = format!("vm-{}", self.daemons.len() + 1);
+        let seeds: Vec<_> = self.daemons.iter().map(|d| d.settings.peers_listen).collect();
+        self.daemons.push(Daemon::start_behind(&links, source, &vm, zone, &seeds));
+        self.links.push(links);
+    }
+
+    /// Sends the order `id` to the VM with this index.
+    fn send_order(&self, vm: usize, id: &str) -> CompleteResponse {
+        let request = CallerRequest::new("POST /orders/x", id, API_KEY);
+        request.body(&format!("order {id}")).send_and_read(self.daemons[vm].address())
+    }
+
+    /// Returns how often an endpoint ran the request `id`.
+    fn runs(&self, id: &str) -> usize {
+        let received = self.state.received_requests();
+        received.iter().filter(|r| r.executed && r.request_id() == id).count()
+    }
+}
+
+/// Sends requests of each kind to the first VM, and asserts that all are served, each by one run.
+fn assert_all_served(fleet: &Fleet, label: &str, count: usize) {
+    for n in 0..count {
+        let id = format!("{label}-{n}");
+        let order = fleet.send_order(0, &format!("order-{id}"));
+        let read = CallerRequest::new("GET /reads/x", &format!("read-{id}"), API_KEY);
+        let read = read.send_and_read(fleet.daemons[0].address());
+        let survey = generation_request("surveys", &format!("survey-{id}"));
+        let survey = survey.send_and_read(fleet.daemons[0].address());
+        let statuses = [order.status, read.status, survey.status];
+        assert_eq!(statuses, [200; 3], "{id}: {} {} {}", order.body, read.body, survey.body);
+        assert_eq!((survey.complete, survey.body.as_str()), (true, &*complete_stream(5)), "{id}");
+        for kind in ["order", "read", "survey"] {
+            assert_eq!(fleet.runs(&format!("{kind}-{id}")), 1, "runs of {kind}-{id}");
+        }
+    }
+}
+
+/// Guards against a VM that refuses requests because its own links to endpoints are gone, although
+/// another VM reaches the endpoints.
+#[test]
+fn a_vm_without_links_to_endpoints_has_its_requests_served_by_another_vm() {
+    for cut in ALL_CUTS {
+        let fleet = Fleet::start(&["a", "b"]);
+        assert_all_served(&fleet, "before", 2);
+        fleet.links[0].cut(cut);
+        assert_all_served(&fleet, &format!("{cut:?}"), 6);
+        fleet.links[0].restore();
+        assert_all_served(&fleet, "after", 2);
+    }
+}
+
+/// Guards against each request paying for connection attempts that the VM knows to be in vain.
+#[test]
+fn a_vm_that_knows_that_its_links_are_gone_does_not_try_them_for_each_request() {
+    let fleet = Fleet::start(&["a", "b"]);
+    fleet.links[0].cut(Cut::Silent);
+    assert_all_served(&fleet, "first", 4);
+    for n in 0..10 {
+        let started = Instant::now();
+        assert_eq!(fleet.send_order(0, &format!("later-{n}")).status, 200);
+        assert!(started.elapsed() < Duration::from_millis(120), "{:?}", started.elapsed());
+    }
+}
+
+/// Guards against a zone whose VMs have all lost their links being served by none.
+#[test]
+fn a_zone_whose_vms_have_all_lost_their_links_is_served_by_the_other_zone() {
+    let fleet = Fleet::start(&["a", "a", "b"]);
+    fleet.links[..2].iter().for_each(|links| links.cut(Cut::Silent));
+    // Both VMs of the zone learn that their links are gone.
+    (0..3).for_each(|n| drop(fleet.send_order(1, &format!("other-vm-{n}"))));
+    assert_all_served(&fleet, "cut", 6);
+}
+
+/// Guards against requests that are passed round in circles where no VM reaches an endpoint.
+#[test]
+fn where_no_vm_reaches_an_endpoint_requests_are_refused_as_not_run() {
+    let fleet = Fleet::start(&["a", "b"]);
+    fleet.links.iter().for_each(|links| links.cut(Cut::Silent));
+    for n in 0..4 {
+        for vm in 0..2 {
+            let started = Instant::now();
+            let reply = fleet.send_order(vm, &format!("r-{n}-{vm}"));
+            assert_eq!(reply.status, 503);
+            assert!(reply.body.contains("not_run"), "{}", reply.body);
+            assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
+        }
+    }
+    assert!(fleet.state.received_requests().is_empty());
+}
+
+/// Guards against a VM that stays dependent on others once its links are back.
+#[test]
+fn a_vm_whose_links_are_back_uses_them_again() {
+    let mut fleet = Fleet::start(&["a", "b"]);
+    fleet.links[0].cut(Cut::Silent);
+    assert_all_served(&fleet, "cut", 4);
+    fleet.links[0].restore();
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet.daemons[1].stop();
+    fleet.links[1].cut(Cut::Reset);
+    assert_all_served(&fleet, "back", 4);
+}
+
+/// Guards against runs that go on for callers who have left.
+#[test]
+fn a_run_at_another_vm_ends_when_its_caller_leaves() {
+    let fleet = Fleet::start(&["a", "b"]);
+    let slow = Behaviour::Streams { events: 400, event_interval_ms: 20 };
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
+    fleet.links[0].cut(Cut::Silent);
+    let mut stream = generation_request("surveys", "r1").send(fleet.daemons[0].address());
+    assert_eq!(stream.status, 200);
+    stream.next_chunk().expect("open stream").expect("an event");
+    assert_eq!(fleet.state.active_executions("r1"), 1);
+    drop(stream);
+    let left = Instant::now();
+    eventually("the run to end", || fleet.state.active_executions("r1") == 0);
+    assert!(left.elapsed() < Duration::from_millis(400), "{:?}", left.elapsed());
+}
+
+/// Guards against neighbours that avoid sound endpoints because a VM without links reported them.
+#[test]
+fn the_links_of_one_vm_do_not_make_endpoints_suspect_for_its_neighbours() {
+    let fleet = Fleet::start(&["a", "a"]);
+    fleet.links[0].cut(Cut::Silent);
+    assert_all_served(&fleet, "cut", 4);
+    std::thread::sleep(Duration::from_millis(3_000));
+    assert_all_served(&fleet, "still-cut", 8);
+    let before = fleet.state.received_requests().len();
+    (0..40).for_each(|n| drop(fleet.send_order(1, &format!("neighbour-{n}"))));
+    let received = fleet.state.received_requests();
+    let own_zone = received[before..].iter().filter(|r| r.endpoint.starts_with("book-a"));
+    let share = own_zone.count();
+    assert!(share >= 36, "{share} of 40 requests stayed in the zone");
+}
--- /dev/null
+++ b/crates/daemon/tests/testsuite/links.rs
@@ -0,0 +1,83 @@
+//! Links between one VM and the endpoints, which a test can cut.
+
+use gypsumchute_exchange::{Dial, Dialing};
+use gypsumchute_standins::proxy::{Fault, Proxy};
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpStream;
+
+/// How the links of a VM are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Nothing passes: new connections are not answered, and open ones hang.
+    Silent,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+    /// New connections are refused, and open ones live on.
+    RefusesNew,
+}
+
+/// The ways of cutting links.
+pub const ALL_CUTS: [Cut; 3] = [Cut::Silent, Cut::Reset, Cut::RefusesNew];
+
+#[derive(Default)]
+struct LinkState {
+    cut: Option<Cut>,
+    /// Proxy in front of each endpoint, by the endpoint's address.
+    proxies: BTreeMap<SocketAddr, Proxy>,
+}
+
+/// Links of one VM to all endpoints.
+#[derive(Clone, Default)]
+pub struct Links(Arc<Mutex<LinkState>>);
+
+impl Links {
+    /// Cuts all links.
+    pub fn cut(&self, cut: Cut) {
+        let mut state = self.0.lock().expect("links mutex is poisoned");
+        state.cut = Some(cut);
+        let fault = match cut {
+            Cut::Silent => Fault::Stall,
+            Cut::Reset => Fault::CloseConnections,
+            Cut::RefusesNew => Fault::NoFault,
+        };
+        state.proxies.values().for_each(|proxy| proxy.set_fault(fault));
+    }
+
+    /// Restores all links. Bytes that were held back are delivered.
+    pub fn restore(&self) {
+        let mut state = self.0.lock().expect("links mutex is poisoned");
+        state.cut = None;
+        state.proxies.values().for_each(|proxy| proxy.set_fault(Fault::NoFault));
+    }
+
+    /// Returns the address at which the VM reaches `endpoint`.
+    fn proxy_address(&self, endpoint: SocketAddr) -> SocketAddr {
+        let mut state = self.0.lock().expect("links mutex is poisoned");
+        let proxy = state.proxies.entry(endpoint).or_insert_with(|| start_proxy(endpoint));
+        proxy.address()
+    }
+}
+
+impl Dial for Links {
+    fn dial(&self, address: SocketAddr) -> Dialing {
+        let cut = self.0.lock().expect("links mutex is poisoned").cut;
+        match cut {
+            None => Box::pin(TcpStream::connect(self.proxy_address(address))),
+            Some(Cut::Silent) => Box::pin(pending()),
+            Some(Cut::Reset | Cut::RefusesNew) => {
+                Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+            }
+        }
+    }
+}
+
+/// Starts a proxy on a port that is free for both TCP and UDP.
+fn start_proxy(upstream: SocketAddr) -> Proxy {
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut attempts = (0..100).filter_map(|_| Proxy::start(listen, upstream).ok());
+    attempts.next().expect("a port that is free for TCP and UDP")
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -2,12 +2,14 @@
 //! failures.
 
 mod crash_spread;
+mod cut_off_vms;
 mod endless_responses;
 mod events;
 mod fleet;
 mod folder;
 mod generations;
 mod leaving_endpoints;
+mod links;
 mod odd_entries;
 mod out_of_step;
 mod paused_endpoints;
--- a/crates/daemon/tests/testsuite/request_limits.rs
+++ b/crates/daemon/tests/testsuite/request_limits.rs
@@ -84,7 +84,7 @@
     fn most_in_window(&self, endpoint: &Endpoint, start: Instant) -> usize {
         let arrivals = self.arrivals(endpoint, start);
         let from = |first: &Instant| {
-            arrivals.iter().filter(|at| (*first..*first + WINDOW).contains(at)).count()
+            arrivals.iter().filter(|at| (*first..*first + WINDOW).contains(*at)).count()
         };
         arrivals.iter().map(from).max().unwrap_or(0)
     }
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -1,8 +1,9 @@
 //! Test environment: daemons on threads of the test process, with a stand-in store and stand-in
 //! endpoints.
 
+use crate::links::Links;
 use gypsumchute_config::{ConfigSource, DaemonSettings};
-use gypsumchute_daemon::process::run_until;
+use gypsumchute_daemon::process::run_with_dialer;
 pub use gypsumchute_platform_standin::fixtures::{
     API_KEY, configuration, generation_request, register_endpoint,
 };
@@ -11,6 +12,7 @@
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::rc::Rc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -41,6 +43,17 @@
         vm: &str,
         zone: &str,
         seeds: &[SocketAddrV4],
+    ) -> Self {
+        Daemon::start_behind(&Links::default(), configuration, vm, zone, seeds)
+    }
+
+    /// Starts a daemon that reaches endpoints over `links`.
+    pub fn start_behind(
+        links: &Links,
+        configuration: ConfigSource,
+        vm: &str,
+        zone: &str,
+        seeds: &[SocketAddrV4],
     ) -> Self {
         let ip = next_ip();
         let [callers, readiness, metrics, peers] = ports().map(|port| SocketAddrV4::new(ip, port));
@@ -60,9 +73,10 @@
             retry_window_s: 10.0,
         };
         let (stop, stopped) = oneshot::channel::<()>();
-        let daemon_settings = settings.clone();
+        let (daemon_settings, links) = (settings.clone(), links.clone());
         let thread = thread::spawn(move || {
-            run_until(daemon_settings, async { drop(stopped.await) }).expect("daemon starts");
+            let stop = async { drop(stopped.await) };
+            run_with_dialer(daemon_settings, Rc::new(links), stop).expect("daemon starts");
         });
         Daemon { settings, stop: Some(stop), thread: Some(thread) }
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -21,8 +21,10 @@
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use std::error::Error;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -142,6 +144,25 @@
     })
 }
 
+/// A TCP connection that is being established.
+pub type Dialing = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+/// Opens TCP connections to endpoints.
+pub trait Dial {
+    /// Connects to `address`.
+    fn dial(&self, address: SocketAddr) -> Dialing;
+}
+
+/// Opens connections over the network of the VM.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TcpDialer;
+
+impl Dial for TcpDialer {
+    fn dial(&self, address: SocketAddr) -> Dialing {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// An open connection on which no request has been sent yet.
 #[derive(Debug)]
 pub struct Connection {
@@ -187,18 +208,19 @@
 }
 
 impl Connection {
-    /// Connects to `address`.
+    /// Connects to `address` through `dialer`.
     ///
     /// # Errors
     ///
     /// Returns [`ExchangeError::ConnectFailed`] if the connection fails or is not established
     /// within `timeout_ms`.
     pub async fn open(
+        dialer: &dyn Dial,
         address: SocketAddr,
         timeout_ms: u64,
         timeouts: TcpTimeouts,
     ) -> Result<Self, ExchangeError> {
-        let connecting = timeout(Duration::from_millis(timeout_ms), TcpStream::connect(address));
+        let connecting = timeout(Duration::from_millis(timeout_ms), dialer.dial(address));
         let stream = match connecting.await {
             Ok(connected) => connected.map_err(ExchangeError::ConnectFailed)?,
             Err(_) => return Err(ExchangeError::ConnectFailed(io::ErrorKind::TimedOut.into())),
@@ -314,7 +336,8 @@
     max_bytes: usize,
 ) -> Result<(http::response::Parts, Bytes), ExchangeError> {
     let exchange = async {
-        let connection = Connection::open(address, timeout_ms, TcpTimeouts::Short).await?;
+        let connection =
+            Connection::open(&TcpDialer, address, timeout_ms, TcpTimeouts::Short).await?;
         let mut response = connection.send(request).await?;
         // The size is bounded by `max_bytes`, and the system makes few such calls at a time.
         let body = response.read_body(max_bytes, &BufferBudget::new(2 * max_bytes)).await?;
