--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request from admission until an endpoint has answered it.
 
 use crate::context::Context;
+use crate::forwarding::Origin;
 use bytes::Bytes;
 use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::{
@@ -61,6 +62,8 @@
     pub segments: Vec<Fingerprint>,
     /// Uniformly distributed random number that spreads requests over equally good choices.
     pub random_value: u64,
+    /// Who sent the request to this VM.
+    pub origin: Origin,
 }
 
 impl Call {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -8,6 +8,7 @@
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReports, Suspects};
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
+use gypsumchute_routing::endpoint_links::EndpointLinks;
 use gypsumchute_routing::endpoint_pauses::EndpointPauses;
 use gypsumchute_routing::endpoint_rate::EndpointRateLimiter;
 use gypsumchute_routing::load::{Load, LoadTable};
@@ -66,6 +67,8 @@
     pub endpoints: EndpointTable,
     /// In-flight load of each endpoint.
     pub loads: LoadTable,
+    /// Whether this VM has lost its links to the endpoints.
+    pub links: EndpointLinks,
     /// Recent failures of each endpoint.
     pub outcomes: OutlierDetector,
     /// Requests and retries counted against the retry budget.
@@ -169,6 +172,7 @@
             table: None,
             endpoints: EndpointTable::default(),
             loads: LoadTable::default(),
+            links: EndpointLinks::default(),
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
             endpoint_limits: EndpointLimits::default(),
@@ -294,8 +298,7 @@
     /// that use no engine memory: they are short, and heartbeats announce them soon enough.
     fn queue_load_note(&self, endpoint: &EndpointId, change: Load) {
         if change.memory_tokens() + change.pending_prefill_tokens > 0 {
-            self.pending_load_notes.borrow_mut().insert(endpoint.clone());
-            self.load_notes_due.notify_one();
+            self.queue_note(endpoint);
         }
     }
 
@@ -334,11 +337,16 @@
     pub fn record_outcome(&self, endpoint: &EndpointId, outcome: RequestOutcome) {
         let now = boot_now();
         if self.with(|state| state.outcomes.record_outcome(now, endpoint, outcome)) {
-            self.pending_load_notes.borrow_mut().insert(endpoint.clone());
-            self.load_notes_due.notify_one();
+            self.queue_note(endpoint);
         }
     }
 
+    /// Queues a load note with what this VM knows of `endpoint`.
+    pub fn queue_note(&self, endpoint: &EndpointId) {
+        self.pending_load_notes.borrow_mut().insert(endpoint.clone());
+        self.load_notes_due.notify_one();
+    }
+
     /// Consumes one retry of `service` from this VM's share of the retry budget. Returns whether
     /// one was left.
     pub fn take_retry(&self, service: &ServiceId, reason: &'static str) -> bool {
@@ -379,8 +387,7 @@
 
     /// Tells peers at once what this VM has learned of `endpoint`.
     pub fn announce_soon(&self, endpoint: &EndpointId) {
-        self.pending_load_notes.borrow_mut().insert(endpoint.clone());
-        self.load_notes_due.notify_one();
+        self.queue_note(endpoint);
         self.heartbeat_due.notify_one();
     }
 }
--- /dev/null
+++ b/crates/daemon/src/forwarding.rs
@@ -0,0 +1,281 @@
+//! Requests that another VM serves, because this VM has lost its links to the endpoints.
+//!
+//! The request is offered to a peer over the port for peers, and follows as HTTP if the peer accepts.
+//! The peer admits it like a request of its own callers and makes all further decisions, so that what
+//! endpoints say of themselves reaches the VM that sends to them. It does not forward the request
+//! again. The response is relayed as it arrives; closing the connection ends the work at the peer.
+
+use crate::call::Call;
+use crate::context::Context;
+use crate::ingress;
+use crate::peer_sync::{FramedStream, codec, read_frame};
+use crate::placing::{EndpointConnection, LinkUse};
+use crate::reply::{Reply, ReplyBody};
+use bytes::Bytes;
+use futures_util::SinkExt;
+use gypsumchute_exchange::{Connection, ResponseStream, TcpTimeouts, set_tcp_timeouts};
+use gypsumchute_fleet::PeerAddress;
+use gypsumchute_fleet::messages::{ForwardAnswer, ForwardOffer, PullRequest};
+use gypsumchute_platform::endpoints;
+use gypsumchute_routing::endpoint_links::{ConnectFailure, LinksWork};
+use gypsumchute_routing::outcomes::RequestOutcome;
+use gypsumchute_routing::stream_versions::ServiceVersion;
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{EndpointId, Refusal};
+use http::Response;
+use log::{info, warn};
+use prost::Message;
+use rand::seq::IteratorRandom;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+/// Timeout for a peer's answer to an offer, including the connection, in milliseconds. Another peer
+/// is asked after that.
+const OFFER_TIMEOUT_MS: u64 = 200;
+/// Maximum number of peers that a request is offered to.
+const MAX_OFFERS: usize = 3;
+/// Time after the deadline of a request within which the peer's reply may still arrive, in
+/// milliseconds.
+const REPLY_GRACE_MS: u64 = 100;
+/// Timeout for the connection that checks whether the links to endpoints are back, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 150;
+
+/// Where a request runs.
+pub enum Placed {
+    /// This VM sends it to an endpoint.
+    Direct(EndpointConnection),
+    /// Another VM serves it, and this is the beginning of the reply.
+    Forwarded(Reply),
+    /// It was handed to another VM, which sent no reply. The request may have run.
+    ForwardLost,
+}
+
+/// Origin of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller sent it to this VM.
+    Caller,
+    /// Another VM forwarded it.
+    Peer {
+        /// Maximum number of endpoints that may run it.
+        max_endpoints: u32,
+    },
+}
+
+impl Call {
+    /// Connects to an endpoint, or hands the request to another VM if this VM's links to the endpoints
+    /// fail. `max_endpoints` endpoints may still run the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if neither is possible. Nothing was sent.
+    pub async fn place_or_forward(
+        &self,
+        excluded: &BTreeSet<EndpointId>,
+        version: Option<ServiceVersion>,
+        max_endpoints: u32,
+    ) -> Result<Placed, Refusal> {
+        let may_forward = self.origin == Origin::Caller && max_endpoints > 0;
+        let mut excluded = excluded.clone();
+        if may_forward {
+            match self.place_and_connect(&mut excluded, version, LinkUse::UnlessLost).await {
+                Ok(placed) => return Ok(Placed::Direct(placed)),
+                Err(unplaced) if !unplaced.links_failed => return Err(unplaced.refusal),
+                Err(_) => {}
+            }
+            if let Some(forwarded) = self.forward(max_endpoints).await {
+                return Ok(forwarded);
+            }
+        }
+        let links = match (self.origin, max_endpoints) {
+            (Origin::Caller, 0) => LinkUse::Always,
+            (Origin::Caller, _) | (Origin::Peer { .. }, _) => LinkUse::AfterOffers,
+        };
+        let placed = self.place_and_connect(&mut excluded, version, links).await;
+        placed.map(Placed::Direct).map_err(|unplaced| unplaced.refusal)
+    }
+
+    /// Hands the request to another VM. Returns `None` if none takes it.
+    pub async fn forward(&self, max_endpoints: u32) -> Option<Placed> {
+        let context = &self.context;
+        let targets = context.with(|state| {
+            state.members.forwarding_targets(boot_now(), &self.zones, &mut state.rng)
+        });
+        for peer in targets.iter().take(MAX_OFFERS) {
+            let limit = Duration::from_millis(OFFER_TIMEOUT_MS.min(self.remaining_ms()));
+            let stream = match timeout(limit, offer(peer, max_endpoints)).await {
+                Ok(Ok(stream)) => stream,
+                Ok(Err(err)) => {
+                    info!(request = self.id(), vm = peer.vm.as_str(), error:% = err;
+                        "peer VM does not take the request");
+                    continue;
+                }
+                Err(_) => {
+                    info!(request = self.id(), vm = peer.vm.as_str();
+                        "peer VM did not answer the offer of a request in time");
+                    continue;
+                }
+            };
+            info!(request = self.id(), fingerprint:% = self.fingerprint, vm = peer.vm.as_str(),
+                zone = peer.zone.as_str(), waited_ms = boot_now().since(self.arrived_ms);
+                "request handed to peer VM");
+            return Some(self.exchange_with_peer(peer, Connection::from(stream)).await);
+        }
+        context.metrics.count_forwarded("no_peer");
+        None
+    }
+
+    /// Sends the request to a peer that has accepted it, and waits for the head of the response.
+    async fn exchange_with_peer(&self, peer: &PeerAddress, connection: Connection) -> Placed {
+        let remaining_ms = self.remaining_ms();
+        let request = endpoints::build_peer_request(
+            &self.method,
+            &self.uri,
+            &self.headers,
+            self.body.clone(),
+            remaining_ms,
+        );
+        let limit = Duration::from_millis(remaining_ms + REPLY_GRACE_MS);
+        let error = match timeout(limit, connection.send(request)).await {
+            Ok(Ok(response)) => {
+                self.context.metrics.count_forwarded("answered");
+                return Placed::Forwarded(relay_response(response));
+            }
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "no reply before the deadline".to_owned(),
+        };
+        self.context.metrics.count_forwarded("lost");
+        info!(request = self.id(), vm = peer.vm.as_str(), error;
+            "peer VM sent no reply to the request");
+        Placed::ForwardLost
+    }
+}
+
+/// Offers a request to `peer`. Returns the connection if the peer accepts.
+async fn offer(peer: &PeerAddress, max_endpoints: u32) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
+    set_tcp_timeouts(&stream, TcpTimeouts::Long)?;
+    let mut framed = Framed::new(stream, codec());
+    let offer = PullRequest { forward: Some(ForwardOffer { max_endpoints }), ..Default::default() };
+    framed.send(Bytes::from(offer.encode_to_vec())).await?;
+    let answer = ForwardAnswer::decode(read_frame(&mut framed).await?).map_err(io::Error::other)?;
+    match answer.accepted {
+        // The peer sends nothing before the request, so that no byte is left in the buffer.
+        true => Ok(framed.into_inner()),
+        false => Err(io::Error::other("declined")),
+    }
+}
+
+/// Returns the peer's response as the reply to the caller.
+fn relay_response(response: ResponseStream) -> Reply {
+    let (status, headers) = (response.head.status, &response.head.headers);
+    let headers = endpoints::response_headers(headers);
+    let mut reply = Response::new(ReplyBody::Relayed(Box::new(response)));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// A request that a peer is about to send on an open connection.
+pub struct ForwardedRequest {
+    stream: TcpStream,
+    max_endpoints: u32,
+}
+
+impl ForwardedRequest {
+    /// Answers the offer of a request. Returns the request if this VM takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection failed.
+    pub async fn accept(
+        context: &Context,
+        mut framed: FramedStream,
+        offer: ForwardOffer,
+    ) -> io::Result<Option<Self>> {
+        let accepted = !context.is_shutting_down()
+            && context.with(|state| state.table.is_some() && !state.links.is_cut_off());
+        context.metrics.count_forwarded(if accepted { "accepted" } else { "declined" });
+        framed.send(Bytes::from(ForwardAnswer { accepted }.encode_to_vec())).await?;
+        let (stream, max_endpoints) = (framed.into_inner(), offer.max_endpoints);
+        Ok(accepted.then_some(ForwardedRequest { stream, max_endpoints }))
+    }
+
+    /// Serves the request.
+    pub async fn serve(self, context: Rc<Context>) {
+        let origin = Origin::Peer { max_endpoints: self.max_endpoints };
+        ingress::serve_forwarded(context, self.stream, origin).await;
+    }
+}
+
+impl Context {
+    /// Reports whether this VM has lost its links to the endpoints.
+    pub fn is_cut_off(&self) -> bool {
+        self.with(|state| state.links.is_cut_off())
+    }
+
+    /// Records that a connection to an endpoint was established. Connections that failed just before
+    /// then count against their endpoints.
+    pub fn record_connected(&self) {
+        let now = boot_now();
+        let (were_lost, suspects) = self.with(|state| {
+            let LinksWork { were_lost, unreachable } = state.links.on_connected(now);
+            let outcomes = &mut state.outcomes;
+            let suspects: Vec<_> = unreachable
+                .into_iter()
+                .filter(|endpoint| outcomes.confirm_unreachable(now, endpoint))
+                .collect();
+            (were_lost, suspects)
+        });
+        if were_lost {
+            info!("links to the endpoints are back");
+            self.heartbeat_due.notify_one();
+        }
+        suspects.iter().for_each(|endpoint| self.queue_note(endpoint));
+    }
+
+    /// Records that a connection to `endpoint` could not be established.
+    pub fn record_connect_failed(&self, endpoint: &EndpointId) {
+        let now = boot_now();
+        let failure = self.with(|state| {
+            let in_service = state.endpoints.in_service_count();
+            state.links.on_connect_failed(now, endpoint, in_service)
+        });
+        match failure {
+            ConnectFailure::Unexplained => {
+                self.record_outcome(endpoint, RequestOutcome::ConnectFailed);
+            }
+            ConnectFailure::LinksStillLost => {}
+            ConnectFailure::LinksLost { failed } => {
+                warn!(failed_endpoints = failed.len();
+                    "links to the endpoints are lost; peer VMs serve the requests");
+                self.with(|state| failed.iter().for_each(|id| state.outcomes.forget(id)));
+                self.heartbeat_due.notify_one();
+            }
+        }
+    }
+
+    /// Checks in the background whether a connection to an endpoint can be established again, if the
+    /// links are lost.
+    pub fn probe_links(self: &Rc<Self>) {
+        let chosen = self.with(|state| {
+            let in_service = state.endpoints.iter_in_service().map(|e| e.entry.address);
+            state.links.is_cut_off().then(|| in_service.choose(&mut state.rng)).flatten()
+        });
+        let Some(address) = chosen else { return };
+        let context = self.clone();
+        spawn_local(async move {
+            let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
+            if Connection::open(dialer, address, PROBE_TIMEOUT_MS, timeouts).await.is_ok() {
+                context.record_connected();
+            }
+        });
+    }
+}
--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -8,7 +8,6 @@
 use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_platform::KvSource;
 use gypsumchute_routing::load::Load;
-use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{choose_backup_engine, likely_backup_engines, needs_backup};
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
@@ -88,9 +87,10 @@
         let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
         let opened = Connection::open(dialer, backup.address, limit_ms, timeouts).await;
         let Ok(connection) = opened else {
-            context.record_outcome(&backup.endpoint, RequestOutcome::TransportError);
+            context.record_connect_failed(&backup.endpoint);
             return Err(StartOutcome::NotRun);
         };
+        context.record_connected();
         let load_guard = context.reserve_load(&backup.endpoint, self.call.load());
         let Backup { endpoint, address, version, source, load_guard: backup_load_guard } = backup;
         let placed = EndpointConnection { endpoint, address, version, connection, load_guard };
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -20,6 +20,7 @@
 };
 use crate::call::{Call, SendOptions};
 use crate::events::{EventAction, EventReader, EventSequence};
+use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
@@ -170,6 +171,7 @@
             }
             GenerationEnd::Refused(refusal) => (refusal.reason.into(), Some(self.refuse(refusal))),
             GenerationEnd::Failed(reply) => ("endpoint_error", Some(reply)),
+            GenerationEnd::Forwarded(reply) => ("forwarded", Some(reply)),
         };
         let status = reply.as_ref().map_or(200, |reply| reply.status().as_u16());
         self.call.log_completion(outcome, status, self.last_endpoint.as_ref(), self.attempts);
@@ -191,7 +193,7 @@
     async fn run_to_completion(&mut self) -> GenerationEnd {
         let mut from_backup = false;
         let mut start = match self.call.caller.last_event_id {
-            Some(_) => self.start_resumed_stream().await,
+            Some(_) => self.take_up_stream().await,
             None => self.start_run(StartFrom::Prompt).await,
         };
         loop {
@@ -212,6 +214,12 @@
                     return GenerationEnd::Refused(Refusal::may_have_run(refusal.reason));
                 }
                 StartOutcome::Failed(reply) => return GenerationEnd::Failed(reply),
+                StartOutcome::Forwarded(reply) => return GenerationEnd::Forwarded(reply),
+                StartOutcome::ForwardLost => {
+                    return GenerationEnd::Refused(Refusal::may_have_run(
+                        RefusalReason::EndpointLost,
+                    ));
+                }
             };
             let start_from = match next_start {
                 Ok(start_from) => start_from,
@@ -306,15 +314,38 @@
         self.call.context.with(|state| state.endpoints.is_terminating_or_gone(endpoint))
     }
 
+    /// Takes up a stream that another run began, here or at another VM: this one may have lost its
+    /// links to the engines that can tell where the stream may go on.
+    async fn take_up_stream(&mut self) -> StartOutcome {
+        if self.call.origin == Origin::Caller && self.call.context.is_cut_off() {
+            match self.call.forward(self.call.route.max_endpoints).await {
+                Some(Placed::Forwarded(reply)) => return StartOutcome::Forwarded(reply),
+                Some(Placed::ForwardLost) => return StartOutcome::ForwardLost,
+                Some(Placed::Direct(_)) | None => {}
+            }
+        }
+        self.start_resumed_stream().await
+    }
+
+    /// Connects to an endpoint. While nothing was sent, another VM may serve the whole generation
+    /// instead.
+    async fn place(&self) -> Result<Placed, Refusal> {
+        let max_endpoints = match self.endpoints_used {
+            0 => self.call.route.max_endpoints,
+            _ => 0,
+        };
+        self.call.place_or_forward(&self.excluded, self.version, max_endpoints).await
+    }
+
     /// Starts a run from the prompt, or resumes the generation from a backup.
     async fn start_run(&mut self, start_from: StartFrom) -> StartOutcome {
         let (placed, source, backup_load_guard) = match start_from {
-            StartFrom::Prompt => {
-                match self.call.place_and_connect(&self.excluded, self.version).await {
-                    Ok(placed) => (placed, None, None),
-                    Err(refusal) => return StartOutcome::Refused(refusal),
-                }
-            }
+            StartFrom::Prompt => match self.place().await {
+                Ok(Placed::Direct(placed)) => (placed, None, None),
+                Ok(Placed::Forwarded(reply)) => return StartOutcome::Forwarded(reply),
+                Ok(Placed::ForwardLost) => return StartOutcome::ForwardLost,
+                Err(refusal) => return StartOutcome::Refused(refusal),
+            },
             StartFrom::Backup(backup) => match self.connect_to_backup(backup).await {
                 Ok((placed, source, load_guard)) => (placed, Some(source), Some(load_guard)),
                 Err(outcome) => return outcome,
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -135,6 +135,10 @@
     Refused(Refusal),
     /// The engine responded with an error, which is forwarded to the caller.
     Failed(Reply),
+    /// Another VM serves the generation, and this is the beginning of its reply.
+    Forwarded(Reply),
+    /// The generation was handed to another VM, which sent no reply. It may have run.
+    ForwardLost,
 }
 
 /// Why a run ended without its complete stream.
@@ -181,6 +185,8 @@
     Refused(Refusal),
     /// An engine's error response is forwarded to the caller.
     Failed(Reply),
+    /// Another VM serves the generation, and this is the beginning of its reply.
+    Forwarded(Reply),
 }
 
 /// Why the events of a run are no longer relayed.
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -163,6 +163,7 @@
             sound_segments: sound_segments.into_iter().map(encode_completed).collect(),
             store_era: progress.position.era,
             merged: encode_position(progress.merged),
+            cut_off: state.links.is_cut_off(),
         }
     })
 }
@@ -362,6 +363,7 @@
             peer: peer.clone(),
             reads_platform: heartbeat.reads_platform,
             store_progress: CopyProgress { position, merged: decode_position(heartbeat.merged) },
+            is_cut_off: heartbeat.cut_off,
         };
         let is_new = state.members.on_heartbeat(now, heard);
         let members = heartbeat.members.iter();
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::context::Context;
+use crate::forwarding::Origin;
 use crate::reply::{self, Reply};
 use crate::{generation, plain};
 use bytes::Bytes;
@@ -40,6 +41,8 @@
 };
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Room in a request head for what a forwarding VM adds, in bytes.
+const PEER_HEAD_BYTES: usize = 1 << 10;
 /// Timeout for receiving a request body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 /// Delay after a failed `accept`, in milliseconds.
@@ -76,7 +79,7 @@
     let mut shutdown = context.shutdown_signal();
     let handler = service_fn(move |request| {
         let context = context.clone();
-        async move { Ok::<_, Infallible>(handle_request(context, request).await) }
+        async move { Ok::<_, Infallible>(handle_request(context, request, Origin::Caller).await) }
     });
     // hyper starts the header timer when the connection becomes idle, so this timeout limits both.
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
@@ -100,6 +103,28 @@
     drop(connection.await);
 }
 
+/// Serves one request that another VM forwards on `stream`.
+pub async fn serve_forwarded(context: Rc<Context>, stream: TcpStream, origin: Origin) {
+    let _connection_guard = context.track_connection();
+    if let Err(err) = set_tcp_timeouts(&stream, TcpTimeouts::Long) {
+        warn!(error:% = err; "failed to configure a connection of a peer VM");
+        return;
+    }
+    let limits = context.with(|state| ingress_limits(state.table.as_deref()));
+    let handler = service_fn(move |request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(handle_request(context, request, origin).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) + PEER_HEAD_BYTES)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), handler);
+    // If the connection fails, the peer is gone and the error cannot be reported to it.
+    drop(connection.await);
+}
+
 /// Returns the limits of the configuration, or the defaults if it sets none.
 fn ingress_limits(table: Option<&RoutingTable>) -> IngressLimits {
     table.and_then(|table| table.ingress_limits).unwrap_or(DEFAULT_LIMITS)
@@ -107,14 +132,14 @@
 
 /// Handles one request. If the caller disconnects, this future is dropped, which cancels the work
 /// at the endpoint.
-async fn handle_request(context: Rc<Context>, request: Request<Incoming>) -> Reply {
+async fn handle_request(context: Rc<Context>, request: Request<Incoming>, origin: Origin) -> Reply {
     let arrived_ms = boot_now();
     let (head, body) = request.into_parts();
     // hyper follows the chunked encoding and hides a Content-Length header next to it. The two can
     // disagree on where the next request starts (request smuggling), so no further request is
     // accepted on this connection.
     let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
-    let mut reply = match admit(&context, arrived_ms, head, body).await {
+    let mut reply = match admit(&context, arrived_ms, head, body, origin).await {
         Ok(call) => match call.route.kind {
             RouteKind::Generation { .. } => generation::handle(call).await,
             RouteKind::Idempotent | RouteKind::NonIdempotent => plain::handle(&call).await,
@@ -169,6 +194,7 @@
     arrived_ms: BootMs,
     head: Parts,
     body: Incoming,
+    origin: Origin,
 ) -> Result<Call, RejectedRequest> {
     let caller = RequestHead::from_headers(&head.headers);
     let request_id = caller.request_id.as_ref().map_or("-", |id| id.as_str()).to_owned();
@@ -191,7 +217,11 @@
         return Err(reject(refusal));
     };
     let random_value = context.with(|state| state.rng.random::<u64>());
-    let (route, service) = resolve_route(context, &table, &head, random_value).map_err(reject)?;
+    let (mut route, service) =
+        resolve_route(context, &table, &head, random_value).map_err(reject)?;
+    if let Origin::Peer { max_endpoints } = origin {
+        route.max_endpoints = route.max_endpoints.min(max_endpoints);
+    }
     let customer = authenticate(context, &table, &route, &caller).map_err(reject)?;
     let limits = ingress_limits(Some(&table));
     let reading = read_body(body, limits.max_body_bytes, &context.request_buffers);
@@ -231,6 +261,7 @@
         fingerprint,
         segments,
         random_value,
+        origin,
     };
     let tokens = call.max_output_tokens();
     match shutdown_left_ms {
@@ -238,7 +269,10 @@
             Err(reject(call.retryable_refusal(RefusalReason::Draining, DRAIN_RETRY_AFTER_MS)))
         }
         _ => {
-            context.with(|state| state.retries.count_request(now, &call.service.id));
+            // The VM that forwards a request has counted it.
+            if origin == Origin::Caller {
+                context.with(|state| state.retries.count_request(now, &call.service.id));
+            }
             Ok(call)
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //!   request, and [`placing`] chooses its endpoint;
 //! - [`plain`] and [`generation`] send requests to endpoints, relay their responses ([`reply`]) and
 //!   split streams into [`events`];
+//! - [`forwarding`] hands requests to other VMs while this VM reaches no endpoint;
 //! - [`store_updates`] applies configuration and registry changes, which come from
 //!   [`store_reader`], from [`folder_reader`] or, through [`peer_sync`], from peers;
 //! - [`crashes`] records which requests may have crashed endpoints; [`endpoint_rates`] applies the
@@ -27,6 +28,7 @@
 pub mod engine_reports;
 pub mod events;
 pub mod folder_reader;
+pub mod forwarding;
 pub mod generation;
 pub mod gossip;
 pub mod ingress;
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -30,6 +30,7 @@
             next_expire_ms = boot_now() + EXPIRE_INTERVAL_MS;
             update_heartbeat_only_endpoints(&context);
             expire(&context);
+            context.probe_links();
         }
         if next_note_ms <= boot_now() {
             next_note_ms = boot_now() + REMOTE_NOTE_INTERVAL_MS;
--- a/crates/daemon/src/peer_sync.rs
+++ b/crates/daemon/src/peer_sync.rs
@@ -5,6 +5,7 @@
 //! the few VMs that have the data first send it to all others over links of 10 Mbit/s.
 
 use crate::context::Context;
+use crate::forwarding::ForwardedRequest;
 use crate::store_updates::{UpdateSource, apply_changes, apply_snapshot};
 use bytes::Bytes;
 use flate2::Compression;
@@ -42,7 +43,7 @@
 const PULL_POLL_INTERVAL_MS: u64 = 40;
 
 /// A TCP connection that carries length-prefixed frames.
-type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
+pub(crate) type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Fetches changes from peers that are ahead of this VM. Runs until the process exits.
 pub async fn pull_changes(context: Rc<Context>) {
@@ -128,12 +129,12 @@
 }
 
 /// Returns the codec for length-prefixed frames.
-fn codec() -> LengthDelimitedCodec {
+pub(crate) fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
 /// Reads one frame.
-async fn read_frame(framed: &mut FramedStream) -> io::Result<Bytes> {
+pub(crate) async fn read_frame(framed: &mut FramedStream) -> io::Result<Bytes> {
     let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     Ok(frame.freeze())
 }
@@ -170,25 +171,27 @@
         after_revision: progress.position.revision,
         after_era: progress.position.era,
         merged: encode_position(progress.merged),
+        forward: None,
     };
     let request = request.encode_to_vec();
     framed.send(Bytes::from(request)).await?;
     decode_reply(&read_frame(&mut framed).await?)
 }
 
-/// Serves the changes that peers request. Runs until the process exits.
-pub async fn serve_pulls(context: Rc<Context>, listener: TcpListener) {
+/// Serves the changes that peers request and the requests that they forward. Runs until the process
+/// exits.
+pub async fn serve_peers(context: Rc<Context>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let context = context.clone();
                 spawn_local(async move {
-                    let answered =
-                        timeout(Duration::from_millis(SERVE_TIMEOUT_MS), serve(context, stream));
-                    match answered.await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(err)) => info!(error:% = err; "failed to send changes to peer"),
-                        Err(_) => info!("timed out while sending changes to peer"),
+                    let limit = Duration::from_millis(SERVE_TIMEOUT_MS);
+                    match timeout(limit, serve(&context, stream)).await {
+                        Ok(Ok(None)) => {}
+                        Ok(Ok(Some(forwarded))) => forwarded.serve(context).await,
+                        Ok(Err(err)) => info!(error:% = err; "failed to answer a peer VM"),
+                        Err(_) => info!("timed out while answering a peer VM"),
                     }
                 });
             }
@@ -200,12 +203,16 @@
     }
 }
 
-/// Answers one request for changes.
-async fn serve(context: Rc<Context>, stream: TcpStream) -> io::Result<()> {
+/// Answers one request for changes, or the offer of a caller's request. Returns the latter if this VM
+/// takes it.
+async fn serve(context: &Context, stream: TcpStream) -> io::Result<Option<ForwardedRequest>> {
     set_tcp_timeouts(&stream, TcpTimeouts::Short)?;
     let mut framed = Framed::new(stream, codec());
     let request = read_frame(&mut framed).await?;
     let request = PullRequest::decode(request).map_err(io::Error::other)?;
+    if let Some(offer) = request.forward {
+        return ForwardedRequest::accept(context, framed, offer).await;
+    }
     let receiver = CopyProgress {
         position: StorePosition { era: request.after_era, revision: request.after_revision },
         merged: decode_position(request.merged),
@@ -218,5 +225,6 @@
         era: update.progress.position.era,
         merged: encode_position(update.progress.merged),
     };
-    framed.send(encode_reply(&reply)?).await
+    framed.send(encode_reply(&reply)?).await?;
+    Ok(None)
 }
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -5,7 +5,6 @@
 use crate::endpoint_rates::RateExhausted;
 use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_routing::admission::{QueuePosition, max_queue_wait_ms};
-use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{
     Placement, PlacementRequest, choose_endpoint, has_permitted_endpoint,
 };
@@ -25,6 +24,44 @@
 const CONNECT_TIMEOUT_MS: u64 = 150;
 /// Number of failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
+/// The same where another VM is asked to serve the request as well.
+const MAX_CONNECT_FAILURES_WITH_PEERS: u32 = 2;
+
+/// Whether a request is placed although this VM may have lost its links to the endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkUse {
+    /// The request is not placed once the links seem to be lost: another VM may serve it.
+    UnlessLost,
+    /// Other VMs were asked before, or another VM asked this one.
+    AfterOffers,
+    /// There is no alternative to this VM's links.
+    Always,
+}
+
+impl LinkUse {
+    /// Returns the number of failed connection attempts after which the request is given up.
+    fn max_connect_failures(self) -> u32 {
+        match self {
+            LinkUse::UnlessLost | LinkUse::AfterOffers => MAX_CONNECT_FAILURES_WITH_PEERS,
+            LinkUse::Always => MAX_CONNECT_FAILURES,
+        }
+    }
+}
+
+/// Why no connection to an endpoint was opened. Nothing was sent.
+pub struct Unplaced {
+    /// Refusal for the caller.
+    pub refusal: Refusal,
+    /// Whether connections failed, so that a VM with other links may serve the request.
+    pub links_failed: bool,
+}
+
+impl From<Refusal> for Unplaced {
+    fn from(refusal: Refusal) -> Self {
+        Unplaced { refusal, links_failed: false }
+    }
+}
+
 /// An open connection to the endpoint that was chosen for a request. The request is sent on it
 /// once.
 pub struct EndpointConnection {
@@ -118,16 +155,23 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal if no endpoint could be reached. Nothing was sent.
+    /// Returns the refusal if no endpoint could be reached. Nothing was sent. Endpoints to which
+    /// connections failed are added to `excluded`.
     pub async fn place_and_connect(
         &self,
-        excluded: &BTreeSet<EndpointId>,
+        excluded: &mut BTreeSet<EndpointId>,
         version: Option<ServiceVersion>,
-    ) -> Result<EndpointConnection, Refusal> {
-        let mut excluded = excluded.clone();
+        links: LinkUse,
+    ) -> Result<EndpointConnection, Unplaced> {
         let mut failures = 0;
         loop {
-            let chosen = self.wait_for_capacity(&excluded, version).await?;
+            if links == LinkUse::UnlessLost && self.context.is_cut_off() {
+                return Err(self.unreachable());
+            }
+            let chosen = match self.wait_for_capacity(excluded, version).await {
+                Ok(chosen) => chosen,
+                Err(refusal) => return Err(Unplaced { refusal, links_failed: failures > 0 }),
+            };
             let ChosenEndpoint { endpoint, address, version } = chosen;
             self.log_placement(&endpoint);
             let load_guard = self.context.reserve_load(&endpoint, self.load_before_prefill());
@@ -141,8 +185,9 @@
                     excluded.insert(endpoint);
                 }
                 Ok(connection) => {
+                    self.context.record_connected();
                     if let Some(refusal) = self.poison_refusal() {
-                        return Err(refusal);
+                        return Err(refusal.into());
                     }
                     return Ok(EndpointConnection {
                         endpoint,
@@ -153,7 +198,7 @@
                     });
                 }
                 Err(err) => {
-                    self.context.record_outcome(&endpoint, RequestOutcome::TransportError);
+                    self.context.record_connect_failed(&endpoint);
                     self.context.metrics.count_retry("no_connection");
                     info!(request = self.id(), endpoint = endpoint.as_str(), error:% = err;
                         "could not connect to endpoint");
@@ -161,14 +206,19 @@
                     failures += 1;
                 }
             }
-            if failures >= MAX_CONNECT_FAILURES || self.remaining_ms() == 0 {
-                return Err(
-                    self.retryable_refusal(RefusalReason::NoEndpoint, self.route.latency_target_ms)
-                );
+            if failures >= links.max_connect_failures() || self.remaining_ms() == 0 {
+                return Err(self.unreachable());
             }
         }
     }
 
+    /// Returns the refusal of a request for which connections failed.
+    fn unreachable(&self) -> Unplaced {
+        let typical_wait_ms = self.route.latency_target_ms;
+        let refusal = self.retryable_refusal(RefusalReason::NoEndpoint, typical_wait_ms);
+        Unplaced { refusal, links_failed: true }
+    }
+
     /// Waits in the admission queue until an endpoint has capacity, and returns the endpoint.
     async fn wait_for_capacity(
         &self,
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -1,11 +1,12 @@
 //! Requests to plain services, which are answered by one complete response.
 
 use crate::call::{Call, SendOptions};
+use crate::forwarding::Placed;
 use crate::placing::EndpointConnection;
 use crate::reply::{self, Reply, ReplyBody};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
-use gypsumchute_platform::{ResponseKind, endpoints};
+use gypsumchute_platform::{ResponseKind, classify_response, endpoints};
 use gypsumchute_routing::RouteKind;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::time::boot_now;
@@ -102,10 +103,19 @@
     async fn run(&mut self) -> Reply {
         let mut failure: Option<Reply> = None;
         loop {
-            let placed = match self.call.place_and_connect(&self.excluded, None).await {
-                Ok(placed) => placed,
-                Err(refusal) => return failure.unwrap_or_else(|| self.refuse_exhausted(refusal)),
-            };
+            let endpoints_left = self.call.route.max_endpoints.saturating_sub(self.possible_runs);
+            let placed =
+                match self.call.place_or_forward(&self.excluded, None, endpoints_left).await {
+                    Ok(Placed::Direct(placed)) => placed,
+                    Ok(Placed::Forwarded(reply)) => return self.on_forwarded(reply, failure),
+                    Ok(Placed::ForwardLost) => {
+                        self.possible_runs += endpoints_left;
+                        return self.refuse_may_have_run(RefusalReason::EndpointLost);
+                    }
+                    Err(refusal) => {
+                        return failure.unwrap_or_else(|| self.refuse_exhausted(refusal));
+                    }
+                };
             let endpoint = placed.endpoint.clone();
             self.last_endpoint = Some(endpoint.clone());
             let sent = self.send(placed).await;
@@ -145,6 +155,18 @@
         }
     }
 
+    /// Returns the reply for the caller to a request that another VM has served. That VM does not know
+    /// of the runs before, so that its refusal does not tell whether the request has run.
+    fn on_forwarded(&self, reply: Reply, failure: Option<Reply>) -> Reply {
+        let request_id = self.call.caller.request_id.as_ref();
+        let answer = classify_response(reply.status(), reply.headers(), request_id);
+        match answer {
+            ResponseKind::Success | ResponseKind::Failure => reply,
+            _ if self.possible_runs == 0 => reply,
+            _ => failure.unwrap_or_else(|| self.refuse_may_have_run(RefusalReason::EndpointLost)),
+        }
+    }
+
     /// Reports whether the request may run again at another endpoint.
     fn may_retry(&self) -> bool {
         let repeatable = self.call.route.kind == RouteKind::Idempotent;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -131,7 +131,7 @@
     spawn_local(stream_gossip::send_messages(context.clone(), socket.clone()));
     spawn_local(gossip::receive_datagrams(context.clone(), socket.clone()));
     spawn_local(peer_sync::pull_changes(context.clone()));
-    spawn_local(peer_sync::serve_pulls(context.clone(), peers));
+    spawn_local(peer_sync::serve_peers(context.clone(), peers));
     spawn_local(maintenance::run(context.clone()));
     spawn_local(engine_reports::run(context.clone()));
     spawn_local(ingress::serve(context.clone(), callers));
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -1,6 +1,7 @@
 //! Replies to callers: a complete body, a stream or a refusal.
 
 use bytes::Bytes;
+use gypsumchute_exchange::ResponseStream;
 use gypsumchute_units::{Refusal, Verdict};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
@@ -44,6 +45,8 @@
     Full(Option<Bytes>),
     /// Chunks as they arrive. The sender is notified when the caller disconnects.
     Stream(mpsc::Receiver<Result<QueuedChunk, StreamAborted>>),
+    /// The response of another VM, as it arrives.
+    Relayed(Box<ResponseStream>),
 }
 
 impl Body for ReplyBody {
@@ -60,6 +63,9 @@
                 let chunk = chunks.poll_recv(cx);
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(|queued| Frame::data(queued.bytes))))
             }
+            ReplyBody::Relayed(response) => response
+                .poll_frame(cx)
+                .map(|frame| frame.map(|frame| frame.map_err(|_| StreamAborted))),
         }
     }
 
@@ -73,6 +79,7 @@
                 SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64)
             }
             ReplyBody::Stream(_) => SizeHint::default(),
+            ReplyBody::Relayed(response) => response.size_hint(),
         }
     }
 }
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -46,7 +46,7 @@
     }
 
     fn add_daemon(&mut self, zone: &str) {
-        let links = Links::default();
+        let links = Links::with_proxies();
         let source = ConfigSource::Store(self.store.address());
         let vm = format!("vm-{}", self.daemons.len() + 1);
         let seeds: Vec<_> = self.daemons.iter().map(|d| d.settings.peers_listen).collect();
--- a/crates/daemon/tests/testsuite/links.rs
+++ b/crates/daemon/tests/testsuite/links.rs
@@ -26,15 +26,22 @@
 #[derive(Default)]
 struct LinkState {
     cut: Option<Cut>,
+    /// Whether connections pass proxies, so that open ones can be cut.
+    uses_proxies: bool,
     /// Proxy in front of each endpoint, by the endpoint's address.
     proxies: BTreeMap<SocketAddr, Proxy>,
 }
 
-/// Links of one VM to all endpoints.
+/// Links of one VM to all endpoints. By default they lead straight to the endpoints and are never cut.
 #[derive(Clone, Default)]
 pub struct Links(Arc<Mutex<LinkState>>);
 
 impl Links {
+    /// Returns links that can be cut. A connection to an endpoint that is gone is accepted and closed.
+    pub fn with_proxies() -> Self {
+        Links(Arc::new(Mutex::new(LinkState { uses_proxies: true, ..LinkState::default() })))
+    }
+
     /// Cuts all links.
     pub fn cut(&self, cut: Cut) {
         let mut state = self.0.lock().expect("links mutex is poisoned");
@@ -55,8 +62,11 @@
     }
 
     /// Returns the address at which the VM reaches `endpoint`.
-    fn proxy_address(&self, endpoint: SocketAddr) -> SocketAddr {
+    fn address_of(&self, endpoint: SocketAddr) -> SocketAddr {
         let mut state = self.0.lock().expect("links mutex is poisoned");
+        if !state.uses_proxies {
+            return endpoint;
+        }
         let proxy = state.proxies.entry(endpoint).or_insert_with(|| start_proxy(endpoint));
         proxy.address()
     }
@@ -66,7 +76,7 @@
     fn dial(&self, address: SocketAddr) -> Dialing {
         let cut = self.0.lock().expect("links mutex is poisoned").cut;
         match cut {
-            None => Box::pin(TcpStream::connect(self.proxy_address(address))),
+            None => Box::pin(TcpStream::connect(self.address_of(address))),
             Some(Cut::Silent) => Box::pin(pending()),
             Some(Cut::Reset | Cut::RefusesNew) => {
                 Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -15,7 +15,7 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -27,6 +27,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -207,6 +208,12 @@
     socket.set_tcp_user_timeout(Some(Duration::from_millis(timeouts.user_timeout_ms())))
 }
 
+impl From<TcpStream> for Connection {
+    fn from(stream: TcpStream) -> Self {
+        Connection { stream }
+    }
+}
+
 impl Connection {
     /// Connects to `address` through `dialer`.
     ///
@@ -266,6 +273,19 @@
         !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Polls the next frame of the body, as in [`Body::poll_frame`].
+    pub fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    /// Returns the bounds of the length of the rest of the body.
+    pub fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
     /// Returns the next non-empty chunk of the body, or `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -8,6 +8,8 @@
 //! zones. A VM's traffic therefore grows with the size of the zone and not with the size of the
 //! fleet.
 
+mod forwarding;
+
 use crate::store_copy::CopyProgress;
 use gypsumchute_units::rendezvous::rank_candidates;
 use gypsumchute_units::{BootMs, EndpointId, VmId, ZoneId};
@@ -100,6 +102,7 @@
     last_mention_ms: BootMs,
     reads_platform: bool,
     store_progress: CopyProgress,
+    is_cut_off: bool,
 }
 
 /// VMs that prefer an endpoint over others and immediately send each other updates of their load on
@@ -121,6 +124,8 @@
     pub reads_platform: bool,
     /// How much of the store's history the sender holds.
     pub store_progress: CopyProgress,
+    /// Whether the sender has lost its links to the endpoints.
+    pub is_cut_off: bool,
 }
 
 /// Members of the fleet known to this VM.
@@ -181,6 +186,7 @@
             last_mention_ms: now,
             reads_platform: sender.reads_platform,
             store_progress: sender.store_progress,
+            is_cut_off: sender.is_cut_off,
         };
         self.members.insert(sender.peer.vm, member);
         !was_alive
@@ -199,6 +205,7 @@
             last_mention_ms: now,
             reads_platform: false,
             store_progress: CopyProgress::default(),
+            is_cut_off: false,
         });
         member.last_mention_ms = now;
         let is_silent =
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -78,6 +78,7 @@
                 peer: from.clone(),
                 reads_platform,
                 store_progress: progress(0, 1),
+                is_cut_off: false,
             };
             let (now, receiver) = (self.now, self.vms.get_mut(target).expect("known VM"));
             let is_new = receiver.on_heartbeat(now, heartbeat);
@@ -242,6 +243,7 @@
         peer: peer(number, 2),
         reads_platform: false,
         store_progress: progress(0, 7),
+        is_cut_off: false,
     };
     // VMs of the local zone have even numbers.
     for number in [1, 3, 4, 6, 8] {
@@ -265,8 +267,12 @@
     net.run(3_000);
     let vm = net.vms.get_mut(&peer(0, 2).address).expect("known VM");
     let mut ahead_of = |own: CopyProgress, others: CopyProgress| {
-        let sender =
-            HeartbeatSender { peer: peer(2, 2), reads_platform: true, store_progress: others };
+        let sender = HeartbeatSender {
+            peer: peer(2, 2),
+            reads_platform: true,
+            store_progress: others,
+            is_cut_off: false,
+        };
         vm.on_heartbeat(net.now, sender);
         vm.peer_ahead_of(net.now, own, &mut net.rng).is_some()
     };
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -113,6 +113,9 @@
     /// Position of an earlier era up to which the sender has merged changes into its copy of the store.
     #[prost(message, optional, tag = "17")]
     pub merged: ::core::option::Option<StorePosition>,
+    /// Whether the sender has lost its links to the endpoints.
+    #[prost(bool, tag = "18")]
+    pub cut_off: bool,
 }
 /// Position in the history of the platform's store.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -234,6 +237,25 @@
     /// Position of an earlier era up to which the sender has merged changes into its copy.
     #[prost(message, optional, tag = "3")]
     pub merged: ::core::option::Option<StorePosition>,
+    /// Set if the sender requests no changes, but that the receiver serves a request of a caller. The
+    /// reply is a `ForwardAnswer`.
+    #[prost(message, optional, tag = "4")]
+    pub forward: ::core::option::Option<ForwardOffer>,
+}
+/// Offers a request of a caller, which follows as HTTP/1.1 on the same connection if the receiver
+/// accepts.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ForwardOffer {
+    /// Maximum number of endpoints that may run the request.
+    #[prost(uint32, tag = "1")]
+    pub max_endpoints: u32,
+}
+/// Reply to a `ForwardOffer`.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ForwardAnswer {
+    /// Whether the receiver serves the request. If not, the receiver closes the connection.
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
 }
 /// Changes of the platform's store, or all items of the store.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -284,6 +284,16 @@
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.by_id.values()
     }
+
+    /// Returns the endpoints that accept new requests.
+    pub fn iter_in_service(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_id.values().filter(|endpoint| self.accepts_requests(&endpoint.entry.id))
+    }
+
+    /// Returns the number of endpoints that accept new requests.
+    pub fn in_service_count(&self) -> usize {
+        self.iter_in_service().count()
+    }
 }
 
 /// Returns the key under which the version of `endpoint` is counted.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod continuity;
 pub mod crash_reports;
 pub mod endpoint_limits;
+pub mod endpoint_links;
 pub mod endpoint_pauses;
 pub mod endpoint_rate;
 pub mod endpoints;
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -42,6 +42,8 @@
     EngineError,
     /// The endpoint was full.
     Rejected,
+    /// No connection was established. The endpoint or this VM's own links may be at fault.
+    ConnectFailed,
     /// The connection failed, or the response was cut off or malformed.
     TransportError,
     /// The endpoint showed no progress before the timeout.
@@ -58,7 +60,7 @@
             }
             RequestOutcome::EngineError => 1.0,
             RequestOutcome::Rejected => 0.5,
-            RequestOutcome::TransportError => 1.0,
+            RequestOutcome::ConnectFailed | RequestOutcome::TransportError => 1.0,
             RequestOutcome::Timeout => 1.5,
         }
     }
@@ -69,6 +71,7 @@
         match self {
             RequestOutcome::ServiceError | RequestOutcome::EngineError => FailureCause::Endpoint,
             RequestOutcome::TransportError => FailureCause::EndpointOrLink,
+            RequestOutcome::ConnectFailed => FailureCause::Unconfirmed,
             RequestOutcome::Success | RequestOutcome::Rejected | RequestOutcome::Timeout => {
                 FailureCause::Load
             }
@@ -85,6 +88,18 @@
     EndpointOrLink,
     /// Not a fault: the endpoint may only be overloaded.
     Load,
+    /// The endpoint, or this VM's own links, until [`OutlierDetector::confirm_unreachable`].
+    Unconfirmed,
+}
+
+impl FailureCause {
+    /// Reports whether the failure is told to other VMs.
+    fn is_reported(self) -> bool {
+        match self {
+            FailureCause::Endpoint | FailureCause::EndpointOrLink => true,
+            FailureCause::Load | FailureCause::Unconfirmed => false,
+        }
+    }
 }
 
 /// Level of suspicion of an endpoint at a point in time. 0 means none; 1 corresponds to one recent
@@ -118,7 +133,7 @@
         };
         Suspicion {
             total: add_if(self.total, true),
-            unexplained_failures: add_if(self.unexplained_failures, cause != FailureCause::Load),
+            unexplained_failures: add_if(self.unexplained_failures, cause.is_reported()),
             endpoint_errors: add_if(self.endpoint_errors, cause == FailureCause::Endpoint),
         }
     }
@@ -179,8 +194,23 @@
                 self.local.insert(endpoint.clone(), record);
             }
         }
-        outcome.cause() != FailureCause::Load
-            && suspicion.unexplained_failures >= MIN_REPORTED_SUSPICION
+        outcome.cause().is_reported() && suspicion.unexplained_failures >= MIN_REPORTED_SUSPICION
+    }
+
+    /// Attributes the latest failed connection to `endpoint` itself, because this VM's links have
+    /// turned out to work. Returns whether the suspicion should be reported to other VMs immediately.
+    pub fn confirm_unreachable(&mut self, now: BootMs, endpoint: &EndpointId) -> bool {
+        let Some(record) = self.local.get_mut(endpoint) else { return false };
+        let mut suspicion = record.decayed(now);
+        let confirmed = suspicion.unexplained_failures + RequestOutcome::ConnectFailed.weight(0);
+        suspicion.unexplained_failures = confirmed.min(suspicion.total);
+        *record = SuspicionRecord { suspicion, updated_ms: now, ..*record };
+        suspicion.unexplained_failures >= MIN_REPORTED_SUSPICION
+    }
+
+    /// Drops what this VM holds against `endpoint`, to which only its own links are lost.
+    pub fn forget(&mut self, endpoint: &EndpointId) {
+        self.local.remove(endpoint);
     }
 
     /// Records the suspicion that a peer VM reported for `endpoint`, unless a higher level is
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -60,6 +60,7 @@
     endpoint_crashes: Counter<u64>,
     endpoint_signs: Counter<u64>,
     ignored_items: Counter<u64>,
+    forwarded: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -89,6 +90,7 @@
             endpoint_crashes: meter.u64_counter("gypsumchute_endpoint_crashes").build(),
             endpoint_signs: meter.u64_counter("gypsumchute_endpoint_signs").build(),
             ignored_items: meter.u64_counter("gypsumchute_ignored_items").build(),
+            forwarded: meter.u64_counter("gypsumchute_forwarded_requests").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -128,6 +130,12 @@
         self.ignored_items.add(count, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that this VM handed to another one, or that another VM offered, by what
+    /// became of it.
+    pub fn count_forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
