Lost links are told apart by service, and a request finds the next VM

Change: links are counted by service, in heartbeats and offers too; a VM that accepted a request and reaches no endpoint says so in its refusal (refusal-reason: no_reachable_endpoint), and the next VM is asked. Tests of the links in virtual time, of a cut from one service and of a peer that loses the request.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -10,7 +10,7 @@
 use crate::ingress;
 use crate::peer_sync::{FramedStream, codec, read_frame};
 use crate::placing::{EndpointConnection, LinkUse};
-use crate::reply::{Reply, ReplyBody};
+use crate::reply::{Reply, ReplyBody, refusal_reason};
 use bytes::Bytes;
 use futures_util::SinkExt;
 use gypsumchute_exchange::{Connection, ResponseStream, TcpTimeouts, set_tcp_timeouts};
@@ -21,10 +21,11 @@
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, Refusal};
+use gypsumchute_units::{EndpointId, Refusal, RefusalReason, ServiceId};
 use http::Response;
 use log::{info, warn};
 use prost::Message;
+use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use std::collections::BTreeSet;
 use std::io;
@@ -102,15 +103,18 @@
         placed.map(Placed::Direct).map_err(|unplaced| unplaced.refusal)
     }
 
-    /// Hands the request to another VM. Returns `None` if none takes it.
+    /// Hands the request to another VM, or to the next one if that VM does not reach the endpoints
+    /// either. Returns `None` if none takes it.
     pub async fn forward(&self, max_endpoints: u32) -> Option<Placed> {
         let context = &self.context;
         let targets = context.with(|state| {
-            state.members.forwarding_targets(boot_now(), &self.zones, &mut state.rng)
+            let members = &state.members;
+            members.forwarding_targets(boot_now(), &self.service.id, &self.zones, &mut state.rng)
         });
+        let mut unreachable = None;
         for peer in targets.iter().take(MAX_OFFERS) {
             let limit = Duration::from_millis(OFFER_TIMEOUT_MS.min(self.remaining_ms()));
-            let stream = match timeout(limit, offer(peer, max_endpoints)).await {
+            let stream = match timeout(limit, offer(peer, &self.service.id, max_endpoints)).await {
                 Ok(Ok(stream)) => stream,
                 Ok(Err(err)) => {
                     info!(request = self.id(), vm = peer.vm.as_str(), error:% = err;
@@ -126,10 +130,20 @@
             info!(request = self.id(), fingerprint:% = self.fingerprint, vm = peer.vm.as_str(),
                 zone = peer.zone.as_str(), waited_ms = boot_now().since(self.arrived_ms);
                 "request handed to peer VM");
-            return Some(self.exchange_with_peer(peer, Connection::from(stream)).await);
+            match self.exchange_with_peer(peer, Connection::from(stream)).await {
+                Placed::Forwarded(reply)
+                    if refusal_reason(reply.headers())
+                        == Some(RefusalReason::NoReachableEndpoint) =>
+                {
+                    unreachable = Some(Placed::Forwarded(reply));
+                }
+                placed => return Some(placed),
+            }
+        }
+        if unreachable.is_none() {
+            context.metrics.count_forwarded("no_peer");
         }
-        context.metrics.count_forwarded("no_peer");
-        None
+        unreachable
     }
 
     /// Sends the request to a peer that has accepted it, and waits for the head of the response.
@@ -159,11 +173,16 @@
 }
 
 /// Offers a request to `peer`. Returns the connection if the peer accepts.
-async fn offer(peer: &PeerAddress, max_endpoints: u32) -> io::Result<TcpStream> {
+async fn offer(
+    peer: &PeerAddress,
+    service: &ServiceId,
+    max_endpoints: u32,
+) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
     set_tcp_timeouts(&stream, TcpTimeouts::Long)?;
     let mut framed = Framed::new(stream, codec());
-    let offer = PullRequest { forward: Some(ForwardOffer { max_endpoints }), ..Default::default() };
+    let offer = ForwardOffer { max_endpoints, service: service.to_string() };
+    let offer = PullRequest { forward: Some(offer), ..PullRequest::default() };
     framed.send(Bytes::from(offer.encode_to_vec())).await?;
     let answer = ForwardAnswer::decode(read_frame(&mut framed).await?).map_err(io::Error::other)?;
     match answer.accepted {
@@ -200,8 +219,12 @@
         mut framed: FramedStream,
         offer: ForwardOffer,
     ) -> io::Result<Option<Self>> {
-        let accepted = !context.is_shutting_down()
-            && context.with(|state| state.table.is_some() && !state.links.is_cut_off());
+        let may_serve = context.with(|state| {
+            let service = offer.service.parse();
+            let reaches_it = service.is_ok_and(|service| !state.links.are_lost(&service));
+            state.table.is_some() && reaches_it
+        });
+        let accepted = may_serve && !context.is_shutting_down();
         context.metrics.count_forwarded(if accepted { "accepted" } else { "declined" });
         framed.send(Bytes::from(ForwardAnswer { accepted }.encode_to_vec())).await?;
         let (stream, max_endpoints) = (framed.into_inner(), offer.max_endpoints);
@@ -216,17 +239,17 @@
 }
 
 impl Context {
-    /// Reports whether this VM has lost its links to the endpoints.
-    pub fn is_cut_off(&self) -> bool {
-        self.with(|state| state.links.is_cut_off())
+    /// Reports whether this VM has lost its links to the endpoints of `service`.
+    pub fn is_cut_off(&self, service: &ServiceId) -> bool {
+        self.with(|state| state.links.are_lost(service))
     }
 
-    /// Records that a connection to an endpoint was established. Connections that failed just before
+    /// Records that a connection to an endpoint of `service` was established. Connections that failed just before
     /// then count against their endpoints.
-    pub fn record_connected(&self) {
+    pub fn record_connected(&self, service: &ServiceId) {
         let now = boot_now();
         let (were_lost, suspects) = self.with(|state| {
-            let LinksWork { were_lost, unreachable } = state.links.on_connected(now);
+            let LinksWork { were_lost, unreachable } = state.links.on_connected(now, service);
             let outcomes = &mut state.outcomes;
             let suspects: Vec<_> = unreachable
                 .into_iter()
@@ -235,18 +258,18 @@
             (were_lost, suspects)
         });
         if were_lost {
-            info!("links to the endpoints are back");
+            info!(service = service.as_str(); "links to the endpoints are back");
             self.heartbeat_due.notify_one();
         }
         suspects.iter().for_each(|endpoint| self.queue_note(endpoint));
     }
 
-    /// Records that a connection to `endpoint` could not be established.
-    pub fn record_connect_failed(&self, endpoint: &EndpointId) {
+    /// Records that a connection to `endpoint` of `service` could not be established.
+    pub fn record_connect_failed(&self, service: &ServiceId, endpoint: &EndpointId) {
         let now = boot_now();
         let failure = self.with(|state| {
-            let in_service = state.endpoints.in_service_count();
-            state.links.on_connect_failed(now, endpoint, in_service)
+            let in_service = state.endpoints.iter_in_service(service).count();
+            state.links.on_connect_failed(now, service, endpoint, in_service)
         });
         match failure {
             ConnectFailure::Unexplained => {
@@ -254,7 +277,7 @@
             }
             ConnectFailure::LinksStillLost => {}
             ConnectFailure::LinksLost { failed } => {
-                warn!(failed_endpoints = failed.len();
+                warn!(service = service.as_str(), failed_endpoints = failed.len();
                     "links to the endpoints are lost; peer VMs serve the requests");
                 self.with(|state| failed.iter().for_each(|id| state.outcomes.forget(id)));
                 self.heartbeat_due.notify_one();
@@ -262,20 +285,26 @@
         }
     }
 
-    /// Checks in the background whether a connection to an endpoint can be established again, if the
-    /// links are lost.
+    /// Checks in the background whether a connection to an endpoint can be established again, for each
+    /// service whose links are lost.
     pub fn probe_links(self: &Rc<Self>) {
-        let chosen = self.with(|state| {
-            let in_service = state.endpoints.iter_in_service().map(|e| e.entry.address);
-            state.links.is_cut_off().then(|| in_service.choose(&mut state.rng)).flatten()
-        });
-        let Some(address) = chosen else { return };
-        let context = self.clone();
-        spawn_local(async move {
-            let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
-            if Connection::open(dialer, address, PROBE_TIMEOUT_MS, timeouts).await.is_ok() {
-                context.record_connected();
-            }
+        let probes: Vec<_> = self.with(|state| {
+            let endpoints = &state.endpoints;
+            let choose = |service: &ServiceId, rng: &mut StdRng| {
+                let addresses = endpoints.iter_in_service(service).map(|e| e.entry.address);
+                addresses.choose(rng).map(|address| (service.clone(), address))
+            };
+            let lost = state.links.lost_services();
+            lost.filter_map(|service| choose(service, &mut state.rng)).collect()
         });
+        for (service, address) in probes {
+            let context = self.clone();
+            spawn_local(async move {
+                let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
+                if Connection::open(dialer, address, PROBE_TIMEOUT_MS, timeouts).await.is_ok() {
+                    context.record_connected(&service);
+                }
+            });
+        }
     }
 }
--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -87,10 +87,10 @@
         let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
         let opened = Connection::open(dialer, backup.address, limit_ms, timeouts).await;
         let Ok(connection) = opened else {
-            context.record_connect_failed(&backup.endpoint);
+            context.record_connect_failed(&self.call.service.id, &backup.endpoint);
             return Err(StartOutcome::NotRun);
         };
-        context.record_connected();
+        context.record_connected(&self.call.service.id);
         let load_guard = context.reserve_load(&backup.endpoint, self.call.load());
         let Backup { endpoint, address, version, source, load_guard: backup_load_guard } = backup;
         let placed = EndpointConnection { endpoint, address, version, connection, load_guard };
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -317,7 +317,8 @@
     /// Takes up a stream that another run began, here or at another VM: this one may have lost its
     /// links to the engines that can tell where the stream may go on.
     async fn take_up_stream(&mut self) -> StartOutcome {
-        if self.call.origin == Origin::Caller && self.call.context.is_cut_off() {
+        if self.call.origin == Origin::Caller && self.call.context.is_cut_off(&self.call.service.id)
+        {
             match self.call.forward(self.call.route.max_endpoints).await {
                 Some(Placed::Forwarded(reply)) => return StartOutcome::Forwarded(reply),
                 Some(Placed::ForwardLost) => return StartOutcome::ForwardLost,
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -18,7 +18,7 @@
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::outcomes::Suspicion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, RequestRate};
+use gypsumchute_units::{BootMs, EndpointId, RequestRate, ServiceId};
 use log::{info, warn};
 use prost::Message;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -163,7 +163,7 @@
             sound_segments: sound_segments.into_iter().map(encode_completed).collect(),
             store_era: progress.position.era,
             merged: encode_position(progress.merged),
-            cut_off: state.links.is_cut_off(),
+            cut_off_services: state.links.lost_services().map(ServiceId::to_string).collect(),
         }
     })
 }
@@ -363,7 +363,11 @@
             peer: peer.clone(),
             reads_platform: heartbeat.reads_platform,
             store_progress: CopyProgress { position, merged: decode_position(heartbeat.merged) },
-            is_cut_off: heartbeat.cut_off,
+            cut_off_services: heartbeat
+                .cut_off_services
+                .iter()
+                .filter_map(|service| service.parse().ok())
+                .collect(),
         };
         let is_new = state.members.on_heartbeat(now, heard);
         let members = heartbeat.members.iter();
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -97,6 +97,7 @@
             let is_cold = endpoints.get(id).is_some_and(|endpoint| endpoint.cold_until_ms > now);
             is_cold || limits.get(id).is_some()
         });
+        state.links.retain(|service| endpoints.iter_in_service(service).next().is_some());
         state.endpoint_pauses.expire(now);
         state.endpoint_limits.expire(now, |id| endpoints.get(id).is_some());
         state.endpoints.expire(now)
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -165,7 +165,7 @@
     ) -> Result<EndpointConnection, Unplaced> {
         let mut failures = 0;
         loop {
-            if links == LinkUse::UnlessLost && self.context.is_cut_off() {
+            if links == LinkUse::UnlessLost && self.context.is_cut_off(&self.service.id) {
                 return Err(self.unreachable());
             }
             let chosen = match self.wait_for_capacity(excluded, version).await {
@@ -185,7 +185,7 @@
                     excluded.insert(endpoint);
                 }
                 Ok(connection) => {
-                    self.context.record_connected();
+                    self.context.record_connected(&self.service.id);
                     if let Some(refusal) = self.poison_refusal() {
                         return Err(refusal.into());
                     }
@@ -198,7 +198,7 @@
                     });
                 }
                 Err(err) => {
-                    self.context.record_connect_failed(&endpoint);
+                    self.context.record_connect_failed(&self.service.id, &endpoint);
                     self.context.metrics.count_retry("no_connection");
                     info!(request = self.id(), endpoint = endpoint.as_str(), error:% = err;
                         "could not connect to endpoint");
@@ -215,7 +215,7 @@
     /// Returns the refusal of a request for which connections failed.
     fn unreachable(&self) -> Unplaced {
         let typical_wait_ms = self.route.latency_target_ms;
-        let refusal = self.retryable_refusal(RefusalReason::NoEndpoint, typical_wait_ms);
+        let refusal = self.retryable_refusal(RefusalReason::NoReachableEndpoint, typical_wait_ms);
         Unplaced { refusal, links_failed: true }
     }
 
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use gypsumchute_exchange::ResponseStream;
-use gypsumchute_units::{Refusal, Verdict};
+use gypsumchute_units::{Refusal, RefusalReason, Verdict};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 use std::convert::Infallible;
 use std::fmt;
@@ -12,6 +12,14 @@
 use std::task::{Context, Poll};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
+/// Header of each refusal that names the reason, so that a VM which handed a request over can tell it.
+const REFUSAL_REASON: HeaderName = HeaderName::from_static("refusal-reason");
+
+/// Returns the reason of a refusal of another VM, or `None` if `headers` are not those of a refusal.
+pub fn refusal_reason(headers: &HeaderMap) -> Option<RefusalReason> {
+    headers.get(REFUSAL_REASON)?.to_str().ok()?.parse().ok()
+}
+
 /// Aborts a response stream, so that the caller can tell that the stream is incomplete.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamAborted;
@@ -117,6 +125,7 @@
     );
     let mut reply = full_reply(refusal_status(refusal), Bytes::from(body));
     let headers = reply.headers_mut();
+    headers.insert(REFUSAL_REASON, HeaderValue::from_static(refusal.reason.into()));
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let seconds = refusal.retry_after_ms.map(|ms| format!("{:.3}", ms as f64 / 1_000.0));
     if let Some(Ok(seconds)) = seconds.map(HeaderValue::try_from) {
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -7,9 +7,16 @@
     register_endpoint,
 };
 use gypsumchute_config::ConfigSource;
+use gypsumchute_fleet::messages::datagram::Body;
+use gypsumchute_fleet::messages::{Datagram, ForwardAnswer, Heartbeat};
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, CompleteResponse, Endpoint, SharedEndpointState, Store,
 };
+use prost::Message;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// VMs and endpoints of the zones `a` and `b`: in each zone, two engines and two replicas of a plain
@@ -184,3 +191,76 @@
     let share = own_zone.count();
     assert!(share >= 36, "{share} of 40 requests stayed in the zone");
 }
+
+/// Guards against a VM that counts its links as sound because those to another service are.
+#[test]
+fn a_vm_without_links_to_one_service_has_its_requests_served_by_another_vm() {
+    let fleet = Fleet::start(&["a", "b"]);
+    let books = fleet.endpoints.iter().filter(|endpoint| endpoint.id.starts_with("book"));
+    fleet.links[0].cut_to(books.map(Endpoint::address), Cut::Silent);
+    assert_all_served(&fleet, "first", 3);
+    for n in 0..10 {
+        assert_all_served(&fleet, &format!("later-{n}"), 1);
+        let started = Instant::now();
+        assert_eq!(fleet.send_order(0, &format!("timed-{n}")).status, 200);
+        assert!(started.elapsed() < Duration::from_millis(120), "{:?}", started.elapsed());
+    }
+}
+
+/// A peer VM that accepts requests and then breaks the connection without a reply.
+fn start_peer_that_loses_requests(daemon: &Daemon, zone: &str) -> Arc<AtomicU64> {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("free port");
+    let address = socket.local_addr().expect("local address");
+    let listener = TcpListener::bind(address).expect("the same port over TCP");
+    let heartbeat = Heartbeat {
+        vm: "losing-peer".to_owned(),
+        zone: zone.to_owned(),
+        ip: Ipv4Addr::LOCALHOST.into(),
+        port: address.port().into(),
+        ..Heartbeat::default()
+    };
+    let datagram = Datagram { body: Some(Body::Heartbeat(heartbeat)) }.encode_to_vec();
+    let target = daemon.settings.peers_listen;
+    let lost = Arc::new(AtomicU64::new(0));
+    let counter = lost.clone();
+    std::thread::spawn(move || {
+        for _ in 0..200 {
+            // The daemon may have ended.
+            let _ = socket.send_to(&datagram, target);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut length = [0; 4];
+            stream.read_exact(&mut length).expect("frame length");
+            let mut offer = vec![0; u32::from_be_bytes(length) as usize];
+            stream.read_exact(&mut offer).expect("frame");
+            let answer = ForwardAnswer { accepted: true }.encode_to_vec();
+            stream.write_all(&(answer.len() as u32).to_be_bytes()).expect("write");
+            stream.write_all(&answer).expect("write");
+            let mut first_bytes = [0; 16];
+            stream.read_exact(&mut first_bytes).expect("a request");
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    lost
+}
+
+/// Guards against a request that is called not run, or is sent again, after the VM that took it
+/// vanished.
+#[test]
+fn a_request_that_was_lost_with_the_vm_that_took_it_may_have_run() {
+    let fleet = Fleet::start(&["a"]);
+    let lost = start_peer_that_loses_requests(&fleet.daemons[0], "a");
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.links[0].cut(Cut::Silent);
+    for n in 1..=4 {
+        let reply = fleet.send_order(0, &format!("r{n}"));
+        assert_eq!(reply.status, 502, "{}", reply.body);
+        assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+        assert_eq!(lost.load(Ordering::Relaxed), n, "the request was sent once");
+    }
+    let survey = generation_request("surveys", "survey").send_and_read(fleet.daemons[0].address());
+    assert_eq!(survey.status, 502, "{}", survey.body);
+}
--- a/crates/daemon/tests/testsuite/links.rs
+++ b/crates/daemon/tests/testsuite/links.rs
@@ -2,7 +2,7 @@
 
 use gypsumchute_exchange::{Dial, Dialing};
 use gypsumchute_standins::proxy::{Fault, Proxy};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::pending;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -26,12 +26,20 @@
 #[derive(Default)]
 struct LinkState {
     cut: Option<Cut>,
+    /// Endpoints that the cut concerns; all if empty.
+    affected: BTreeSet<SocketAddr>,
     /// Whether connections pass proxies, so that open ones can be cut.
     uses_proxies: bool,
     /// Proxy in front of each endpoint, by the endpoint's address.
     proxies: BTreeMap<SocketAddr, Proxy>,
 }
 
+impl LinkState {
+    fn is_affected(&self, endpoint: &SocketAddr) -> bool {
+        self.affected.is_empty() || self.affected.contains(endpoint)
+    }
+}
+
 /// Links of one VM to all endpoints. By default they lead straight to the endpoints and are never cut.
 #[derive(Clone, Default)]
 pub struct Links(Arc<Mutex<LinkState>>);
@@ -44,14 +52,21 @@
 
     /// Cuts all links.
     pub fn cut(&self, cut: Cut) {
+        self.cut_to([], cut);
+    }
+
+    /// Cuts the links to some endpoints, or to all if `endpoints` is empty.
+    pub fn cut_to(&self, endpoints: impl IntoIterator<Item = SocketAddr>, cut: Cut) {
         let mut state = self.0.lock().expect("links mutex is poisoned");
         state.cut = Some(cut);
+        state.affected = endpoints.into_iter().collect();
         let fault = match cut {
             Cut::Silent => Fault::Stall,
             Cut::Reset => Fault::CloseConnections,
             Cut::RefusesNew => Fault::NoFault,
         };
-        state.proxies.values().for_each(|proxy| proxy.set_fault(fault));
+        let affected = state.proxies.iter().filter(|(endpoint, _)| state.is_affected(endpoint));
+        affected.for_each(|(_, proxy)| proxy.set_fault(fault));
     }
 
     /// Restores all links. Bytes that were held back are delivered.
@@ -74,7 +89,10 @@
 
 impl Dial for Links {
     fn dial(&self, address: SocketAddr) -> Dialing {
-        let cut = self.0.lock().expect("links mutex is poisoned").cut;
+        let cut = {
+            let state = self.0.lock().expect("links mutex is poisoned");
+            state.cut.filter(|_| state.is_affected(&address))
+        };
         match cut {
             None => Box::pin(TcpStream::connect(self.address_of(address))),
             Some(Cut::Silent) => Box::pin(pending()),
--- a/crates/daemon/tests/testsuite/simulated_fleet.rs
+++ b/crates/daemon/tests/testsuite/simulated_fleet.rs
@@ -132,7 +132,7 @@
                 peer: me.clone(),
                 reads_platform: false,
                 store_progress: CopyProgress::default(),
-                is_cut_off: false,
+                cut_off_services: BTreeSet::new(),
             };
             let is_new = receiver.members.on_heartbeat(now, heartbeat);
             named.iter().for_each(|peer| receiver.members.on_mentioned(now, peer.clone()));
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -12,7 +12,7 @@
 
 use crate::store_copy::CopyProgress;
 use gypsumchute_units::rendezvous::rank_candidates;
-use gypsumchute_units::{BootMs, EndpointId, VmId, ZoneId};
+use gypsumchute_units::{BootMs, EndpointId, ServiceId, VmId, ZoneId};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use std::collections::{BTreeMap, BTreeSet};
@@ -102,7 +102,7 @@
     last_mention_ms: BootMs,
     reads_platform: bool,
     store_progress: CopyProgress,
-    is_cut_off: bool,
+    cut_off_services: BTreeSet<ServiceId>,
 }
 
 /// VMs that prefer an endpoint over others and immediately send each other updates of their load on
@@ -124,8 +124,8 @@
     pub reads_platform: bool,
     /// How much of the store's history the sender holds.
     pub store_progress: CopyProgress,
-    /// Whether the sender has lost its links to the endpoints.
-    pub is_cut_off: bool,
+    /// Services whose endpoints the sender has lost its links to.
+    pub cut_off_services: BTreeSet<ServiceId>,
 }
 
 /// Members of the fleet known to this VM.
@@ -186,7 +186,7 @@
             last_mention_ms: now,
             reads_platform: sender.reads_platform,
             store_progress: sender.store_progress,
-            is_cut_off: sender.is_cut_off,
+            cut_off_services: sender.cut_off_services,
         };
         self.members.insert(sender.peer.vm, member);
         !was_alive
@@ -205,7 +205,7 @@
             last_mention_ms: now,
             reads_platform: false,
             store_progress: CopyProgress::default(),
-            is_cut_off: false,
+            cut_off_services: BTreeSet::new(),
         });
         member.last_mention_ms = now;
         let is_silent =
--- a/crates/fleet/src/members/forwarding.rs
+++ b/crates/fleet/src/members/forwarding.rs
@@ -1,7 +1,7 @@
 //! Which VMs serve requests in place of a VM that reaches no endpoint.
 
 use super::{Membership, PeerAddress, RELAY_TTL_MS};
-use gypsumchute_units::{BootMs, ZoneId};
+use gypsumchute_units::{BootMs, ServiceId, ZoneId};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use std::collections::BTreeSet;
@@ -10,13 +10,14 @@
 const FORWARDING_TARGETS_PER_GROUP: usize = 2;
 
 impl Membership {
-    /// Returns VMs that can serve a request in place of this one, in the order in which they are
+    /// Returns VMs that can serve a request for `service` in place of this one, in the order in which they are
     /// tried: those of the local zone first, and in each group in random order. An empty set of
     /// `allowed_zones` allows all zones. In a large fleet, VMs of other zones that others have named
     /// lately count as well, since this VM receives no heartbeats from them.
     pub fn forwarding_targets(
         &self,
         now: BootMs,
+        service: &ServiceId,
         allowed_zones: &BTreeSet<ZoneId>,
         rng: &mut impl Rng,
     ) -> Vec<PeerAddress> {
@@ -25,7 +26,7 @@
             let is_live = self.is_alive(now, &member.peer.vm)
                 || !is_near && now.since(member.last_mention_ms) < RELAY_TTL_MS;
             let is_allowed = allowed_zones.is_empty() || allowed_zones.contains(&member.peer.zone);
-            is_live && is_allowed && !member.is_cut_off
+            is_live && is_allowed && !member.cut_off_services.contains(service)
         });
         let (same_zone, other_zones): (Vec<_>, Vec<_>) =
             usable.partition(|member| member.peer.zone == self.me.zone);
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -78,7 +78,7 @@
                 peer: from.clone(),
                 reads_platform,
                 store_progress: progress(0, 1),
-                is_cut_off: false,
+                cut_off_services: BTreeSet::new(),
             };
             let (now, receiver) = (self.now, self.vms.get_mut(target).expect("known VM"));
             let is_new = receiver.on_heartbeat(now, heartbeat);
@@ -243,7 +243,7 @@
         peer: peer(number, 2),
         reads_platform: false,
         store_progress: progress(0, 7),
-        is_cut_off: false,
+        cut_off_services: BTreeSet::new(),
     };
     // VMs of the local zone have even numbers.
     for number in [1, 3, 4, 6, 8] {
@@ -271,7 +271,7 @@
             peer: peer(2, 2),
             reads_platform: true,
             store_progress: others,
-            is_cut_off: false,
+            cut_off_services: BTreeSet::new(),
         };
         vm.on_heartbeat(net.now, sender);
         vm.peer_ahead_of(net.now, own, &mut net.rng).is_some()
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -113,9 +113,9 @@
     /// Position of an earlier era up to which the sender has merged changes into its copy of the store.
     #[prost(message, optional, tag = "17")]
     pub merged: ::core::option::Option<StorePosition>,
-    /// Whether the sender has lost its links to the endpoints.
-    #[prost(bool, tag = "18")]
-    pub cut_off: bool,
+    /// Services whose endpoints the sender has lost its links to.
+    #[prost(string, repeated, tag = "18")]
+    pub cut_off_services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Position in the history of the platform's store.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -227,7 +227,7 @@
     pub valid_for_ms: u64,
 }
 /// Requests all changes of the platform's store after a revision. Sent over TCP.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PullRequest {
     #[prost(uint64, tag = "1")]
     pub after_revision: u64,
@@ -244,11 +244,14 @@
 }
 /// Offers a request of a caller, which follows as HTTP/1.1 on the same connection if the receiver
 /// accepts.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ForwardOffer {
     /// Maximum number of endpoints that may run the request.
     #[prost(uint32, tag = "1")]
     pub max_endpoints: u32,
+    /// Service that the request is for.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
 }
 /// Reply to a `ForwardOffer`.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -285,14 +285,13 @@
         self.by_id.values()
     }
 
-    /// Returns the endpoints that accept new requests.
-    pub fn iter_in_service(&self) -> impl Iterator<Item = &Endpoint> {
-        self.by_id.values().filter(|endpoint| self.accepts_requests(&endpoint.entry.id))
-    }
-
-    /// Returns the number of endpoints that accept new requests.
-    pub fn in_service_count(&self) -> usize {
-        self.iter_in_service().count()
+    /// Returns the endpoints of `service` that accept new requests.
+    pub fn iter_in_service<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let endpoints = self.by_id.values().filter(|e| e.entry.service == *service);
+        endpoints.filter(|endpoint| self.accepts_requests(&endpoint.entry.id))
     }
 }
 
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod continuity;
 mod crash_reports;
 mod endpoint_limits;
+mod endpoint_links;
 mod endpoint_rate;
 mod endpoints;
 mod leaving_endpoints;
--- a/crates/units/src/refusal.rs
+++ b/crates/units/src/refusal.rs
@@ -69,6 +69,8 @@
     NoRoom,
     /// No endpoint of the route is reachable and in service.
     NoEndpoint,
+    /// Endpoints of the route are in service, but connections to them failed.
+    NoReachableEndpoint,
     /// The request resumes a stream, and the software version that began it is not known.
     UnknownStream,
     /// This VM has no configuration yet, or the configuration is too stale to be used.
@@ -116,6 +118,7 @@
             RefusalReason::ShareUnavailable
             | RefusalReason::NoRoom
             | RefusalReason::NoEndpoint
+            | RefusalReason::NoReachableEndpoint
             | RefusalReason::UnknownStream
             | RefusalReason::NoConfiguration
             | RefusalReason::Draining
@@ -143,6 +146,7 @@
             }
             RefusalReason::NoRoom => "every endpoint of this route is full",
             RefusalReason::NoEndpoint => "no endpoint of this route is in service here",
+            RefusalReason::NoReachableEndpoint => "no endpoint of this route can be reached",
             RefusalReason::UnknownStream => {
                 "the stream can't be resumed: the software version that began it is not known"
             }
--- a/src/gypsumchute/ops/losses.rs
+++ b/src/gypsumchute/ops/losses.rs
@@ -59,7 +59,7 @@
             ("timed_out", _) | (_, 504) => Some(Cause::TimeLimit),
             ("endpoint_lost", _) if self.was_leaving => Some(Cause::EngineLeft),
             ("no_room", _) => Some(Cause::NoRoom),
-            ("no_endpoint", _) => Some(Cause::NoEndpoint),
+            ("no_endpoint" | "no_reachable_endpoint", _) => Some(Cause::NoEndpoint),
             ("endpoint_error", _) | (_, 500) => Some(Cause::ServiceError),
             ("endpoint_lost" | "endpoint_protocol", _) | (_, 502) => Some(Cause::EndpointLost),
             _ => Some(Cause::OtherRefusal),
