Brittle endpoints are not sent more than they bear

An endpoint that says that it falls over after N rejections a second was used like any other: in a test of five VMs and four replicas under load, 16 falls and 128 of 3,200 requests served (48 of 1,200 with less room than slots). Cause: the header was not read, VMs fill an endpoint beyond its slots, and each of them learns by a rejection of its own that it is full. Change: while an endpoint says so, each VM keeps to its part of the slots; after a rejection it waits so long that those of all VMs stay below 0.6 N a second, and it tells the others, who come back one at a time. The number spreads like named limits, whose type is now generic. Why it works: rejections in a row need a VM that did not hear of the one before.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -195,6 +195,10 @@
         if !matches!(kind, ResponseKind::Foreign | ResponseKind::WrongEndpoint) {
             let signs = EndpointSigns::of_response(response.head.status, &response.head.headers);
             self.context.record_endpoint_limit(endpoint, signs.limit);
+            self.context.record_rejection_limit(endpoint, signs.max_rejections_per_s);
+            if kind == ResponseKind::NotRun {
+                self.context.record_rejection(endpoint, self.random_value);
+            }
             self.context.record_endpoint_signs(endpoint, started_wall_ms, signs);
         }
         Ok((response, kind))
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,6 +5,7 @@
 use gypsumchute_exchange::{BufferBudget, Dial};
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
 use gypsumchute_routing::admission::AdmissionQueue;
+use gypsumchute_routing::brittle_endpoints::BrittleBackoffs;
 use gypsumchute_routing::budget::{KnownFleet, RetryAllowance, RetryBudget};
 use gypsumchute_routing::crash_reports::{CrashReports, Suspects};
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
@@ -75,6 +76,10 @@
     pub retries: RetryBudget,
     /// Request rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
+    /// Numbers of rejections that brittle endpoints bear.
+    pub rejection_limits: EndpointLimits<u32>,
+    /// Backoff of this VM at brittle endpoints.
+    pub brittle_backoffs: BrittleBackoffs,
     /// Pauses that endpoints have asked this VM for.
     pub endpoint_pauses: EndpointPauses,
     /// Limits the requests to endpoints that are cold or have named a limit.
@@ -141,6 +146,8 @@
     pub load_notes_due: Notify,
     /// Endpoints for which a load note is pending.
     pending_load_notes: RefCell<BTreeSet<EndpointId>>,
+    /// Brittle endpoints that have just turned a request away, until the next load note.
+    pub recent_rejections: RefCell<BTreeSet<EndpointId>>,
     /// Signals that messages on streams are pending.
     pub stream_messages_due: Notify,
     /// Messages on streams that are still to be sent.
@@ -176,6 +183,8 @@
             outcomes: OutlierDetector::default(),
             retries: RetryBudget::default(),
             endpoint_limits: EndpointLimits::default(),
+            rejection_limits: EndpointLimits::default(),
+            brittle_backoffs: BrittleBackoffs::default(),
             endpoint_pauses: EndpointPauses::default(),
             rate_limiter: EndpointRateLimiter::default(),
             suspects: Suspects {
@@ -207,6 +216,7 @@
             heartbeat_due: Notify::new(),
             load_notes_due: Notify::new(),
             pending_load_notes: RefCell::default(),
+            recent_rejections: RefCell::default(),
             stream_messages_due: Notify::new(),
             pending_stream_messages: RefCell::default(),
             state: RefCell::new(state),
@@ -458,6 +468,7 @@
             .chain(self.outcomes.endpoints_to_report(now))
             .chain(self.termination_notices.keys())
             .chain(self.endpoint_limits.endpoints())
+            .chain(self.rejection_limits.endpoints())
             .cloned()
             .collect()
     }
--- a/crates/daemon/src/endpoint_rates.rs
+++ b/crates/daemon/src/endpoint_rates.rs
@@ -3,15 +3,18 @@
 
 use crate::context::{Context, State};
 use gypsumchute_platform::{EndpointSigns, NamedPause};
+use gypsumchute_routing::brittle_endpoints::{BrittleAdmission, BrittleEndpoint};
 use gypsumchute_routing::endpoint_rate::{EndpointRate, SendPermission};
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, RequestRate, VmId};
 use log::info;
+use rand::RngExt;
 
 /// Why this VM may not send to an endpoint now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RateExhausted {
-    /// Whether the endpoint has named a limit or a pause.
+    /// Whether the endpoint has named a limit or a pause. If not, this VM may send as soon as a request
+    /// has ended or the cold start is over.
     pub is_named: bool,
     /// Time after which this VM may send a request, in milliseconds; `None` if other VMs use the
     /// whole rate.
@@ -74,6 +77,31 @@
         }
     }
 
+    /// Records how many rejections `endpoint` said in an answer that it bears, or that it said nothing.
+    pub fn record_rejection_limit(&self, endpoint: &EndpointId, max_per_s: Option<u32>) {
+        let now = boot_now();
+        if self.with(|state| state.rejection_limits.on_answer(now, endpoint, max_per_s)) {
+            info!(endpoint = endpoint.as_str(), max_rejections_per_s:? = max_per_s;
+                "endpoint changed the rejections that it bears");
+            self.announce_soon(endpoint);
+        }
+    }
+
+    /// Records that `endpoint` turned a request away.
+    pub fn record_rejection(&self, endpoint: &EndpointId, random_value: u64) {
+        let now = boot_now();
+        let is_brittle = self.with(|state| {
+            let Some(brittle) = state.brittle(endpoint) else { return false };
+            let own_requests = state.loads.local_load(endpoint).requests;
+            state.brittle_backoffs.on_rejected(now, endpoint, brittle, own_requests, random_value);
+            true
+        });
+        if is_brittle {
+            self.recent_rejections.borrow_mut().insert(endpoint.clone());
+            self.queue_note(endpoint);
+        }
+    }
+
     /// Records the request rate limit that `endpoint` named in an answer, or that it named none.
     pub fn record_endpoint_limit(&self, endpoint: &EndpointId, rate: Option<RequestRate>) {
         let now = boot_now();
@@ -94,6 +122,22 @@
         self.endpoint_pauses.wait_ms(now, endpoint, started_wall_ms)
     }
 
+    /// Records that `endpoint` turned a request of another VM away.
+    pub fn on_peer_rejected(&mut self, now: BootMs, endpoint: &EndpointId) {
+        if let Some(brittle) = self.brittle(endpoint) {
+            let random_value = self.rng.random();
+            self.brittle_backoffs.on_peer_rejected(now, endpoint, brittle, random_value);
+        }
+    }
+
+    /// Returns the share of this VM at `endpoint`, if the endpoint is brittle.
+    fn brittle(&self, endpoint: &EndpointId) -> Option<BrittleEndpoint> {
+        let max_rejections_per_s = self.rejection_limits.get(endpoint)?.rate?;
+        let slots = self.endpoints.get(endpoint)?.entry.slots;
+        let vms = self.members.known_vms().len();
+        Some(BrittleEndpoint { max_rejections_per_s, slots, vms })
+    }
+
     /// Returns the rate that `endpoint` takes because of a limit that it has named.
     fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
         let limit = self.endpoint_limits.get(endpoint)?;
@@ -142,6 +186,20 @@
             let wait_ms = Some(pause_ms);
             return Err(RateExhausted { is_named: true, wait_ms, interval_ms: pause_ms });
         }
+        if let Some(brittle) = self.brittle(endpoint) {
+            let own_requests = self.loads.local_load(endpoint).requests;
+            match self.brittle_backoffs.admission(now, endpoint, brittle, own_requests) {
+                BrittleAdmission::Granted => {}
+                BrittleAdmission::Full => {
+                    return Err(RateExhausted { is_named: false, wait_ms: None, interval_ms: 0 });
+                }
+                BrittleAdmission::Closed { wait_ms } => {
+                    let interval_ms = wait_ms;
+                    let wait_ms = Some(wait_ms);
+                    return Err(RateExhausted { is_named: true, wait_ms, interval_ms });
+                }
+            }
+        }
         let Some(rate) = self.endpoint_rate(now, endpoint, cold_per_s) else { return Ok(()) };
         let is_named = self.named_rate(now, endpoint).is_some();
         let interval_ms = rate.interval_ms();
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -10,7 +10,8 @@
 use crate::stream_gossip::{answer_query, apply_stream_record};
 use gypsumchute_fleet::members::{HeartbeatSender, MEMBERS_PER_JOIN_REPLY};
 use gypsumchute_fleet::messages::{
-    Datagram, EndpointLoad, Heartbeat, LoadNote, Member, RequestLimit, datagram::Body,
+    Datagram, EndpointLoad, Heartbeat, LoadNote, Member, RejectionLimit, RequestLimit,
+    datagram::Body,
 };
 use gypsumchute_fleet::{CopyProgress, PeerAddress, StorePosition};
 use gypsumchute_routing::crash_reports::{Audience, HeartbeatReports};
@@ -185,6 +186,11 @@
         leaving: state.announces_termination(now, endpoint),
         limit: state.endpoint_limits.get(endpoint).map(|limit| encode_limit(now, limit)),
         leaving_start_ms: state.endpoints.leaving_start_ms(endpoint),
+        rejection_limit: state.rejection_limits.get(endpoint).map(|limit| RejectionLimit {
+            max_per_s: limit.rate,
+            age_ms: now.since(limit.named_ms),
+            rejected: false,
+        }),
     }
 }
 
@@ -213,6 +219,8 @@
     leaving_start_ms: Option<u64>,
     /// What the endpoint told the peer of its request rate limit.
     limit: Option<RequestLimit>,
+    /// What the endpoint told the peer of the rejections that it bears.
+    rejection_limit: Option<RejectionLimit>,
 }
 
 /// Decodes a peer's report, or returns `None` if the endpoint id is invalid.
@@ -238,6 +246,7 @@
         terminating,
         leaving_start_ms: report.leaving_start_ms,
         limit: report.limit,
+        rejection_limit: report.rejection_limit,
     })
 }
 
@@ -259,6 +268,17 @@
             per_s:% = limit.rate.unwrap_or_default();
             "peer VM reported a change of the endpoint's request rate limit");
     }
+    if let Some(RejectionLimit { max_per_s, age_ms, rejected }) = report.rejection_limit {
+        let named_ms = BootMs(now.0.saturating_sub(age_ms));
+        let limit = NamedLimit { rate: max_per_s, named_ms };
+        if state.rejection_limits.on_peer_report(&report.endpoint, limit) {
+            info!(endpoint = report.endpoint.as_str(), max_rejections_per_s:? = max_per_s;
+                "peer VM reported a change of the rejections that the endpoint bears");
+        }
+        if rejected {
+            state.on_peer_rejected(now, &report.endpoint);
+        }
+    }
     let start = report.leaving_start_ms;
     let is_new_notice =
         report.terminating && state.endpoints.mark_terminating(now, &report.endpoint, start);
@@ -276,9 +296,13 @@
         context.load_notes_due.notified().await;
         for endpoint in context.take_pending_load_notes() {
             let now = boot_now();
-            let (load, targets) = context.with(|state| {
+            let (mut load, targets) = context.with(|state| {
                 (encode_load(state, now, &endpoint), state.load_note_targets(now, &endpoint))
             });
+            let rejected = context.recent_rejections.borrow_mut().remove(&endpoint);
+            if let Some(limit) = &mut load.rejection_limit {
+                limit.rejected = rejected;
+            }
             let LoadNoteTargets { addresses, relay } = targets;
             let note = LoadNote { vm: context.settings.vm.to_string(), load: Some(load), relay };
             send_datagram(&context, &socket, Body::Note(note), &addresses).await;
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -100,6 +100,9 @@
         state.links.retain(|service| endpoints.iter_in_service(service).next().is_some());
         state.endpoint_pauses.expire(now);
         state.endpoint_limits.expire(now, |id| endpoints.get(id).is_some());
+        state.rejection_limits.expire(now, |id| endpoints.get(id).is_some());
+        let rejection_limits = &state.rejection_limits;
+        state.brittle_backoffs.retain(|id| rejection_limits.get(id).is_some());
         state.endpoints.expire(now)
     });
     for endpoint in &removed {
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests by feature: daemons with a stand-in store and stand-in endpoints that simulate
 //! failures.
 
+mod brittle_endpoints;
 mod crash_spread;
 mod cut_off_vms;
 mod endless_responses;
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -173,6 +173,23 @@
     /// clock; absent if the endpoint reports none.
     #[prost(uint64, optional, tag = "10")]
     pub leaving_start_ms: ::core::option::Option<u64>,
+    /// How many rejections the endpoint bears; absent if the sender knows nothing of such a limit.
+    #[prost(message, optional, tag = "11")]
+    pub rejection_limit: ::core::option::Option<RejectionLimit>,
+}
+/// What an answer of an endpoint said of the rejections that it bears.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RejectionLimit {
+    /// Requests a second that the endpoint can turn away, from all VMs together, before it falls over;
+    /// absent if it is not brittle any more.
+    #[prost(uint32, optional, tag = "1")]
+    pub max_per_s: ::core::option::Option<u32>,
+    /// Time since the answer arrived, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Whether the endpoint has just turned a request of the sender away.
+    #[prost(bool, tag = "3")]
+    pub rejected: bool,
 }
 /// What an answer of an endpoint said of its request rate limit.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/endpoint_limits.rs
+++ b/crates/routing/src/endpoint_limits.rs
@@ -1,8 +1,9 @@
-//! Request rate limits that endpoints name themselves.
+//! Limits that endpoints name themselves: on the requests a second that they take, or on the requests
+//! a second that they can turn away.
 //!
-//! Load pattern: an endpoint in need names in its answers how many requests a second it takes from
-//! all VMs together, and stops naming the limit when the need is over. A VM learns of both from the
-//! answers that it receives and from its peers; what is newer counts.
+//! Load pattern: an endpoint in need names in its answers a limit for all VMs together, and stops
+//! naming it when the need is over. A VM learns of both from the answers that it receives and from
+//! its peers; what is newer counts.
 
 use gypsumchute_units::{BootMs, EndpointId, RequestRate};
 use std::collections::BTreeMap;
@@ -15,28 +16,29 @@
 
 /// What an answer of an endpoint said of its limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NamedLimit {
-    /// Requests a second that the endpoint takes from all VMs together; `None` if any number.
-    pub rate: Option<RequestRate>,
+pub struct NamedLimit<T = RequestRate> {
+    /// Limit for all VMs together; `None` if there is none.
+    pub rate: Option<T>,
     /// When the answer arrived.
     pub named_ms: BootMs,
 }
 
 /// Limits by endpoint, with those that have ended a short time ago.
-#[derive(Debug, Default)]
-pub struct EndpointLimits {
-    limits: BTreeMap<EndpointId, NamedLimit>,
+#[derive(Debug)]
+pub struct EndpointLimits<T = RequestRate> {
+    limits: BTreeMap<EndpointId, NamedLimit<T>>,
 }
 
-impl EndpointLimits {
+impl<T> Default for EndpointLimits<T> {
+    fn default() -> Self {
+        EndpointLimits { limits: BTreeMap::new() }
+    }
+}
+
+impl<T: Copy + Eq> EndpointLimits<T> {
     /// Records an answer of `endpoint` that named this limit, or none. Returns whether that is a
     /// change.
-    pub fn on_answer(
-        &mut self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        rate: Option<RequestRate>,
-    ) -> bool {
+    pub fn on_answer(&mut self, now: BootMs, endpoint: &EndpointId, rate: Option<T>) -> bool {
         let known = self.limits.get(endpoint).and_then(|limit| limit.rate);
         if rate.is_some() || known.is_some() {
             self.limits.insert(endpoint.clone(), NamedLimit { rate, named_ms: now });
@@ -45,7 +47,7 @@
     }
 
     /// Records what an answer told a peer. Returns whether that is a change.
-    pub fn on_peer_report(&mut self, endpoint: &EndpointId, reported: NamedLimit) -> bool {
+    pub fn on_peer_report(&mut self, endpoint: &EndpointId, reported: NamedLimit<T>) -> bool {
         let known = self.limits.get(endpoint);
         let is_newer = known.is_none_or(|known| match known.rate == reported.rate {
             true => reported.named_ms > known.named_ms + MIN_NEWER_MS,
@@ -60,7 +62,7 @@
     }
 
     /// Returns what is known of the limit of `endpoint`, if it has or had one.
-    pub fn get(&self, endpoint: &EndpointId) -> Option<NamedLimit> {
+    pub fn get(&self, endpoint: &EndpointId) -> Option<NamedLimit<T>> {
         self.limits.get(endpoint).copied()
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! carries out the decisions; tests run the crate in virtual time.
 
 pub mod admission;
+pub mod brittle_endpoints;
 pub mod budget;
 pub mod compile;
 pub mod continuity;
--- a/crates/routing/tests/testsuite/main.rs
+++ b/crates/routing/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the routing crate.
 
 mod admission;
+mod brittle_endpoints;
 mod budget;
 mod compile;
 mod continuity;
