--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -264,3 +264,43 @@
     let survey = generation_request("surveys", "survey").send_and_read(fleet.daemons[0].address());
     assert_eq!(survey.status, 502, "{}", survey.body);
 }
+
+/// Guards against a termination notice that stays with the VM that served a forwarded request.
+#[test]
+fn a_vm_without_links_learns_that_an_endpoint_is_leaving() {
+    let fleet = Fleet::start(&["a", "a"]);
+    let books: Vec<_> = fleet.endpoints.iter().filter(|e| e.id.starts_with("book-a")).collect();
+    fleet.links[0].cut(Cut::Silent);
+    assert_all_served(&fleet, "before", 3);
+    books[0].set_leaving(true);
+    let heard = || fleet.state.received_requests().iter().any(|r| r.endpoint == books[0].id);
+    (0..40).for_each(|n| drop(fleet.send_order(0, &format!("while-cut-{n}"))));
+    assert!(heard(), "no answer of the endpoint said so");
+    fleet.links[0].restore();
+    std::thread::sleep(Duration::from_millis(1_200));
+    let before = fleet.state.received_requests().len();
+    (0..40).for_each(|n| drop(fleet.send_order(0, &format!("after-{n}"))));
+    let received = fleet.state.received_requests();
+    let late: Vec<_> = received[before..].iter().filter(|r| r.endpoint == books[0].id).collect();
+    assert!(late.is_empty(), "{} requests reached the leaving endpoint", late.len());
+}
+
+/// Guards against forwarded requests that disturb a pause, which an endpoint asked the other VM for.
+#[test]
+fn forwarded_requests_keep_the_pause_of_the_vm_that_sends_them() {
+    let fleet = Fleet::start(&["a", "a"]);
+    let book = fleet.endpoints.iter().find(|e| e.id == "book-a-1").expect("endpoint");
+    fleet.links[0].cut(Cut::Silent);
+    assert_all_served(&fleet, "before", 3);
+    book.set_retry_after(Some("2"));
+    let before = fleet.state.received_requests().len();
+    let started = Instant::now();
+    let mut sent = 0;
+    while started.elapsed() < Duration::from_millis(1_900) {
+        sent += 1;
+        assert_eq!(fleet.send_order(sent % 2, &format!("r{sent}")).status, 200);
+    }
+    let received = fleet.state.received_requests();
+    let here = received[before..].iter().filter(|request| request.endpoint == book.id).count();
+    assert_eq!(here, 1, "of {sent} requests");
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cut_off_vms;
 mod endless_responses;
 mod events;
+mod faulty_answers;
 mod fleet;
 mod folder;
 mod generations;
