A stream goes on through another VM when its VM has lost its links to the engines

Callers of VMs that were cut off waited for streams whose engines ran on behind the cut, and left. Cause: the same as for new requests: what one VM can't reach counts as what can't be served. Change: a stream that has been silent for four of its route's good pauses, while the VM's links to the engines are lost, is offered to a peer with its engine, version and last event. The peer has the engine stop the run and copy its memory to another engine, and continues it there; the events join the caller's stream in order. Until the first of them arrives, the run is kept. Why it works: the engine stops the run before the copy, so that two never run at once, and both ends check event ids.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -15,13 +15,13 @@
 use futures_util::SinkExt;
 use gypsumchute_exchange::{Connection, ResponseStream, TcpTimeouts, set_tcp_timeouts};
 use gypsumchute_fleet::PeerAddress;
-use gypsumchute_fleet::messages::{ForwardAnswer, ForwardOffer, PullRequest};
-use gypsumchute_platform::endpoints;
+use gypsumchute_fleet::messages::{self, ForwardAnswer, ForwardOffer, PullRequest};
+use gypsumchute_platform::{ResponseKind, classify_response, endpoints};
 use gypsumchute_routing::endpoint_links::{ConnectFailure, LinksWork};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, Refusal, RefusalReason, ServiceId};
+use gypsumchute_units::{EndpointId, Fingerprint, Refusal, RefusalReason, ServiceId};
 use http::Response;
 use log::{info, warn};
 use prost::Message;
@@ -59,15 +59,58 @@
 }
 
 /// Origin of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Origin {
     /// A caller sent it to this VM.
     Caller,
     /// Another VM forwarded it.
-    Peer {
-        /// Maximum number of endpoints that may run it.
-        max_endpoints: u32,
-    },
+    Peer(PeerOffer),
+}
+
+/// What another VM says of a request that it forwards.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerOffer {
+    /// Maximum number of endpoints that may run the request.
+    pub max_endpoints: u32,
+    /// Run of the request that goes on at an engine, if there is one.
+    pub continued_run: Option<ContinuedRun>,
+}
+
+/// A run that goes on at an engine to which the VM that began it has lost its links.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ContinuedRun {
+    /// Engine of the run.
+    pub endpoint: EndpointId,
+    /// Service and software version that began the stream.
+    pub version: ServiceVersion,
+    /// Id of the last event that the caller has received.
+    pub last_event_id: u64,
+    /// Number of events that the caller has received.
+    pub events: u64,
+}
+
+impl ContinuedRun {
+    /// Encodes the run for an offer.
+    fn encode(&self) -> messages::ContinuedRun {
+        messages::ContinuedRun {
+            endpoint: self.endpoint.to_string(),
+            version: self.version.0.0,
+            last_event_id: self.last_event_id,
+            events: self.events,
+        }
+    }
+
+    /// Decodes the run of an offer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the id of the engine is invalid.
+    fn decode(run: &messages::ContinuedRun) -> io::Result<Self> {
+        let &messages::ContinuedRun { version, last_event_id, events, .. } = run;
+        let endpoint = run.endpoint.parse().map_err(io::Error::other)?;
+        let version = ServiceVersion(Fingerprint(version));
+        Ok(ContinuedRun { endpoint, version, last_event_id, events })
+    }
 }
 
 impl Call {
@@ -95,9 +138,9 @@
                 return Ok(forwarded);
             }
         }
-        let links = match (self.origin, max_endpoints) {
+        let links = match (&self.origin, max_endpoints) {
             (Origin::Caller, 0) => LinkUse::Always,
-            (Origin::Caller, _) | (Origin::Peer { .. }, _) => LinkUse::AfterOffers,
+            (Origin::Caller, _) | (Origin::Peer(_), _) => LinkUse::AfterOffers,
         };
         let placed = self.place_and_connect(&mut excluded, version, links).await;
         placed.map(Placed::Direct).map_err(|unplaced| unplaced.refusal)
@@ -106,48 +149,87 @@
     /// Hands the request to another VM, or to the next one if that VM does not reach the endpoints
     /// either. Returns `None` if none takes it.
     pub async fn forward(&self, max_endpoints: u32) -> Option<Placed> {
-        let context = &self.context;
-        let targets = context.with(|state| {
-            let members = &state.members;
-            members.forwarding_targets(boot_now(), &self.service.id, &self.zones, &mut state.rng)
-        });
+        let offer = self.offer(max_endpoints, None);
         let mut unreachable = None;
-        for peer in targets.iter().take(MAX_OFFERS) {
-            let limit = Duration::from_millis(OFFER_TIMEOUT_MS.min(self.remaining_ms()));
-            let stream = match timeout(limit, offer(peer, &self.service.id, max_endpoints)).await {
-                Ok(Ok(stream)) => stream,
-                Ok(Err(err)) => {
-                    info!(request = self.id(), vm = peer.vm.as_str(), error:% = err;
-                        "peer VM does not take the request");
-                    continue;
-                }
-                Err(_) => {
-                    info!(request = self.id(), vm = peer.vm.as_str();
-                        "peer VM did not answer the offer of a request in time");
-                    continue;
-                }
+        for peer in self.peers_to_ask() {
+            let Some(connection) = self.offer_to(&peer, &offer).await else { continue };
+            let Some(response) = self.send_to_peer(&peer, connection).await else {
+                return Some(Placed::ForwardLost);
             };
-            info!(request = self.id(), fingerprint:% = self.fingerprint, vm = peer.vm.as_str(),
-                zone = peer.zone.as_str(), waited_ms = boot_now().since(self.arrived_ms);
-                "request handed to peer VM");
-            match self.exchange_with_peer(peer, Connection::from(stream)).await {
-                Placed::Forwarded(reply)
-                    if refusal_reason(reply.headers())
-                        == Some(RefusalReason::NoReachableEndpoint) =>
-                {
-                    unreachable = Some(Placed::Forwarded(reply));
-                }
-                placed => return Some(placed),
+            let reply = relay_response(response);
+            match refusal_reason(reply.headers()) {
+                Some(RefusalReason::NoReachableEndpoint) => unreachable = Some(reply),
+                _ => return Some(Placed::Forwarded(reply)),
             }
         }
         if unreachable.is_none() {
-            context.metrics.count_forwarded("no_peer");
+            self.context.metrics.count_forwarded("no_peer");
+        }
+        unreachable.map(Placed::Forwarded)
+    }
+
+    /// Has another VM move `run` to another engine, and returns the stream of what follows the events
+    /// that the caller has. Returns `None` if that failed; the run may have been stopped then.
+    pub async fn continue_at_peer(&self, run: &ContinuedRun) -> Option<ResponseStream> {
+        let offer = self.offer(1, Some(run));
+        for peer in self.peers_to_ask() {
+            let Some(connection) = self.offer_to(&peer, &offer).await else { continue };
+            let response = self.send_to_peer(&peer, connection).await?;
+            let request_id = self.caller.request_id.as_ref();
+            let kind = classify_response(response.head.status, &response.head.headers, request_id);
+            return (kind == ResponseKind::Success).then_some(response);
+        }
+        None
+    }
+
+    /// Returns the offer of this request to a peer.
+    fn offer(&self, max_endpoints: u32, run: Option<&ContinuedRun>) -> ForwardOffer {
+        let service = self.service.id.to_string();
+        ForwardOffer { max_endpoints, service, continued_run: run.map(ContinuedRun::encode) }
+    }
+
+    /// Returns the peers that the request is offered to, in order.
+    fn peers_to_ask(&self) -> Vec<PeerAddress> {
+        let mut peers = self.context.with(|state| {
+            let members = &state.members;
+            members.forwarding_targets(boot_now(), &self.service.id, &self.zones, &mut state.rng)
+        });
+        peers.truncate(MAX_OFFERS);
+        peers
+    }
+
+    /// Offers the request to `peer`. Returns the connection if the peer accepts.
+    async fn offer_to(&self, peer: &PeerAddress, offer: &ForwardOffer) -> Option<Connection> {
+        let limit = Duration::from_millis(OFFER_TIMEOUT_MS.min(self.remaining_ms()));
+        match timeout(limit, send_offer(peer, offer)).await {
+            Ok(Ok(stream)) => {
+                info!(request = self.id(), fingerprint:% = self.fingerprint,
+                    vm = peer.vm.as_str(), zone = peer.zone.as_str(),
+                    waited_ms = boot_now().since(self.arrived_ms),
+                    continues_run = offer.continued_run.is_some();
+                    "request handed to peer VM");
+                Some(Connection::from(stream))
+            }
+            Ok(Err(err)) => {
+                info!(request = self.id(), vm = peer.vm.as_str(), error:% = err;
+                    "peer VM does not take the request");
+                None
+            }
+            Err(_) => {
+                info!(request = self.id(), vm = peer.vm.as_str();
+                    "peer VM did not answer the offer of a request in time");
+                None
+            }
         }
-        unreachable
     }
 
     /// Sends the request to a peer that has accepted it, and waits for the head of the response.
-    async fn exchange_with_peer(&self, peer: &PeerAddress, connection: Connection) -> Placed {
+    /// Returns `None` if there is none; the request may have run.
+    async fn send_to_peer(
+        &self,
+        peer: &PeerAddress,
+        connection: Connection,
+    ) -> Option<ResponseStream> {
         let remaining_ms = self.remaining_ms();
         let request = endpoints::build_peer_request(
             &self.method,
@@ -160,7 +242,7 @@
         let error = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => {
                 self.context.metrics.count_forwarded("answered");
-                return Placed::Forwarded(relay_response(response));
+                return Some(response);
             }
             Ok(Err(err)) => err.to_string(),
             Err(_) => "no reply before the deadline".to_owned(),
@@ -168,21 +250,16 @@
         self.context.metrics.count_forwarded("lost");
         info!(request = self.id(), vm = peer.vm.as_str(), error;
             "peer VM sent no reply to the request");
-        Placed::ForwardLost
+        None
     }
 }
 
-/// Offers a request to `peer`. Returns the connection if the peer accepts.
-async fn offer(
-    peer: &PeerAddress,
-    service: &ServiceId,
-    max_endpoints: u32,
-) -> io::Result<TcpStream> {
+/// Sends `offer` to `peer`. Returns the connection if the peer accepts.
+async fn send_offer(peer: &PeerAddress, offer: &ForwardOffer) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(SocketAddr::V4(peer.address)).await?;
     set_tcp_timeouts(&stream, TcpTimeouts::Long)?;
     let mut framed = Framed::new(stream, codec());
-    let offer = ForwardOffer { max_endpoints, service: service.to_string() };
-    let offer = PullRequest { forward: Some(offer), ..PullRequest::default() };
+    let offer = PullRequest { forward: Some(offer.clone()), ..PullRequest::default() };
     framed.send(Bytes::from(offer.encode_to_vec())).await?;
     let answer = ForwardAnswer::decode(read_frame(&mut framed).await?).map_err(io::Error::other)?;
     match answer.accepted {
@@ -205,7 +282,7 @@
 /// A request that a peer is about to send on an open connection.
 pub struct ForwardedRequest {
     stream: TcpStream,
-    max_endpoints: u32,
+    offer: PeerOffer,
 }
 
 impl ForwardedRequest {
@@ -219,6 +296,7 @@
         mut framed: FramedStream,
         offer: ForwardOffer,
     ) -> io::Result<Option<Self>> {
+        let run = offer.continued_run.as_ref().map(ContinuedRun::decode).transpose()?;
         let may_serve = context.with(|state| {
             let service = offer.service.parse();
             let reaches_it = service.is_ok_and(|service| !state.links.are_lost(&service));
@@ -227,14 +305,13 @@
         let accepted = may_serve && !context.is_shutting_down();
         context.metrics.count_forwarded(if accepted { "accepted" } else { "declined" });
         framed.send(Bytes::from(ForwardAnswer { accepted }.encode_to_vec())).await?;
-        let (stream, max_endpoints) = (framed.into_inner(), offer.max_endpoints);
-        Ok(accepted.then_some(ForwardedRequest { stream, max_endpoints }))
+        let offer = PeerOffer { max_endpoints: offer.max_endpoints, continued_run: run };
+        Ok(accepted.then(|| ForwardedRequest { stream: framed.into_inner(), offer }))
     }
 
     /// Serves the request.
     pub async fn serve(self, context: Rc<Context>) {
-        let origin = Origin::Peer { max_endpoints: self.max_endpoints };
-        ingress::serve_forwarded(context, self.stream, origin).await;
+        ingress::serve_forwarded(context, self.stream, Origin::Peer(self.offer)).await;
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/generation/handover.rs
@@ -0,0 +1,158 @@
+//! Moves a run to another engine through another VM, after this VM has lost its links to the engines
+//! while the run goes on at one of them.
+//!
+//! The peer has the engine stop the run, copies its memory to another engine and continues it there,
+//! after the last event that the caller has. Until its first event arrives, the run is kept: its
+//! events arrive late if the links come back.
+
+use super::Generation;
+use super::relay::{COPY_TIMEOUT_MS, STALL_PAUSE_FACTOR};
+use super::run::{Backup, Run, StartFrom, StartOutcome};
+use crate::events::{EventReader, EventSequence};
+use crate::forwarding::{ContinuedRun, Origin};
+use gypsumchute_platform::KvSource;
+use gypsumchute_platform::endpoints::{CopyError, copy_kv_cache};
+use gypsumchute_routing::placement::{Placement, choose_migration_target};
+use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
+use log::info;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Maximum number of attempts to hand a run over.
+const MAX_HANDOVERS: u32 = 3;
+/// Interval between checks whether a silent run must be handed over, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 250;
+/// Timeout for the first event of a run that was handed over, in milliseconds.
+const HANDOVER_TIMEOUT_MS: u64 = 3_000;
+
+/// Attempts to hand a run over.
+#[derive(Debug, Default)]
+pub(super) struct Handovers {
+    attempts: u32,
+    next_check_at: Option<Instant>,
+}
+
+impl Handovers {
+    /// Puts off the next check.
+    pub(super) fn defer(&mut self) {
+        self.next_check_at = Some(Instant::now() + Duration::from_millis(CHECK_INTERVAL_MS));
+    }
+}
+
+impl Generation {
+    /// Reports whether this VM has lost its links to the engines.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.call.context.is_cut_off(&self.call.service.id)
+    }
+
+    /// Returns when to check whether the run must be handed over, or `None` if it can't be.
+    pub(super) fn handover_deadline(&self, run: &Run, handovers: &Handovers) -> Option<Instant> {
+        let may_hand_over = self.call.origin == Origin::Caller
+            && !run.is_at_peer
+            && self.delivered_events > 0
+            && handovers.attempts < MAX_HANDOVERS
+            && self.call.service.engine.is_some_and(|engine| engine.supports_kv_copy);
+        let limit_ms = self.call.route.inter_event_target_ms * STALL_PAUSE_FACTOR;
+        let silent_at = run.last_event_at + Duration::from_millis(limit_ms);
+        let deadline = handovers.next_check_at.map_or(silent_at, |at| at.max(silent_at));
+        may_hand_over.then_some(deadline)
+    }
+
+    /// Has a peer continue the run. Returns the run as the peer relays it, or the same run if that
+    /// failed.
+    pub(super) async fn hand_over_run(&self, run: Run, handovers: &mut Handovers) -> Run {
+        handovers.attempts += 1;
+        let (Some(version), Some(last_event_id)) = (self.version, self.sequence.last_id()) else {
+            return run;
+        };
+        let endpoint = run.endpoint.clone();
+        let continued =
+            ContinuedRun { endpoint, version, last_event_id, events: self.delivered_events };
+        let limit = Duration::from_millis(HANDOVER_TIMEOUT_MS);
+        let continuing = timeout(limit, self.call.continue_at_peer(&continued));
+        let Ok(Some(response)) = continuing.await else {
+            info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
+                events = self.delivered_events;
+                "no peer VM continues the run; it stays at its engine");
+            return run;
+        };
+        Run {
+            is_at_peer: true,
+            response,
+            events: EventReader::default(),
+            backup: None,
+            last_event_at: Instant::now(),
+            termination_handled: true,
+            ..run
+        }
+    }
+
+    /// Takes over a run that another VM has lost its links to: moves it to another engine and
+    /// continues it there.
+    pub(super) async fn take_over_run(&mut self, run: ContinuedRun) -> StartOutcome {
+        self.sequence = EventSequence::resume_after(Some(run.last_event_id));
+        self.delivered_events = run.events;
+        self.endpoints_used = 1;
+        self.version = Some(run.version);
+        self.call.switch_service(run.version);
+        self.excluded.insert(run.endpoint.clone());
+        let lost = || StartOutcome::Refused(Refusal::may_have_run(RefusalReason::EndpointLost));
+        let Some(backup) = self.stop_and_copy(&run).await else { return lost() };
+        match self.start_run(StartFrom::Backup(backup)).await {
+            // The run was stopped and can't begin anew.
+            StartOutcome::NotRun => lost(),
+            outcome => outcome,
+        }
+    }
+
+    /// Stops `run` and copies its memory. Returns the copy, at another engine or, if that has no room,
+    /// at the engine of the run.
+    async fn stop_and_copy(&self, run: &ContinuedRun) -> Option<Backup> {
+        let context = &self.call.context;
+        let request_id = self.call.caller.request_id.as_ref()?;
+        let source = self.address_at_version(&run.endpoint, run)?;
+        let placement = context.with(|state| {
+            let fleet = state.fleet(&context.settings);
+            let demand = self.call.placement_request(&self.excluded, Some(run.version));
+            choose_migration_target(boot_now(), fleet, demand, &run.endpoint)
+        });
+        let Placement::Endpoint(target) = placement else { return None };
+        let address = self.address_at_version(&target, run)?;
+        if !context.may_send_to(&run.endpoint) {
+            return None;
+        }
+        let load_guard = context.reserve_load(&target, self.backup_load());
+        let started_wall_ms = context.endpoint_start_ms(&run.endpoint);
+        let (result, signs) =
+            copy_kv_cache(source, address, request_id, true, COPY_TIMEOUT_MS).await;
+        context.record_endpoint_signs(&run.endpoint, started_wall_ms, signs);
+        info!(request = self.call.id(), endpoint = run.endpoint.as_str(), to = target.as_str(),
+            after_event = run.last_event_id,
+            error = result.as_ref().err().map_or("-".to_owned(), ToString::to_string);
+            "run of another VM stopped and copied");
+        let version = run.version;
+        match result {
+            Ok(copy) => {
+                let source = KvSource { address: source, name: copy.handle };
+                Some(Backup { endpoint: target, address, version, source, load_guard })
+            }
+            Err(CopyError::TargetUnavailable(Some(retained))) => {
+                let endpoint = run.endpoint.clone();
+                let load_guard = context.reserve_load(&endpoint, self.backup_load());
+                let kept = KvSource { address: source, name: retained.handle };
+                Some(Backup { endpoint, address: source, version, source: kept, load_guard })
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Returns the address of `endpoint`, if it has the software version of `run`.
+    fn address_at_version(&self, endpoint: &EndpointId, run: &ContinuedRun) -> Option<SocketAddr> {
+        self.call.context.with(|state| {
+            let found = state.endpoints.get(endpoint)?;
+            (found.service_version == run.version).then_some(found.entry.address)
+        })
+    }
+}
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -10,6 +10,7 @@
 //! the generation needs.
 
 mod backup;
+mod handover;
 mod relay;
 mod resume;
 mod run;
@@ -192,9 +193,14 @@
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
         let mut from_backup = false;
-        let mut start = match self.call.caller.last_event_id {
-            Some(_) => self.take_up_stream().await,
-            None => self.start_run(StartFrom::Prompt).await,
+        let continued_run = match &self.call.origin {
+            Origin::Peer(offer) => offer.continued_run.clone(),
+            Origin::Caller => None,
+        };
+        let mut start = match (continued_run, self.call.caller.last_event_id) {
+            (Some(run), _) => self.take_over_run(run).await,
+            (None, Some(_)) => self.take_up_stream().await,
+            (None, None) => self.start_run(StartFrom::Prompt).await,
         };
         loop {
             let next_start = match start {
@@ -317,8 +323,7 @@
     /// Takes up a stream that another run began, here or at another VM: this one may have lost its
     /// links to the engines that can tell where the stream may go on.
     async fn take_up_stream(&mut self) -> StartOutcome {
-        if self.call.origin == Origin::Caller && self.call.context.is_cut_off(&self.call.service.id)
-        {
+        if self.call.origin == Origin::Caller && self.is_cut_off() {
             match self.call.forward(self.call.route.max_endpoints).await {
                 Some(Placed::Forwarded(reply)) => return StartOutcome::Forwarded(reply),
                 Some(Placed::ForwardLost) => return StartOutcome::ForwardLost,
@@ -397,6 +402,7 @@
                 address,
                 version,
                 continues_stream: self.version.is_some(),
+                is_at_peer: false,
                 response,
                 events: EventReader::default(),
                 backup,
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -2,6 +2,7 @@
 //! terminated or stalls.
 
 use super::Generation;
+use super::handover::Handovers;
 use super::run::{
     Backup, CopyTarget, PendingCopy, RelayEnd, Run, RunFailure, StartFrom, StartOutcome,
 };
@@ -24,10 +25,10 @@
 const CUTOVER_TIMEOUT_MS: u64 = 250;
 /// Timeout for copying the KV cache of a run to another engine, in milliseconds. Engines are
 /// terminated within seconds of their notice.
-const COPY_TIMEOUT_MS: u64 = 4_000;
+pub(super) const COPY_TIMEOUT_MS: u64 = 4_000;
 /// Once an event has been forwarded to the caller, a run counts as stalled after this many times
 /// the inter-event target of the route without an event.
-const STALL_PAUSE_FACTOR: u64 = 4;
+pub(super) const STALL_PAUSE_FACTOR: u64 = 4;
 /// Until the first event has been forwarded to the caller, a run counts as stalled after the
 /// latency target of the route plus this time, in milliseconds.
 const FIRST_EVENT_GRACE_MS: u64 = 700;
@@ -44,8 +45,13 @@
         let mut registry_changes = self.call.context.registry_changes();
         let mut pending_copy: Option<PendingCopy> = None;
         let mut copy_attempts = 0;
+        let mut handovers = Handovers::default();
         loop {
-            let stall_deadline = self.stall_deadline(&run);
+            let handover_deadline = self.handover_deadline(&run, &handovers);
+            let stall_deadline = match handover_deadline {
+                Some(_) if self.is_cut_off() => None,
+                _ => self.stall_deadline(&run),
+            };
             tokio::select! {
                 chunk = run.response.next_chunk() => {
                     let delivered = match chunk {
@@ -63,9 +69,11 @@
                             if !run.response.ends_with_connection() {
                                 self.call.record_sound_segments();
                             }
-                            self.call
-                                .context
-                                .record_outcome(&run.endpoint, RequestOutcome::Success);
+                            if !run.is_at_peer {
+                                self.call
+                                    .context
+                                    .record_outcome(&run.endpoint, RequestOutcome::Success);
+                            }
                             free_unused_copy(run.backup.take());
                             return RelayEnd::Complete;
                         }
@@ -75,6 +83,10 @@
                         info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
                             error = failure.cause(), events = self.delivered_events;
                             "engine stream failed");
+                        if run.is_at_peer {
+                            self.failed_runs += 1;
+                            return RelayEnd::Lost(Interruption::Disconnected, None);
+                        }
                         self.on_run_failed(&run.endpoint, &failure);
                         return RelayEnd::Lost(Interruption::Disconnected, run.backup);
                     }
@@ -87,6 +99,12 @@
                     // After a failed copy, the next engine is tried if attempts are left.
                     run.termination_handled &= copy_attempts >= MAX_COPY_ATTEMPTS;
                 }
+                () = sleep_until_deadline(handover_deadline) => {
+                    handovers.defer();
+                    if self.is_cut_off() {
+                        run = self.hand_over_run(run, &mut handovers).await;
+                    }
+                }
                 () = sleep_until_deadline(stall_deadline) => {
                     // The backup may have gone out of service in the meantime.
                     if self.stall_deadline(&run).is_none() {
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -56,6 +56,9 @@
     ///
     /// Returns an error if an earlier run began the stream: the event does not belong to it.
     pub(super) fn correct_version(&mut self, run: &mut Run) -> Result<(), RunFailure> {
+        if run.is_at_peer {
+            return Ok(());
+        }
         let registered = self.registered_version(&run.endpoint);
         let Some(version) = registered.filter(|version| *version != run.version) else {
             return Ok(());
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -79,6 +79,8 @@
     pub(super) version: ServiceVersion,
     /// Whether an earlier run began the stream.
     pub(super) continues_stream: bool,
+    /// Whether another VM relays the run, and has moved it away from `endpoint`.
+    pub(super) is_at_peer: bool,
     /// Response whose body is the event stream.
     pub(super) response: ResponseStream,
     /// Splits the response body into events.
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -112,7 +112,7 @@
     }
     let limits = context.with(|state| ingress_limits(state.table.as_deref()));
     let handler = service_fn(move |request| {
-        let context = context.clone();
+        let (context, origin) = (context.clone(), origin.clone());
         async move { Ok::<_, Infallible>(handle_request(context, request, origin).await) }
     });
     let connection = http1::Builder::new()
@@ -219,8 +219,8 @@
     let random_value = context.with(|state| state.rng.random::<u64>());
     let (mut route, service) =
         resolve_route(context, &table, &head, random_value).map_err(reject)?;
-    if let Origin::Peer { max_endpoints } = origin {
-        route.max_endpoints = route.max_endpoints.min(max_endpoints);
+    if let Origin::Peer(offer) = &origin {
+        route.max_endpoints = route.max_endpoints.min(offer.max_endpoints);
     }
     let customer = authenticate(context, &table, &route, &caller).map_err(reject)?;
     let limits = ingress_limits(Some(&table));
@@ -270,7 +270,7 @@
         }
         _ => {
             // The VM that forwards a request has counted it.
-            if origin == Origin::Caller {
+            if call.origin == Origin::Caller {
                 context.with(|state| state.retries.count_request(now, &call.service.id));
             }
             Ok(call)
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -333,3 +333,39 @@
         assert_eq!((reply.status, reply.complete), (200, true), "{n}: {}", reply.body);
     }
 }
+
+/// Guards against streams that end with the links of their VM although their engines and other VMs are
+/// sound.
+#[test]
+fn streams_under_way_go_on_through_another_vm() {
+    for cut in [Cut::Silent, Cut::RefusesNew] {
+        let fleet = Fleet::start(&["a", "b"]);
+        let slow = Behaviour::Streams { events: 120, event_interval_ms: 25 };
+        fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
+        let mut streams: Vec<_> = (0..4)
+            .map(|n| {
+                let request = generation_request("surveys", &format!("{cut:?}-{n}"));
+                request.send(fleet.daemons[0].address())
+            })
+            .collect();
+        let first: Vec<_> = streams
+            .iter_mut()
+            .map(|stream| stream.next_chunk().expect("open stream").expect("first event"))
+            .collect();
+        fleet.links[0].cut(cut);
+        // Other requests show that the links are lost.
+        let mut others: Vec<_> = (0..2)
+            .map(|n| {
+                let request = generation_request("surveys", &format!("other-{cut:?}-{n}"));
+                request.send(fleet.daemons[0].address())
+            })
+            .collect();
+        for (n, (stream, first)) in streams.into_iter().zip(first).enumerate() {
+            let rest = stream.read_to_end();
+            let id = format!("{cut:?}-{n}");
+            assert_eq!((rest.complete, first + &rest.body), (true, complete_stream(120)), "{id}");
+            assert!(fleet.state.longest_overlap_ms(&id) < 400, "{id}: two runs at once");
+        }
+        others.drain(..).for_each(|stream| assert!(stream.read_to_end().complete));
+    }
+}
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -269,6 +269,26 @@
     /// Service that the request is for.
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
+    /// Set if the request is a generation whose run goes on at an engine that the sender has lost its
+    /// links to. The receiver moves the run to another engine.
+    #[prost(message, optional, tag = "3")]
+    pub continued_run: ::core::option::Option<ContinuedRun>,
+}
+/// A run of a generation that another VM takes over.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ContinuedRun {
+    /// Engine of the run.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Hash that identifies the service and the version of its software.
+    #[prost(fixed64, tag = "2")]
+    pub version: u64,
+    /// Id of the last event that the caller has received.
+    #[prost(uint64, tag = "3")]
+    pub last_event_id: u64,
+    /// Number of events that the caller has received.
+    #[prost(uint64, tag = "4")]
+    pub events: u64,
 }
 /// Reply to a `ForwardOffer`.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
