A peer that reaches no engine either says so at once, and the next one is asked

Change: a peer connects to the engine first, for 150 ms, and refuses with no_reachable_endpoint, after which the next peer is asked; a failed connection counts for its own links.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -176,6 +176,10 @@
             let Some(connection) = self.offer_to(&peer, &offer).await else { continue };
             let response = self.send_to_peer(&peer, connection).await?;
             let request_id = self.caller.request_id.as_ref();
+            let reason = refusal_reason(&response.head.headers);
+            if reason == Some(RefusalReason::NoReachableEndpoint) {
+                continue;
+            }
             let kind = classify_response(response.head.status, &response.head.headers, request_id);
             return (kind == ResponseKind::Success).then_some(response);
         }
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -10,6 +10,8 @@
 use super::run::{Backup, Run, StartFrom, StartOutcome};
 use crate::events::{EventReader, EventSequence};
 use crate::forwarding::{ContinuedRun, Origin};
+use crate::placing::CONNECT_TIMEOUT_MS;
+use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, copy_kv_cache};
 use gypsumchute_routing::placement::{Placement, choose_migration_target};
@@ -25,7 +27,7 @@
 /// Interval between checks whether a silent run must be handed over, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 250;
 /// Timeout for the first event of a run that was handed over, in milliseconds.
-const HANDOVER_TIMEOUT_MS: u64 = 3_000;
+const HANDOVER_TIMEOUT_MS: u64 = 5_000;
 
 /// Attempts to hand a run over.
 #[derive(Debug, Default)]
@@ -98,7 +100,11 @@
         self.version = Some(run.version);
         self.call.switch_service(run.version);
         self.excluded.insert(run.endpoint.clone());
-        let lost = || StartOutcome::Refused(Refusal::may_have_run(RefusalReason::EndpointLost));
+        let refuse = |reason| StartOutcome::Refused(Refusal::may_have_run(reason));
+        if !self.can_reach(&run.endpoint).await {
+            return refuse(RefusalReason::NoReachableEndpoint);
+        }
+        let lost = || refuse(RefusalReason::EndpointLost);
         let Some(backup) = self.stop_and_copy(&run).await else { return lost() };
         match self.start_run(StartFrom::Backup(backup)).await {
             // The run was stopped and can't begin anew.
@@ -107,6 +113,27 @@
         }
     }
 
+    /// Reports whether a connection to `endpoint` can be established. A peer may have accepted the run
+    /// although it has lost its links as well.
+    async fn can_reach(&self, endpoint: &EndpointId) -> bool {
+        let context = &self.call.context;
+        let found =
+            context.with(|state| state.endpoints.get(endpoint).map(|found| found.entry.address));
+        let Some(address) = found else { return false };
+        let service = &self.call.service.id;
+        let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
+        match Connection::open(dialer, address, CONNECT_TIMEOUT_MS, timeouts).await {
+            Ok(_) => {
+                context.record_connected(service);
+                true
+            }
+            Err(_) => {
+                context.record_connect_failed(service, endpoint);
+                false
+            }
+        }
+    }
+
     /// Stops `run` and copies its memory. Returns the copy, at another engine or, if that has no room,
     /// at the engine of the run.
     async fn stop_and_copy(&self, run: &ContinuedRun) -> Option<Backup> {
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -21,7 +21,7 @@
 /// Timeout for connecting to an endpoint, in milliseconds. A connection normally takes a few
 /// milliseconds, but TCP retransmits a lost packet only after 1 s, so another endpoint is tried
 /// before that.
-const CONNECT_TIMEOUT_MS: u64 = 150;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 150;
 /// Number of failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
 /// The same where another VM is asked to serve the request as well.
