A request that may have run at a peer is not handed to the next one

Cause: found in reading the change: the reason no_reachable_endpoint alone sent a request on to the next peer, also with status 502, which a peer gives if the request had run there before it lost its links. The request could then run twice. Change: only the status that promises that it has not run leads on.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -22,7 +22,7 @@
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Fingerprint, Refusal, RefusalReason, ServiceId};
-use http::Response;
+use http::{Response, StatusCode};
 use log::{info, warn};
 use prost::Message;
 use rand::rngs::StdRng;
@@ -158,7 +158,12 @@
             };
             let reply = relay_response(response);
             match refusal_reason(reply.headers()) {
-                Some(RefusalReason::NoReachableEndpoint) => unreachable = Some(reply),
+                // With another status, the peer has run the request before it lost its links.
+                Some(RefusalReason::NoReachableEndpoint)
+                    if reply.status() == StatusCode::SERVICE_UNAVAILABLE =>
+                {
+                    unreachable = Some(reply);
+                }
                 _ => return Some(Placed::Forwarded(reply)),
             }
         }
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -207,13 +207,14 @@
     }
 }
 
-/// A peer VM that accepts requests and then breaks the connection without a reply.
-fn start_peer_that_loses_requests(daemon: &Daemon, zone: &str) -> Arc<AtomicU64> {
+/// Starts a peer VM that accepts requests, sends `reply` to each and breaks the connection. Returns the
+/// number of requests that it received.
+fn start_faulty_peer(daemon: &Daemon, zone: &str, reply: &'static str) -> Arc<AtomicU64> {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("free port");
     let address = socket.local_addr().expect("local address");
     let listener = TcpListener::bind(address).expect("the same port over TCP");
     let heartbeat = Heartbeat {
-        vm: "losing-peer".to_owned(),
+        vm: "faulty-peer".to_owned(),
         zone: zone.to_owned(),
         ip: Ipv4Addr::LOCALHOST.into(),
         port: address.port().into(),
@@ -242,6 +243,7 @@
             let mut first_bytes = [0; 16];
             stream.read_exact(&mut first_bytes).expect("a request");
             counter.fetch_add(1, Ordering::Relaxed);
+            stream.write_all(reply.as_bytes()).expect("write");
         }
     });
     lost
@@ -252,7 +254,7 @@
 #[test]
 fn a_request_that_was_lost_with_the_vm_that_took_it_may_have_run() {
     let fleet = Fleet::start(&["a"]);
-    let lost = start_peer_that_loses_requests(&fleet.daemons[0], "a");
+    let lost = start_faulty_peer(&fleet.daemons[0], "a", "");
     std::thread::sleep(Duration::from_millis(500));
     fleet.links[0].cut(Cut::Silent);
     for n in 1..=4 {
@@ -392,3 +394,20 @@
     // Each refused request has tried four endpoints.
     assert!(refused <= ENDPOINTS / 4, "{refused} of 40 requests refused");
 }
+
+/// Guards against a second run of a request that a peer could not run again after it may have run there.
+#[test]
+fn a_request_that_may_have_run_at_a_peer_is_not_handed_to_the_next_one() {
+    let reply = "HTTP/1.1 502 Bad Gateway\r\nrefusal-reason: no_reachable_endpoint\r\n\
+        Content-Length: 0\r\n\r\n";
+    let fleet = Fleet::start(&["a", "b"]);
+    let received = start_faulty_peer(&fleet.daemons[0], "a", reply);
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.links[0].cut(Cut::Silent);
+    for n in 1..=4 {
+        let id = format!("r{n}");
+        assert_eq!(fleet.send_order(0, &id).status, 502);
+        assert_eq!(received.load(Ordering::Relaxed), n);
+        assert_eq!(fleet.runs(&id), 0, "the request ran at another VM");
+    }
+}
