--- a/crates/routing/tests/testsuite/endpoint_links.rs
+++ b/crates/routing/tests/testsuite/endpoint_links.rs
@@ -16,7 +16,7 @@
 fn fail(links: &mut EndpointLinks, start_ms: u64, numbers: &[u32]) -> Vec<bool> {
     let times = (0..).map(|n| BootMs(start_ms + 100 * n));
     let failures = numbers.iter().zip(times).map(|(n, now)| {
-        drop(links.on_connect_failed(now, &service(), &endpoint(*n), 10));
+        links.on_connect_failed(now, &service(), &endpoint(*n), 10);
         links.are_lost(&service())
     });
     failures.collect()
@@ -66,7 +66,7 @@
     let mut links = EndpointLinks::default();
     let other: ServiceId = "engines".parse().expect("valid id");
     fail(&mut links, 0, &[1, 2]);
-    drop(links.on_connected(BootMs(250), &other));
+    links.on_connected(BootMs(250), &other);
     assert_eq!(fail(&mut links, 300, &[3]), [true]);
     assert!(!links.are_lost(&other));
     links.retain(|service| *service == other);
