--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -210,9 +210,13 @@
 /// Starts a peer VM that accepts requests, sends `reply` to each and breaks the connection. Returns the
 /// number of requests that it received.
 fn start_faulty_peer(daemon: &Daemon, zone: &str, reply: &'static str) -> Arc<AtomicU64> {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("free port");
-    let address = socket.local_addr().expect("local address");
-    let listener = TcpListener::bind(address).expect("the same port over TCP");
+    let mut attempts = (0..100).filter_map(|_| {
+        let listener = TcpListener::bind("127.0.0.1:0").ok()?;
+        let socket = UdpSocket::bind(listener.local_addr().ok()?).ok()?;
+        Some((listener, socket))
+    });
+    let (listener, socket) = attempts.next().expect("a port that is free for TCP and UDP");
+    let address = listener.local_addr().expect("local address");
     let heartbeat = Heartbeat {
         vm: "faulty-peer".to_owned(),
         zone: zone.to_owned(),
