--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/bin/bash
+# Builds the stand-ins of the cases with the standard library only, into target/review/.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for case in refused_forward lost_at_stop poison_query brittle_return cold_isolated; do
+  rustc --edition 2021 -O -o "target/review/$case" "review/standins/$case.rs"
+done
