--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -478,7 +478,7 @@
 }
 
 impl Registration {
-    /// Registers a replica. `warmup_left_ms` tells how much longer it stays cold.
+    /// Registers a replica of the software version `v1`.
     pub fn start<W>(
         store: &Arc<Store>,
         id: &str,
@@ -491,6 +491,26 @@
     where
         W: Fn() -> u64 + Send + 'static,
     {
+        let version = "v1";
+        Self::start_version(store, id, service, zone, address, slots, version, warmup_left_ms)
+    }
+
+    /// Registers a replica. `warmup_left_ms` tells how much longer it stays cold.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start_version<W>(
+        store: &Arc<Store>,
+        id: &str,
+        service: &str,
+        zone: &str,
+        address: SocketAddrV4,
+        slots: u32,
+        version: &str,
+        warmup_left_ms: W,
+    ) -> Registration
+    where
+        W: Fn() -> u64 + Send + 'static,
+    {
+        let version = version.to_owned();
         let (key, is_alive) = (format!("servers/{id}"), Arc::new(AtomicBool::new(true)));
         let cut: Arc<AtomicBool> = Arc::default();
         let registration = Registration {
@@ -508,7 +528,7 @@
             store.put(
                 &key,
                 &format!(
-                    "{{\"backend\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"warmupLeftMs\":{},\"phase\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\"born\":{born}}}",
+                    "{{\"backend\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\"slots\":{slots},\"state\":\"ready\",\"warmupLeftMs\":{},\"phase\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\"born\":{born}}}",
                     warmup_left_ms()
                 ),
             );
@@ -641,7 +661,11 @@
         );
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).expect("settings can't be written");
-        let log = File::create(self.folder.join(format!("{name}.log"))).expect("no log file");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))
+            .expect("no log file");
         let mut command = Command::new("target/release/gypsumchute-daemon");
         command.env_clear().env("GYPSUMCHUTE_CONFIG", &path);
         for name in ["PATH", "HOME", "LANG"] {
@@ -664,6 +688,22 @@
         let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
     }
 
+    /// Waits until the latest daemon of a machine has ended. Returns whether it has in time.
+    pub fn await_exit(&self, name: &str, timeout_ms: u64) -> bool {
+        let deadline_ms = now_ms() + timeout_ms;
+        while now_ms() < deadline_ms {
+            let mut children = CHILDREN.lock().unwrap();
+            let child = children.iter_mut().rev().find(|(other, _)| other == name);
+            if child.is_some_and(|(_, child)| matches!(child.try_wait(), Ok(Some(_)))) {
+                record(format!("the daemon of {name} has ended"));
+                return true;
+            }
+            drop(children);
+            sleep_ms(20);
+        }
+        false
+    }
+
     /// Waits until the daemons say that they are ready. Returns whether all are in time.
     pub fn await_ready(&self, names: &[&str], timeout_ms: u64) -> bool {
         let deadline_ms = now_ms() + timeout_ms;
@@ -726,6 +766,12 @@
     )
 }
 
+/// A route of streams that may be resumed.
+pub fn resumable_route(name: &str, service: &str, timeout_ms: u64, target_ms: u64) -> String {
+    route(name, "streaming", service, timeout_ms, target_ms, 2)
+        .replace("\"streamResume\":false", "\"streamResume\":true")
+}
+
 /// A plain service of the configuration.
 pub fn plain_service(name: &str, warmup_s: f64, warmup_per_s: f64) -> String {
     format!(
