--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -368,22 +368,42 @@
 pub struct Store {
     contents: Arc<(Mutex<Contents>, Condvar)>,
     server: Server,
+    /// While set, the store accepts connections and answers nothing.
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start(address: SocketAddrV4) -> io::Result<Arc<Store>> {
         let contents: Arc<(Mutex<Contents>, Condvar)> = Arc::default();
         contents.0.lock().unwrap().revision = 100;
-        let shared = contents.clone();
+        let (shared, is_silent) = (contents.clone(), Arc::new(AtomicBool::new(false)));
+        let silent = is_silent.clone();
         let server = Server::start(address, move |request, stream| {
             let body = answer_store_call(&shared, &request);
+            if silent.load(Ordering::SeqCst) {
+                // What was asked is never answered.
+                while !is_closed(stream) {
+                    sleep_ms(20);
+                }
+                return false;
+            }
             let headers = [
                 ("Content-Type", "application/json".to_owned()),
                 ("Store-Era", "1".to_owned()),
             ];
             respond(stream, "200 OK", &headers, body.as_bytes()).is_ok()
         })?;
-        Ok(Arc::new(Store { contents, server }))
+        Ok(Arc::new(Store { contents, server, is_silent }))
+    }
+
+    /// Makes the store fall silent, or answer again.
+    pub fn set_silent(&self, is_silent: bool) {
+        record(format!("the store is silent: {is_silent}"));
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.is_silent.load(Ordering::SeqCst)
     }
 
     pub fn address(&self) -> SocketAddrV4 {
@@ -524,6 +544,9 @@
         let (store, service, zone) = (store.clone(), service.to_owned(), zone.to_owned());
         let sequence = AtomicU64::new(0);
         let write = move || {
+            if store.is_silent() {
+                return;
+            }
             let sequence = sequence.fetch_add(1, Ordering::SeqCst);
             store.put(
                 &key,
@@ -559,6 +582,11 @@
         registration
     }
 
+    /// The replica has ended and starts again under its id before its entry is removed.
+    pub fn end_before_restart(&self) {
+        self.is_alive.store(false, Ordering::SeqCst);
+    }
+
     /// The replica has ended and writes no more. The store removes the entry after three
     /// heartbeats.
     pub fn fall_silent(&self) {
