--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -27,6 +27,8 @@
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 static CHILDREN: Mutex<Vec<(String, Child)>> = Mutex::new(Vec::new());
+/// Folder of the settings and logs of the daemons.
+static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
 /// Milliseconds since the start of the case.
 pub fn now_ms() -> u64 {
@@ -92,11 +94,15 @@
     std::process::exit(code);
 }
 
+/// Ends all processes that the case has started, and removes its temporary folder.
 fn end_children() {
     for (_, child) in CHILDREN.lock().unwrap().iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
     }
+    if let Some(folder) = FOLDER.get().filter(|_| std::env::var_os("KEEP_LOGS").is_none()) {
+        let _ = std::fs::remove_dir_all(folder);
+    }
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -665,6 +671,7 @@
         let machines = machines.collect();
         let folder = std::env::temp_dir().join(format!("gypsumchute-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("no temporary folder");
+        let _ = FOLDER.set(folder.clone());
         Fleet { machines, folder, grace_s: 8.0 }
     }
 
@@ -713,7 +720,7 @@
         let child = children.iter().rev().find(|(other, _)| other == name).map(|(_, child)| child);
         let pid = child.expect("no such daemon").id().to_string();
         record(format!("SIG{signal} to the daemon of {name}"));
-        let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
     }
 
     /// Waits until the latest daemon of a machine has ended. Returns whether it has in time.
@@ -763,14 +770,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = std::fs::remove_dir_all(&self.folder);
-        }
-    }
-}
-
 /// A configuration with one host, one tenant and the given routes and services (JSON objects).
 pub fn configuration(version: u64, routes: &[String], services: &[String]) -> String {
     format!(
