test: the stream that moves off a leaving engine no longer begins there by chance

Cause: the test sent one stream after the other, each of 3 s, until one began at the leaving engine, and gave up after 10 s. Streams choose between two empty engines at random, so four in a row begin at the other one in one of sixteen runs. Change: two streams begin side by side, the second at the engine that has none; exactly one of them must move, both must be whole and end at the engine that stays. No bound is wider.

--- a/crates/daemon/tests/testsuite/leaving_endpoints.rs
+++ b/crates/daemon/tests/testsuite/leaving_endpoints.rs
@@ -143,17 +143,21 @@
         ["engine-1", "engine-2"].map(start).into()
     });
     engines[0].set_leaving(true);
-    let mut notices = 0;
-    eventually("a stream that begins at the leaving engine and moves", || {
-        notices += 1;
-        let id = format!("r{notices}");
-        let reply = generation_request("surveys", &id).send_and_read(env.daemon.address());
+    // The second stream begins at the engine that has none.
+    let streams =
+        ["r1", "r2"].map(|id| (id, generation_request("surveys", id).send(env.daemon.address())));
+    let mut moves = 0;
+    for (id, stream) in streams {
+        let reply = stream.read_to_end();
         assert_eq!((reply.status, reply.complete), (200, true));
         assert_eq!(reply.body, complete_stream(60));
         let runs = env.endpoint_state.received_requests();
         let runs: Vec<_> = runs.iter().filter(|run| run.request_id() == id).collect();
-        runs[0].endpoint == "engine-1" && runs.last().is_some_and(|run| run.endpoint == "engine-2")
-    });
+        let last = runs.last().expect("a run");
+        assert_eq!(last.endpoint, "engine-2", "{id}");
+        moves += u32::from(runs[0].endpoint == "engine-1");
+    }
+    assert_eq!(moves, 1, "a stream that begins at the leaving engine and moves");
     let before = arrivals(&env.endpoint_state, "engine-1");
     let started = Instant::now();
     generation_request("surveys", "after").send_and_read(env.daemon.address());
