daemon: a request that was handed to a peer VM is never refused as not run

Cause: verdicts came from counters that each path kept. A send to an endpoint was counted before it was made, a hand-over to a peer after the peer's answer; the deadline and the exit end the wait in between.

Change: possible_runs, one record at the request. Each send, to an endpoint or a peer, counts before its first byte; only the endpoint's word or a peer's refusal that promises not_run discounts it; every refusal after admission takes its verdict from there, so that no path can forget it. The counters endpoints_used and possible_runs of the two kinds of request are gone. The request log names possible_runs.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -2,6 +2,8 @@
 
 use crate::context::Context;
 use crate::forwarding::Origin;
+use crate::possible_runs::PossibleRuns;
+use crate::reply::{self, Reply};
 use bytes::Bytes;
 use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::{
@@ -64,6 +66,8 @@
     pub random_value: u64,
     /// Who sent the request to this VM.
     pub origin: Origin,
+    /// Endpoints that may have run the request.
+    pub possible_runs: PossibleRuns,
 }
 
 impl Call {
@@ -150,6 +154,14 @@
         Refusal::not_run_retry_after(reason, after_ms)
     }
 
+    /// Counts `refusal` in the metrics and builds the reply for it, with the verdict that is true of
+    /// this request.
+    pub fn refuse(&self, refusal: Refusal) -> Reply {
+        let refusal = self.possible_runs.correct(refusal);
+        self.context.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
+        reply::refusal_reply(refusal)
+    }
+
     /// Returns the refusal if this is a poison request. Checked before each send, because the
     /// endpoints may have crashed while this request was waiting or running elsewhere.
     pub fn poison_refusal(&self) -> Option<Refusal> {
@@ -160,7 +172,8 @@
         Some(Refusal::not_run_retry_after(RefusalReason::PoisonRequest, refused_for_ms))
     }
 
-    /// Sends the request on `connection` and waits for the response head.
+    /// Sends the request on `connection` and waits for the response head. The send counts as a possible
+    /// run, unless the endpoint responds that it did not run the request.
     ///
     /// # Errors
     ///
@@ -189,9 +202,13 @@
             forwarding,
         );
         let started_wall_ms = self.context.endpoint_start_ms(endpoint);
+        let possible_run = self.possible_runs.begin(1);
         let response = connection.send(request).await?;
         let request_id = self.caller.request_id.as_ref();
         let kind = classify_response(response.head.status, &response.head.headers, request_id);
+        if matches!(kind, ResponseKind::NotRun | ResponseKind::WrongEndpoint) {
+            possible_run.disprove();
+        }
         if !matches!(kind, ResponseKind::Foreign | ResponseKind::WrongEndpoint) {
             let signs = EndpointSigns::of_response(response.head.status, &response.head.headers);
             self.context.record_endpoint_limit(endpoint, signs.limit);
@@ -278,6 +295,7 @@
             outcome,
             status,
             tries,
+            possible_runs = self.possible_runs.endpoints(),
             elapsed_ms,
             prompt_tokens = self.caller.prompt_tokens;
             "request ended"
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -10,7 +10,7 @@
 use crate::ingress;
 use crate::peer_sync::{FramedStream, codec, read_frame};
 use crate::placing::{EndpointConnection, LinkUse};
-use crate::reply::{Reply, ReplyBody, refusal_reason};
+use crate::reply::{Reply, ReplyBody, is_not_run_refusal, refusal_reason};
 use bytes::Bytes;
 use futures_util::SinkExt;
 use gypsumchute_exchange::{Connection, ResponseStream, TcpTimeouts, set_tcp_timeouts};
@@ -153,10 +153,14 @@
         let mut unreachable = None;
         for peer in self.peers_to_ask() {
             let Some(connection) = self.offer_to(&peer, &offer).await else { continue };
+            let possible_run = self.possible_runs.begin(max_endpoints);
             let Some(response) = self.send_to_peer(&peer, connection).await else {
                 return Some(Placed::ForwardLost);
             };
             let reply = relay_response(response);
+            if is_not_run_refusal(&reply) {
+                possible_run.disprove();
+            }
             match refusal_reason(reply.headers()) {
                 // With another status, the peer has run the request before it lost its links.
                 Some(RefusalReason::NoReachableEndpoint)
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -96,7 +96,8 @@
     pub(super) async fn take_over_run(&mut self, run: ContinuedRun) -> StartOutcome {
         self.sequence = EventSequence::resume_after(Some(run.last_event_id));
         self.delivered_events = run.events;
-        self.endpoints_used = 1;
+        // The run at the engine counts, whatever follows.
+        let _ = self.call.possible_runs.begin(1);
         self.version = Some(run.version);
         self.call.switch_service(run.version);
         self.excluded.insert(run.endpoint.clone());
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -86,8 +86,6 @@
     excluded: BTreeSet<EndpointId>,
     /// Number of times the request was sent to an engine.
     attempts: u32,
-    /// Number of endpoints that may have run the generation.
-    endpoints_used: u32,
     /// Number of runs that ended in a connection failure or an invalid response.
     failed_runs: u32,
     /// Number of engines that rejected the request without running it.
@@ -114,7 +112,6 @@
             delivered_events: 0,
             excluded: BTreeSet::new(),
             attempts: 0,
-            endpoints_used: 0,
             failed_runs: 0,
             rejections: 0,
             last_endpoint: None,
@@ -164,13 +161,15 @@
             GenerationEnd::Complete => ("answered", None),
             GenerationEnd::CallerDisconnected => ("caller_left", None),
             GenerationEnd::TimedOut => {
-                let refusal = match self.endpoints_used {
+                let refusal = match self.call.possible_runs.endpoints() {
                     0 => self.call.retryable_refusal(RefusalReason::NoRoom, 0),
                     _ => Refusal::may_have_run(RefusalReason::EndpointTimeout),
                 };
-                ("timed_out", Some(self.refuse(refusal)))
+                ("timed_out", Some(self.call.refuse(refusal)))
+            }
+            GenerationEnd::Refused(refusal) => {
+                (refusal.reason.into(), Some(self.call.refuse(refusal)))
             }
-            GenerationEnd::Refused(refusal) => (refusal.reason.into(), Some(self.refuse(refusal))),
             GenerationEnd::Failed(reply) => ("endpoint_error", Some(reply)),
             GenerationEnd::Forwarded(reply) => ("forwarded", Some(reply)),
         };
@@ -184,12 +183,6 @@
         }
     }
 
-    /// Counts `refusal` in the metrics and builds the reply for it.
-    fn refuse(&self, refusal: Refusal) -> Reply {
-        self.call.context.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
-        reply::refusal_reply(refusal)
-    }
-
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
         let mut from_backup = false;
@@ -213,12 +206,7 @@
                     self.after_loss(Interruption::Disconnected, None)
                 }
                 StartOutcome::NotRun => self.after_rejection(),
-                StartOutcome::Refused(refusal) if self.endpoints_used == 0 => {
-                    return GenerationEnd::Refused(refusal);
-                }
-                StartOutcome::Refused(refusal) => {
-                    return GenerationEnd::Refused(Refusal::may_have_run(refusal.reason));
-                }
+                StartOutcome::Refused(refusal) => return GenerationEnd::Refused(refusal),
                 StartOutcome::Failed(reply) => return GenerationEnd::Failed(reply),
                 StartOutcome::Forwarded(reply) => return GenerationEnd::Forwarded(reply),
                 StartOutcome::ForwardLost => {
@@ -243,7 +231,7 @@
         let service = &self.call.service.id;
         let may_retry =
             self.rejections < MAX_REJECTIONS && self.call.context.take_retry(service, "not_run");
-        match (may_retry, self.endpoints_used) {
+        match (may_retry, self.call.possible_runs.endpoints()) {
             (true, _) => Ok(StartFrom::Prompt),
             (false, 0) => Err(self
                 .call
@@ -288,7 +276,7 @@
                 .service
                 .engine
                 .is_some_and(|engine| engine.supports_kv_copy),
-            endpoints_used: self.endpoints_used,
+            endpoints_used: self.call.possible_runs.endpoints(),
             max_endpoints: self.call.route.max_endpoints,
             failed_endpoints: self.failed_runs,
         }
@@ -336,7 +324,7 @@
     /// Connects to an endpoint. While nothing was sent, another VM may serve the whole generation
     /// instead.
     async fn place(&self) -> Result<Placed, Refusal> {
-        let max_endpoints = match self.endpoints_used {
+        let max_endpoints = match self.call.possible_runs.endpoints() {
             0 => self.call.route.max_endpoints,
             _ => 0,
         };
@@ -364,10 +352,6 @@
             last_event: self.sequence.last_id(),
         };
         self.attempts += 1;
-        // Counted before the request is sent: if the deadline expires while the response is
-        // pending, the endpoint may have run the request. The count is reduced again if the
-        // endpoint reports that it did not.
-        self.endpoints_used += 1;
         let EndpointConnection { endpoint, address, version, connection, load_guard } = placed;
         self.last_endpoint = Some(endpoint.clone());
         self.run_alive_ms = Some(boot_now());
@@ -412,12 +396,8 @@
             })),
             // The engine does not hold this backup, but can still run the generation from the
             // prompt.
-            ResponseKind::NotRun if source.is_some() => {
-                self.endpoints_used -= 1;
-                StartOutcome::NotRun
-            }
+            ResponseKind::NotRun if source.is_some() => StartOutcome::NotRun,
             ResponseKind::NotRun | ResponseKind::WrongEndpoint => {
-                self.endpoints_used -= 1;
                 // An endpoint that asked for a pause is not at fault, and is passed over until its end.
                 if !self.call.context.has_pause(&endpoint) {
                     self.call.context.record_outcome(&endpoint, RequestOutcome::Rejected);
@@ -430,8 +410,8 @@
                 // If the run is still active at the old engine, its next copy must go to another
                 // engine than this one.
                 self.excluded.insert(endpoint);
-                if self.call.is_repeatable() && self.endpoints_used < self.call.route.max_endpoints
-                {
+                let used = self.call.possible_runs.endpoints();
+                if self.call.is_repeatable() && used < self.call.route.max_endpoints {
                     return StartOutcome::Lost(None);
                 }
                 let budget = &self.call.context.response_buffers;
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::context::Context;
 use crate::forwarding::Origin;
+use crate::possible_runs::PossibleRuns;
 use crate::reply::{self, Reply};
 use crate::{generation, plain};
 use bytes::Bytes;
@@ -262,6 +263,7 @@
         segments,
         random_value,
         origin,
+        possible_runs: PossibleRuns::default(),
     };
     let tokens = call.max_output_tokens();
     match shutdown_left_ms {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`ingress`] accepts callers' connections and admits their requests; a [`call`] is one admitted
 //!   request, and [`placing`] chooses its endpoint;
 //! - [`plain`] and [`generation`] send requests to endpoints, relay their responses ([`reply`]) and
-//!   split streams into [`events`];
+//!   split streams into [`events`]; [`possible_runs`] knows whether a request may have run;
 //! - [`forwarding`] hands requests to other VMs while this VM reaches no endpoint;
 //! - [`store_updates`] applies configuration and registry changes, which come from
 //!   [`store_reader`], from [`folder_reader`] or, through [`peer_sync`], from peers;
@@ -36,6 +36,7 @@
 pub mod peer_sync;
 pub mod placing;
 pub mod plain;
+pub mod possible_runs;
 pub mod process;
 pub mod registry_check;
 pub mod reload;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -3,7 +3,7 @@
 use crate::call::{Call, SendOptions};
 use crate::forwarding::Placed;
 use crate::placing::EndpointConnection;
-use crate::reply::{self, Reply, ReplyBody};
+use crate::reply::{Reply, ReplyBody};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
 use gypsumchute_platform::{ResponseKind, classify_response, endpoints};
@@ -46,7 +46,6 @@
         call,
         excluded: BTreeSet::new(),
         attempts: 0,
-        possible_runs: 0,
         last_endpoint: None,
         in_flight: None,
         is_answered: false,
@@ -70,8 +69,6 @@
     excluded: BTreeSet<EndpointId>,
     /// Number of times the request was sent to an endpoint.
     attempts: u32,
-    /// Number of endpoints that may have run the request.
-    possible_runs: u32,
     /// Endpoint that the request was last sent to.
     last_endpoint: Option<EndpointId>,
     /// Endpoint that has not responded yet, and when the request was sent.
@@ -103,13 +100,15 @@
     async fn run(&mut self) -> Reply {
         let mut failure: Option<Reply> = None;
         loop {
-            let endpoints_left = self.call.route.max_endpoints.saturating_sub(self.possible_runs);
+            let earlier_runs = self.call.possible_runs.endpoints();
+            let endpoints_left = self.call.route.max_endpoints.saturating_sub(earlier_runs);
             let placed =
                 match self.call.place_or_forward(&self.excluded, None, endpoints_left).await {
                     Ok(Placed::Direct(placed)) => placed,
-                    Ok(Placed::Forwarded(reply)) => return self.on_forwarded(reply, failure),
+                    Ok(Placed::Forwarded(reply)) => {
+                        return self.on_forwarded(reply, earlier_runs, failure);
+                    }
                     Ok(Placed::ForwardLost) => {
-                        self.possible_runs += endpoints_left;
                         return self.refuse_may_have_run(RefusalReason::EndpointLost);
                     }
                     Err(refusal) => {
@@ -156,13 +155,13 @@
     }
 
     /// Returns the reply for the caller to a request that another VM has served. That VM does not know
-    /// of the runs before, so that its refusal does not tell whether the request has run.
-    fn on_forwarded(&self, reply: Reply, failure: Option<Reply>) -> Reply {
+    /// of the `earlier_runs`, so that its refusal does not tell whether the request has run.
+    fn on_forwarded(&self, reply: Reply, earlier_runs: u32, failure: Option<Reply>) -> Reply {
         let request_id = self.call.caller.request_id.as_ref();
         let answer = classify_response(reply.status(), reply.headers(), request_id);
         match answer {
             ResponseKind::Success | ResponseKind::Failure => reply,
-            _ if self.possible_runs == 0 => reply,
+            _ if earlier_runs == 0 => reply,
             _ => failure.unwrap_or_else(|| self.refuse_may_have_run(RefusalReason::EndpointLost)),
         }
     }
@@ -171,7 +170,7 @@
     fn may_retry(&self) -> bool {
         let repeatable = self.call.route.kind == RouteKind::Idempotent;
         repeatable
-            && self.possible_runs < self.call.route.max_endpoints
+            && self.call.possible_runs.endpoints() < self.call.route.max_endpoints
             && self.call.remaining_ms() > 0
     }
 
@@ -179,7 +178,8 @@
     /// request may not run at another endpoint.
     fn attempt_timeout_ms(&self) -> u64 {
         let left_ms = self.call.remaining_ms();
-        let may_try_another = self.possible_runs + 1 < self.call.route.max_endpoints;
+        let may_try_another =
+            self.call.possible_runs.endpoints() + 1 < self.call.route.max_endpoints;
         match self.call.route.kind == RouteKind::Idempotent && may_try_another {
             true => left_ms.min(
                 (self.call.route.latency_target_ms * ATTEMPT_TIMEOUT_FACTOR)
@@ -227,9 +227,6 @@
                 endpoint = endpoint.as_str(), cause = cause.as_str();
                 "endpoint gave no usable response");
         }
-        if !matches!(sent, SendOutcome::NotRun) {
-            self.possible_runs += 1;
-        }
         if let Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) = &result
             && err.is_disconnect()
         {
@@ -249,8 +246,8 @@
     /// Refuses a request for which no endpoint is left. The reply carries `refusal` only if no
     /// endpoint can have run the request.
     fn refuse_exhausted(&self, refusal: Refusal) -> Reply {
-        match (self.possible_runs, refusal.reason) {
-            (0, _) => self.refuse(refusal),
+        match (self.call.possible_runs.endpoints(), refusal.reason) {
+            (0, _) => self.call.refuse(refusal),
             (_, RefusalReason::PoisonRequest) => self.refuse_may_have_run(refusal.reason),
             _ => self.refuse_may_have_run(RefusalReason::EndpointLost),
         }
@@ -258,21 +255,15 @@
 
     /// Refuses a request that is still in flight when the process exits.
     fn refuse_at_shutdown(&self) -> Reply {
-        match (self.possible_runs, &self.in_flight) {
-            (0, None) => self.refuse(self.call.retryable_refusal(RefusalReason::Draining, 0)),
+        match self.call.possible_runs.endpoints() {
+            0 => self.call.refuse(self.call.retryable_refusal(RefusalReason::Draining, 0)),
             _ => self.refuse_may_have_run(RefusalReason::EndpointTimeout),
         }
     }
 
-    /// Counts `refusal` in the metrics and builds the reply for it.
-    fn refuse(&self, refusal: Refusal) -> Reply {
-        self.call.context.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
-        reply::refusal_reply(refusal)
-    }
-
     /// Refuses a request that an endpoint may have run.
     fn refuse_may_have_run(&self, reason: RefusalReason) -> Reply {
-        self.refuse(Refusal::may_have_run(reason))
+        self.call.refuse(Refusal::may_have_run(reason))
     }
 }
 
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -20,6 +20,16 @@
     headers.get(REFUSAL_REASON)?.to_str().ok()?.parse().ok()
 }
 
+/// Reports whether `reply` is a refusal of another VM which promises that the request has not run.
+pub fn is_not_run_refusal(reply: &Reply) -> bool {
+    refusal_reason(reply.headers()).is_some() && promises_not_run(reply.status())
+}
+
+/// Reports whether `status` promises to callers that the request has not run, and will not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status)
+}
+
 /// Aborts a response stream, so that the caller can tell that the stream is incomplete.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamAborted;
@@ -107,10 +117,8 @@
 pub fn refusal_status(refusal: Refusal) -> StatusCode {
     let status =
         StatusCode::from_u16(refusal.reason.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let promises_not_run =
-        [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status);
     match refusal.verdict {
-        Verdict::MayHaveRun if promises_not_run => StatusCode::BAD_GATEWAY,
+        Verdict::MayHaveRun if promises_not_run(status) => StatusCode::BAD_GATEWAY,
         _ => status,
     }
 }
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -1,81 +1,19 @@
 //! VMs that have lost their links to all endpoints, while callers, the store and other VMs still reach
 //! them.
 
+use crate::faulty_peer::{FaultyPeer, PeerBehaviour};
 use crate::links::{ALL_CUTS, Cut, Links};
 use crate::support::{
     API_KEY, Daemon, complete_stream, configured_store, eventually, generation_request,
     register_endpoint,
 };
+use crate::zoned_fleet::ZonedFleet;
 use gypsumchute_config::ConfigSource;
-use gypsumchute_fleet::messages::datagram::Body;
-use gypsumchute_fleet::messages::{Datagram, ForwardAnswer, Heartbeat};
-use gypsumchute_platform_standin::{
-    Behaviour, CallerRequest, CompleteResponse, Endpoint, SharedEndpointState, Store,
-};
-use prost::Message;
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, TcpListener, UdpSocket};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use gypsumchute_platform_standin::{Behaviour, CallerRequest, Endpoint, SharedEndpointState};
 use std::time::{Duration, Instant};
 
-/// VMs and endpoints of the zones `a` and `b`: in each zone, two engines and two replicas of a plain
-/// service.
-struct Fleet {
-    state: SharedEndpointState,
-    daemons: Vec<Daemon>,
-    links: Vec<Links>,
-    endpoints: Vec<Endpoint>,
-    store: Store,
-}
-
-impl Fleet {
-    /// Starts a VM in each of `zones`, and waits until the VMs know each other.
-    fn start(zones: &[&str]) -> Self {
-        let (store, state) = (configured_store(), SharedEndpointState::default());
-        let streams = Behaviour::Streams { events: 5, event_interval_ms: 10 };
-        let mut endpoints = Vec::new();
-        for zone in ["a", "b"] {
-            for n in 1..=2 {
-                let engine = Endpoint::start(&state, &format!("engine-{zone}-{n}"), streams);
-                register_endpoint(&store, &engine, "engines", zone, "ready");
-                let book =
-                    Endpoint::start(&state, &format!("book-{zone}-{n}"), Behaviour::Succeeds);
-                register_endpoint(&store, &book, "books", zone, "ready");
-                endpoints.extend([engine, book]);
-            }
-        }
-        let mut fleet = Fleet { state, daemons: vec![], links: vec![], endpoints, store };
-        zones.iter().for_each(|zone| fleet.add_daemon(zone));
-        fleet.daemons.iter().for_each(|daemon| daemon.wait_ready(true));
-        std::thread::sleep(Duration::from_millis(1_000));
-        fleet
-    }
-
-    fn add_daemon(&mut self, zone: &str) {
-        let links = Links::with_proxies();
-        let source = ConfigSource::Store(self.store.address());
-        let vm = format!("vm-{}", self.daemons.len() + 1);
-        let seeds: Vec<_> = self.daemons.iter().map(|d| d.settings.peers_listen).collect();
-        self.daemons.push(Daemon::start_behind(&links, source, &vm, zone, &seeds));
-        self.links.push(links);
-    }
-
-    /// Sends the order `id` to the VM with this index.
-    fn send_order(&self, vm: usize, id: &str) -> CompleteResponse {
-        let request = CallerRequest::new("POST /orders/x", id, API_KEY);
-        request.body(&format!("order {id}")).send_and_read(self.daemons[vm].address())
-    }
-
-    /// Returns how often an endpoint ran the request `id`.
-    fn runs(&self, id: &str) -> usize {
-        let received = self.state.received_requests();
-        received.iter().filter(|r| r.executed && r.request_id() == id).count()
-    }
-}
-
 /// Sends requests of each kind to the first VM, and asserts that all are served, each by one run.
-fn assert_all_served(fleet: &Fleet, label: &str, count: usize) {
+fn assert_all_served(fleet: &ZonedFleet, label: &str, count: usize) {
     for n in 0..count {
         let id = format!("{label}-{n}");
         let order = fleet.send_order(0, &format!("order-{id}"));
@@ -97,7 +35,7 @@
 #[test]
 fn a_vm_without_links_to_endpoints_has_its_requests_served_by_another_vm() {
     for cut in ALL_CUTS {
-        let fleet = Fleet::start(&["a", "b"]);
+        let fleet = ZonedFleet::start(&["a", "b"]);
         assert_all_served(&fleet, "before", 2);
         fleet.links[0].cut(cut);
         assert_all_served(&fleet, &format!("{cut:?}"), 6);
@@ -109,7 +47,7 @@
 /// Guards against each request paying for connection attempts that the VM knows to be in vain.
 #[test]
 fn a_vm_that_knows_that_its_links_are_gone_does_not_try_them_for_each_request() {
-    let fleet = Fleet::start(&["a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "b"]);
     fleet.links[0].cut(Cut::Silent);
     assert_all_served(&fleet, "first", 4);
     for n in 0..10 {
@@ -122,7 +60,7 @@
 /// Guards against a zone whose VMs have all lost their links being served by none.
 #[test]
 fn a_zone_whose_vms_have_all_lost_their_links_is_served_by_the_other_zone() {
-    let fleet = Fleet::start(&["a", "a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "a", "b"]);
     fleet.links[..2].iter().for_each(|links| links.cut(Cut::Silent));
     // Both VMs of the zone learn that their links are gone.
     (0..3).for_each(|n| drop(fleet.send_order(1, &format!("other-vm-{n}"))));
@@ -132,7 +70,7 @@
 /// Guards against requests that are passed round in circles where no VM reaches an endpoint.
 #[test]
 fn where_no_vm_reaches_an_endpoint_requests_are_refused_as_not_run() {
-    let fleet = Fleet::start(&["a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "b"]);
     fleet.links.iter().for_each(|links| links.cut(Cut::Silent));
     for n in 0..4 {
         for vm in 0..2 {
@@ -149,7 +87,7 @@
 /// Guards against a VM that stays dependent on others once its links are back.
 #[test]
 fn a_vm_whose_links_are_back_uses_them_again() {
-    let mut fleet = Fleet::start(&["a", "b"]);
+    let mut fleet = ZonedFleet::start(&["a", "b"]);
     fleet.links[0].cut(Cut::Silent);
     assert_all_served(&fleet, "cut", 4);
     fleet.links[0].restore();
@@ -162,7 +100,7 @@
 /// Guards against runs that go on for callers who have left.
 #[test]
 fn a_run_at_another_vm_ends_when_its_caller_leaves() {
-    let fleet = Fleet::start(&["a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "b"]);
     let slow = Behaviour::Streams { events: 400, event_interval_ms: 20 };
     fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
     fleet.links[0].cut(Cut::Silent);
@@ -179,7 +117,7 @@
 /// Guards against neighbours that avoid sound endpoints because a VM without links reported them.
 #[test]
 fn the_links_of_one_vm_do_not_make_endpoints_suspect_for_its_neighbours() {
-    let fleet = Fleet::start(&["a", "a"]);
+    let fleet = ZonedFleet::start(&["a", "a"]);
     fleet.links[0].cut(Cut::Silent);
     assert_all_served(&fleet, "cut", 4);
     std::thread::sleep(Duration::from_millis(3_000));
@@ -195,7 +133,7 @@
 /// Guards against a VM that counts its links as sound because those to another service are.
 #[test]
 fn a_vm_without_links_to_one_service_has_its_requests_served_by_another_vm() {
-    let fleet = Fleet::start(&["a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "b"]);
     let books = fleet.endpoints.iter().filter(|endpoint| endpoint.id.starts_with("book"));
     fleet.links[0].cut_to(books.map(Endpoint::address), Cut::Silent);
     assert_all_served(&fleet, "first", 3);
@@ -207,65 +145,19 @@
     }
 }
 
-/// Starts a peer VM that accepts requests, sends `reply` to each and breaks the connection. Returns the
-/// number of requests that it received.
-fn start_faulty_peer(daemon: &Daemon, zone: &str, reply: &'static str) -> Arc<AtomicU64> {
-    let mut attempts = (0..100).filter_map(|_| {
-        let listener = TcpListener::bind("127.0.0.1:0").ok()?;
-        let socket = UdpSocket::bind(listener.local_addr().ok()?).ok()?;
-        Some((listener, socket))
-    });
-    let (listener, socket) = attempts.next().expect("a port that is free for TCP and UDP");
-    let address = listener.local_addr().expect("local address");
-    let heartbeat = Heartbeat {
-        vm: "faulty-peer".to_owned(),
-        zone: zone.to_owned(),
-        ip: Ipv4Addr::LOCALHOST.into(),
-        port: address.port().into(),
-        ..Heartbeat::default()
-    };
-    let datagram = Datagram { body: Some(Body::Heartbeat(heartbeat)) }.encode_to_vec();
-    let target = daemon.settings.peers_listen;
-    let lost = Arc::new(AtomicU64::new(0));
-    let counter = lost.clone();
-    std::thread::spawn(move || {
-        for _ in 0..200 {
-            // The daemon may have ended.
-            let _ = socket.send_to(&datagram, target);
-            std::thread::sleep(Duration::from_millis(50));
-        }
-    });
-    std::thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let mut length = [0; 4];
-            stream.read_exact(&mut length).expect("frame length");
-            let mut offer = vec![0; u32::from_be_bytes(length) as usize];
-            stream.read_exact(&mut offer).expect("frame");
-            let answer = ForwardAnswer { accepted: true }.encode_to_vec();
-            stream.write_all(&(answer.len() as u32).to_be_bytes()).expect("write");
-            stream.write_all(&answer).expect("write");
-            let mut first_bytes = [0; 16];
-            stream.read_exact(&mut first_bytes).expect("a request");
-            counter.fetch_add(1, Ordering::Relaxed);
-            stream.write_all(reply.as_bytes()).expect("write");
-        }
-    });
-    lost
-}
-
 /// Guards against a request that is called not run, or is sent again, after the VM that took it
 /// vanished.
 #[test]
 fn a_request_that_was_lost_with_the_vm_that_took_it_may_have_run() {
-    let fleet = Fleet::start(&["a"]);
-    let lost = start_faulty_peer(&fleet.daemons[0], "a", "");
+    let fleet = ZonedFleet::start(&["a"]);
+    let lost = FaultyPeer::start(&fleet.daemons[0], "a", PeerBehaviour::Replies(""));
     std::thread::sleep(Duration::from_millis(500));
     fleet.links[0].cut(Cut::Silent);
     for n in 1..=4 {
         let reply = fleet.send_order(0, &format!("r{n}"));
         assert_eq!(reply.status, 502, "{}", reply.body);
         assert!(reply.body.contains("may_have_run"), "{}", reply.body);
-        assert_eq!(lost.load(Ordering::Relaxed), n, "the request was sent once");
+        assert_eq!(lost.received_requests(), n, "the request was sent once");
     }
     let survey = generation_request("surveys", "survey").send_and_read(fleet.daemons[0].address());
     assert_eq!(survey.status, 502, "{}", survey.body);
@@ -274,7 +166,7 @@
 /// Guards against a termination notice that stays with the VM that served a forwarded request.
 #[test]
 fn a_vm_without_links_learns_that_an_endpoint_is_leaving() {
-    let fleet = Fleet::start(&["a", "a"]);
+    let fleet = ZonedFleet::start(&["a", "a"]);
     let books: Vec<_> = fleet.endpoints.iter().filter(|e| e.id.starts_with("book-a")).collect();
     fleet.links[0].cut(Cut::Silent);
     assert_all_served(&fleet, "before", 3);
@@ -294,7 +186,7 @@
 /// Guards against forwarded requests that disturb a pause, which an endpoint asked the other VM for.
 #[test]
 fn forwarded_requests_keep_the_pause_of_the_vm_that_sends_them() {
-    let fleet = Fleet::start(&["a", "a"]);
+    let fleet = ZonedFleet::start(&["a", "a"]);
     let book = fleet.endpoints.iter().find(|e| e.id == "book-a-1").expect("endpoint");
     fleet.links[0].cut(Cut::Silent);
     assert_all_served(&fleet, "before", 3);
@@ -315,7 +207,7 @@
 /// their answers began.
 #[test]
 fn runs_that_end_with_the_links_are_not_held_against_their_prompts() {
-    let fleet = Fleet::start(&["a", "a", "b"]);
+    let fleet = ZonedFleet::start(&["a", "a", "b"]);
     let slow = Behaviour::Streams { events: 400, event_interval_ms: 20 };
     fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
     let streams: Vec<_> = (0..12)
@@ -345,7 +237,7 @@
 #[test]
 fn streams_under_way_go_on_through_another_vm() {
     for cut in [Cut::Silent, Cut::RefusesNew] {
-        let fleet = Fleet::start(&["a", "b"]);
+        let fleet = ZonedFleet::start(&["a", "b"]);
         let slow = Behaviour::Streams { events: 120, event_interval_ms: 25 };
         fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
         let mut streams: Vec<_> = (0..4)
@@ -404,14 +296,14 @@
 fn a_request_that_may_have_run_at_a_peer_is_not_handed_to_the_next_one() {
     let reply = "HTTP/1.1 502 Bad Gateway\r\nrefusal-reason: no_reachable_endpoint\r\n\
         Content-Length: 0\r\n\r\n";
-    let fleet = Fleet::start(&["a", "b"]);
-    let received = start_faulty_peer(&fleet.daemons[0], "a", reply);
+    let fleet = ZonedFleet::start(&["a", "b"]);
+    let received = FaultyPeer::start(&fleet.daemons[0], "a", PeerBehaviour::Replies(reply));
     std::thread::sleep(Duration::from_millis(500));
     fleet.links[0].cut(Cut::Silent);
     for n in 1..=4 {
         let id = format!("r{n}");
         assert_eq!(fleet.send_order(0, &id).status, 502);
-        assert_eq!(received.load(Ordering::Relaxed), n);
+        assert_eq!(received.received_requests(), n);
         assert_eq!(fleet.runs(&id), 0, "the request ran at another VM");
     }
 }
