entry: a request whose retry gets no decision may have run

Callers of the entry and control pair saw 503 not_run with a time to return for a call or a generation that an endpoint had received, if the control process ended before it decided on the retry.

The verdict of a refusal came from the event that ended the wait, and nothing recorded that an earlier endpoint may have run the request. A control process that starts anew doesn't know either, so that its refusals, and the end of the claim of an idempotency key, were wrong too.

Change: the session of a request records that it may have run, when it asks for another endpoint, and corrects every refusal and report after that. A refusal that may have run is never sent with a status that promises the contrary: the mapping, so far the daemon's, stands in units and serves both.

--- a/crates/daemon/src/possible_runs.rs
+++ b/crates/daemon/src/possible_runs.rs
@@ -4,7 +4,7 @@
 //! that it did not lead to a run. A task that is cancelled while it waits for a response therefore
 //! leaves the send counted, whatever ended the wait.
 
-use gypsumchute_units::{Refusal, Verdict};
+use gypsumchute_units::Refusal;
 use std::cell::Cell;
 
 /// Number of endpoints that may have run a request.
@@ -26,13 +26,9 @@
         self.endpoints.get()
     }
 
-    /// Returns `refusal` with its verdict corrected: nothing is called "not run" that may have run,
-    /// and no retry is asked for then.
+    /// Returns `refusal` with the verdict that is true of the request.
     pub fn correct(&self, refusal: Refusal) -> Refusal {
-        match refusal.verdict {
-            Verdict::NotRun if self.endpoints() > 0 => Refusal::may_have_run(refusal.reason),
-            Verdict::NotRun | Verdict::MayHaveRun => refusal,
-        }
+        refusal.corrected(self.endpoints() > 0)
     }
 }
 
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use gypsumchute_exchange::ResponseStream;
-use gypsumchute_units::{Refusal, RefusalReason, Verdict};
+use gypsumchute_units::{Refusal, RefusalReason, promises_not_run};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
@@ -22,12 +22,7 @@
 
 /// Reports whether `reply` is a refusal of another VM which promises that the request has not run.
 pub fn is_not_run_refusal(reply: &Reply) -> bool {
-    refusal_reason(reply.headers()).is_some() && promises_not_run(reply.status())
-}
-
-/// Reports whether `status` promises to callers that the request has not run, and will not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status)
+    refusal_reason(reply.headers()).is_some() && promises_not_run(reply.status().as_u16())
 }
 
 /// Aborts a response stream, so that the caller can tell that the stream is incomplete.
@@ -112,26 +107,16 @@
     reply
 }
 
-/// Returns the HTTP status for `refusal`. Statuses 429 and 503 guarantee that the request has not
-/// run, so a request that may have run gets 502 instead.
-pub fn refusal_status(refusal: Refusal) -> StatusCode {
-    let status =
-        StatusCode::from_u16(refusal.reason.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    match refusal.verdict {
-        Verdict::MayHaveRun if promises_not_run(status) => StatusCode::BAD_GATEWAY,
-        _ => status,
-    }
-}
-
 /// Builds the reply that carries `refusal`.
 pub fn refusal_reply(refusal: Refusal) -> Reply {
+    let status = StatusCode::from_u16(refusal.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let body = format!(
         "{{\"reason\":\"{}\",\"verdict\":\"{}\",\"message\":\"{}\"}}\n",
         refusal.reason,
         refusal.verdict,
         refusal.reason.message()
     );
-    let mut reply = full_reply(refusal_status(refusal), Bytes::from(body));
+    let mut reply = full_reply(status, Bytes::from(body));
     let headers = reply.headers_mut();
     headers.insert(REFUSAL_REASON, HeaderValue::from_static(refusal.reason.into()));
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/entry/src/application.rs
+++ b/crates/entry/src/application.rs
@@ -8,7 +8,7 @@
 use crate::callers_http::Request;
 use crate::engine::{CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS};
 use crate::link::{ControlEvent, ControlSession};
-use crate::responses::{self, refusal_from_message};
+use crate::responses::{self, refusal_from_event};
 use crate::server::{EntryState, RequestContext};
 use gypsumchute_decide::idempotency::MAX_KEPT_ANSWER_BYTES;
 use gypsumchute_proto::local::{Admit, Finished, Granted, Replay, RequestKind};
@@ -94,16 +94,13 @@
                 record.add_step("replayed the stored response of the idempotency key");
                 return send_replay(entry, &context, request, replay);
             }
-            ControlEvent::Refused(refused) => {
-                let refusal = refusal_from_message(&refused);
+            other => {
+                let refusal = session.correct(refusal_from_event(&other));
                 let not_run = refusal.verdict == Verdict::NotRun;
-                session.finish(Finished { not_run, stopped: true, ..Finished::default() });
+                let stopped = matches!(other, ControlEvent::Refused(_));
+                session.finish(Finished { not_run, stopped, ..Finished::default() });
                 return entry.refuse(&context, request, &refusal, "");
             }
-            other => {
-                session.finish(Finished { not_run: true, ..Finished::default() });
-                return entry.refuse_not_granted(&context, Some(request), &other);
-            }
         };
         record.set_customer(&granted.customer);
         record.add_step(format!("granted endpoint {}", granted.endpoint));
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -8,7 +8,7 @@
 use crate::engine::{self, GenerationReader, ReadOutcome, StartError};
 use crate::link::{ControlEvent, ControlSession};
 use crate::request_history::RecordHandle;
-use crate::responses::{self, EventStream, refusal_from_message};
+use crate::responses::{self, EventStream, refusal_from_event};
 use crate::server::{EntryState, RequestContext};
 use gypsumchute_proto::local::{Admit, Finished, Granted, RequestKind};
 use gypsumchute_units::rendezvous::hash64;
@@ -87,8 +87,12 @@
         let granted = match session.wait_for_decision() {
             ControlEvent::Granted(granted) => granted,
             other => {
+                let refusal = session.correct(refusal_from_event(&other));
                 session.finish(not_run());
-                return entry.refuse_not_granted(&context, sink.into_request(), &other);
+                if let Some(request) = sink.into_request() {
+                    entry.refuse(&context, request, &refusal, "");
+                }
+                return;
             }
         };
         record.set_customer(&granted.customer);
@@ -427,29 +431,3 @@
         }
     }
 }
-
-impl EntryState {
-    /// Refuses a request that was granted no endpoint, because the control process refused or
-    /// cancelled the request or gave no decision. Unexpected events count as no decision. Does
-    /// nothing if the response has been started.
-    pub fn refuse_not_granted(
-        &self,
-        context: &RequestContext,
-        request: Option<Request<'_>>,
-        event: &ControlEvent,
-    ) {
-        let refusal = match event {
-            ControlEvent::Refused(refused) => refusal_from_message(refused),
-            ControlEvent::Stop(stop) => {
-                let reason = stop.reason.parse().unwrap_or(RefusalReason::KeyWithdrawn);
-                Refusal::not_run(reason)
-            }
-            ControlEvent::Granted(_)
-            | ControlEvent::Replay(_)
-            | ControlEvent::ControlUnavailable => responses::control_unavailable(),
-        };
-        if let Some(request) = request {
-            self.refuse(context, request, &refusal, "");
-        }
-    }
-}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -11,6 +11,8 @@
     ToControl, ToEntry, to_control, to_entry,
 };
 use gypsumchute_proto::{FrameReader, FrameWriter};
+use gypsumchute_units::Refusal;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -199,7 +201,14 @@
         }
         state.requests.insert(request, InFlightRequest { admit, customer: None, event_sender });
         drop(state);
-        ControlSession { link: self.clone(), request, event_receiver, finished: false }
+        let may_have_run = Cell::new(false);
+        ControlSession {
+            link: self.clone(),
+            request,
+            event_receiver,
+            may_have_run,
+            finished: false,
+        }
     }
 }
 
@@ -229,6 +238,8 @@
     link: ControlLink,
     request: u64,
     event_receiver: Receiver<ControlEvent>,
+    /// Whether an earlier endpoint may have run the request.
+    may_have_run: Cell<bool>,
     finished: bool,
 }
 
@@ -251,6 +262,9 @@
     /// Requests another endpoint. `crashed` reports that the endpoint went down while it ran the
     /// request. `stopped` reports that the endpoint certainly does not run the request.
     pub fn request_retry(&self, crashed: bool, stopped: bool) {
+        if crashed || !stopped {
+            self.may_have_run.set(true);
+        }
         let mut state = self.link.lock();
         if let Some(request) = state.requests.get_mut(&self.request) {
             request.customer = None;
@@ -263,6 +277,11 @@
         }
     }
 
+    /// Returns `refusal` with the verdict that is true of the request.
+    pub fn correct(&self, refusal: Refusal) -> Refusal {
+        refusal.corrected(self.may_have_run.get())
+    }
+
     /// Reports the end of the request.
     pub fn finish(mut self, finished: Finished) {
         self.send_finished(finished);
@@ -272,6 +291,7 @@
     fn send_finished(&mut self, mut finished: Finished) {
         self.finished = true;
         finished.request = self.request;
+        finished.not_run &= !self.may_have_run.get();
         let mut state = self.link.lock();
         state.requests.remove(&self.request);
         state.send(to_control::Body::Finished(finished));
--- a/crates/entry/src/responses.rs
+++ b/crates/entry/src/responses.rs
@@ -1,6 +1,7 @@
 //! Responses to callers: refusals as JSON, complete bodies, and streams of server-sent events.
 
 use crate::callers_http::{ChunkWriter, Request};
+use crate::link::ControlEvent;
 use gypsumchute_units::{Refusal, RefusalReason, Verdict};
 use serde_json::json;
 use std::io;
@@ -37,7 +38,7 @@
         let seconds = retry_after_ms.div_ceil(1_000).max(1);
         headers.push(("Retry-After".to_owned(), seconds.to_string()));
     }
-    let _ = request.respond(refusal.reason.http_status(), &headers, text.as_bytes());
+    let _ = request.respond(refusal.http_status(), &headers, text.as_bytes());
 }
 
 /// Sends a response with a complete body.
@@ -124,8 +125,22 @@
     }
 }
 
+/// Returns the refusal of a request that was granted no endpoint, because the control process refused
+/// or cancelled the request or gave no decision. Unexpected events count as no decision.
+pub fn refusal_from_event(event: &ControlEvent) -> Refusal {
+    match event {
+        ControlEvent::Refused(refused) => refusal_from_message(refused),
+        ControlEvent::Stop(stop) => {
+            Refusal::not_run(stop.reason.parse().unwrap_or(RefusalReason::KeyWithdrawn))
+        }
+        ControlEvent::Granted(_) | ControlEvent::Replay(_) | ControlEvent::ControlUnavailable => {
+            control_unavailable()
+        }
+    }
+}
+
 /// Returns the refusal that a message of the control process describes.
-pub fn refusal_from_message(refused: &gypsumchute_proto::local::Refused) -> Refusal {
+fn refusal_from_message(refused: &gypsumchute_proto::local::Refused) -> Refusal {
     Refusal {
         reason: refused.reason.parse().unwrap_or(RefusalReason::ControlUnavailable),
         verdict: if refused.may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun },
@@ -134,6 +149,6 @@
 }
 
 /// Returns the refusal for a request that was not sent because the control process is unavailable.
-pub fn control_unavailable() -> Refusal {
+fn control_unavailable() -> Refusal {
     Refusal::not_run_retry_after(RefusalReason::ControlUnavailable, 500)
 }
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -8,7 +8,7 @@
 use crate::engine::{self, ReadOutcome};
 use crate::generation::ID_SEPARATOR;
 use crate::link::{ControlEvent, ControlSession};
-use crate::responses::EventStream;
+use crate::responses::{EventStream, refusal_from_event};
 use crate::server::{EntryState, RequestContext};
 use gypsumchute_proto::local::{Admit, Finished, Granted, RequestKind};
 use gypsumchute_units::{Refusal, RefusalReason};
@@ -39,7 +39,7 @@
         ControlEvent::Granted(granted) => granted,
         other => {
             session.finish(Finished { not_run: true, ..Finished::default() });
-            return entry.refuse_not_granted(&context, Some(request), &other);
+            return entry.refuse(&context, request, &refusal_from_event(&other), "");
         }
     };
     context.record.set_customer(&granted.customer);
--- a/crates/entry/tests/testsuite/main.rs
+++ b/crates/entry/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! Tests of the entry process against raw connections.
+
+mod verdicts;
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -14,5 +14,5 @@
     SoftwareVersion, VmId, ZoneId,
 };
 pub use rate::{NanoTokens, RequestRate};
-pub use refusal::{Refusal, RefusalReason, Verdict};
+pub use refusal::{Refusal, RefusalReason, Verdict, promises_not_run};
 pub use time::BootMs;
--- a/crates/units/src/refusal.rs
+++ b/crates/units/src/refusal.rs
@@ -199,4 +199,28 @@
     pub fn may_have_run(reason: RefusalReason) -> Self {
         Refusal { reason, verdict: Verdict::MayHaveRun, retry_after_ms: None }
     }
+
+    /// Returns the refusal with the verdict that is true of a request that `may_have_run`. The caller is
+    /// not asked to retry such a request.
+    pub fn corrected(self, may_have_run: bool) -> Self {
+        match self.verdict {
+            Verdict::NotRun if may_have_run => Refusal::may_have_run(self.reason),
+            Verdict::NotRun | Verdict::MayHaveRun => self,
+        }
+    }
+
+    /// Returns the HTTP status code of the response. A status that promises that the request has not
+    /// run is replaced by 502 if it may have run.
+    pub fn http_status(self) -> u16 {
+        match (self.verdict, self.reason.http_status()) {
+            (Verdict::MayHaveRun, status) if promises_not_run(status) => 502,
+            (_, status) => status,
+        }
+    }
+}
+
+/// Reports whether the HTTP status code `status` promises to callers that the request has not run,
+/// and will not run.
+pub fn promises_not_run(status: u16) -> bool {
+    [429, 503].contains(&status)
 }
