daemon: a stream without one of its events is not passed on as complete

Cause: an event whose id could not be read, or was not larger than the last one, was skipped like a comment or like an event that the caller has from an earlier run. At the edges no id shows the gap, and the end of the body was the end of the stream. Evidence: spoiled_events:: (4) failed on the code before, on this VM and through a peer: of four events three arrived, complete.

Change: an event has exactly one numeric id, one more than the id before it in the same run; what is neither that nor a comment makes the run fail. A run that ends before the events that the caller has is not complete.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -455,12 +455,11 @@
     }
 
     /// Appends `chunk` to the event buffer and forwards each complete event to the caller. Returns
-    /// an error if an event is too large or does not follow the previous event.
+    /// an error if an event is too large, can't be identified or does not follow the previous event.
     async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), RunFailure> {
         run.events.push(chunk);
         while let Some(event) = run.events.next_event()? {
             match self.sequence.advance(event.id)? {
-                // Not a sign of progress: a faulty engine may send such events without end.
                 EventAction::Skip => continue,
                 EventAction::Forward => {}
             }
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -60,6 +60,9 @@
                         Ok(None) if run.events.has_partial_event() => Err(
                             RunFailure::Disconnected("stream ended within an event".to_owned())
                         ),
+                        Ok(None) if !self.sequence.is_reached_by(run.events.last_id()) => Err(
+                            RunFailure::InvalidResponse("stream ended too early".to_owned())
+                        ),
                         Ok(None) if self.delivered_events == 0 => Err(
                             RunFailure::Disconnected("stream ended without an event".to_owned())
                         ),
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod shutdown;
 mod simulated_fleet;
 mod software_versions;
+mod spoiled_events;
 mod store_reader;
 mod support;
 mod unframed_responses;
