exchange: a body whose rest passes for trailers is not complete

Callers could get an answer without its rest, as complete, if one wrong byte made the size of a chunk 0.

After a chunk of size 0 the parser takes what follows for trailers, up to the next empty line; lines of events are valid headers, and so are many texts. Trailers were ignored. Evidence: chunked_bodies::a_body_with_a_wrong_byte_in_a_chunk_size_is_not_complete_without_its_rest replaces each byte of each size by every other value.

Change: trailers that the head does not announce are an error of the response, on the way to callers and from peers. None of the system's protocols has trailers.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,22 +12,22 @@
 pub use self::body_buffer::{BodyBuffer, BudgetExceeded, BufferBudget};
 use self::head_guard::{HeadGuard, HeadProgress};
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRAILER, TRANSFER_ENCODING};
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use std::error::Error;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -95,6 +95,11 @@
         HeadTimedOut {
             display("response head incomplete {} ms after its first byte", HEAD_TIMEOUT_MS)
         }
+        /// Trailers follow the body that the head did not announce. The rest of a body looks like
+        /// trailers if the size of one of its chunks is damaged.
+        UnannouncedTrailers {
+            display("response body is followed by trailers that were not announced")
+        }
         /// The timeout of the whole exchange expired.
         TimedOut {
             display("no complete response before the timeout")
@@ -120,6 +125,7 @@
             ExchangeError::ConnectFailed(_)
             | ExchangeError::InvalidRequest(_)
             | ExchangeError::HeadTimedOut
+            | ExchangeError::UnannouncedTrailers
             | ExchangeError::BudgetExceeded(_)
             | ExchangeError::TimedOut
             | ExchangeError::BodyTooLarge(_) => false,
@@ -268,11 +274,22 @@
     }
 
     /// Polls the next frame of the body, as in [`Body::poll_frame`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::ConnectionLost`] if the connection failed before the end of the
+    /// body, and [`ExchangeError::UnannouncedTrailers`] if the body may not be complete.
     pub fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, ExchangeError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        Poll::Ready(frame.map(|frame| match frame {
+            Ok(frame) if frame.is_trailers() && !self.head.headers.contains_key(TRAILER) => {
+                Err(ExchangeError::UnannouncedTrailers)
+            }
+            frame => Ok(frame?),
+        }))
     }
 
     /// Returns the bounds of the length of the rest of the body.
@@ -284,11 +301,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::ConnectionLost`] if the connection failed before the end of the
-    /// body.
+    /// Returns an error as [`Self::poll_frame`] does.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            let Some(frame) = self.body.frame().await else { return Ok(None) };
+            let Some(frame) = poll_fn(|cx| self.poll_frame(cx)).await else { return Ok(None) };
             match frame?.into_data() {
                 Ok(chunk) if chunk.is_empty() => {}
                 Ok(chunk) => return Ok(Some(chunk)),
--- a/crates/exchange/tests/testsuite/main.rs
+++ b/crates/exchange/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests of the exchange crate.
 
 mod body_buffer;
+mod chunked_bodies;
