daemon: a reply of a peer that is too large is an error, not a shorter one

Evidence: peer_sync::a_reply_over_the_maximum_size_is_an_error failed before: 4472 of 4473 items, no error.

Measured: the tests of peer_sync, fleet and restored_store pass.

--- a/crates/daemon/src/peer_sync.rs
+++ b/crates/daemon/src/peer_sync.rs
@@ -154,11 +154,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if `frame` is not a valid reply. Data beyond the maximum size of a reply is cut
-/// off before decoding.
+/// Returns an error if `frame` is not a valid reply, or one over the maximum size: without its last
+/// items, a snapshot would tell that they were deleted.
 pub fn decode_reply(frame: &[u8]) -> io::Result<PullReply> {
     let mut bytes = Vec::new();
-    DeflateDecoder::new(frame).take(MAX_REPLY_BYTES).read_to_end(&mut bytes)?;
+    DeflateDecoder::new(frame).take(MAX_REPLY_BYTES + 1).read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > MAX_REPLY_BYTES {
+        return Err(io::Error::other("reply exceeds the maximum size"));
+    }
     PullReply::decode(&bytes[..]).map_err(io::Error::other)
 }
 
--- a/crates/daemon/tests/testsuite/peer_sync.rs
+++ b/crates/daemon/tests/testsuite/peer_sync.rs
@@ -43,6 +43,30 @@
     assert_eq!(decode_reply(&encoded).expect("valid reply"), reply);
 }
 
+/// Guards against a snapshot of a peer that is cut off at the maximum size between two items, and whose
+/// missing keys count as deleted.
+#[test]
+fn a_reply_over_the_maximum_size_is_an_error() {
+    const MAX_REPLY_BYTES: usize = 64 << 20;
+    const VALUE_BYTES: usize = 15_000;
+    let item = |bytes| Item { value: Some(vec![b' '; bytes]), ..Item::default() };
+    let mut reply = PullReply { revision: 9, whole: true, ..PullReply::default() };
+    let encoded_len = |reply: &PullReply| prost::Message::encoded_len(reply);
+    while encoded_len(&reply) < MAX_REPLY_BYTES - 2 * VALUE_BYTES {
+        reply.items.push(item(VALUE_BYTES));
+    }
+    // The last item that fits ends at the maximum size.
+    let left = MAX_REPLY_BYTES - encoded_len(&reply);
+    reply.items.push(item(left - 8));
+    assert_eq!(encoded_len(&reply), MAX_REPLY_BYTES);
+    let largest = encode_reply(&reply).expect("valid reply");
+    assert_eq!(decode_reply(&largest).expect("valid reply"), reply);
+    reply.items.push(item(VALUE_BYTES));
+    let too_large = encode_reply(&reply).expect("valid reply");
+    let decoded = decode_reply(&too_large).map(|decoded| decoded.items.len());
+    assert!(decoded.is_err(), "{decoded:?} of {} items", reply.items.len());
+}
+
 proptest! {
     #[test]
     fn arbitrary_frames_are_decoded_or_rejected(
