entry: a body with a damaged chunk size is not complete without its rest

Evidence: entry chunked_bodies::a_body_with_a_wrong_byte_in_its_framing_is_not_complete_without_its_rest replaces each byte of the framing by every other value; it failed before, a body ending in the middle of a chunk.

Change: line ends are checked, a size has a digit, and nothing but an empty line may follow the last chunk.

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -15,6 +15,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 100;
+/// End of a line in a head and of a chunk.
+const LINE_END: &[u8] = b"\r\n";
 /// Size of the buffer for one read from a socket, in bytes.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
@@ -274,18 +276,29 @@
 
     /// Reads the size line of a chunk, and before it the line end of the previous chunk. Returns
     /// data of the chunk that has already been received.
+    ///
+    /// Trailers are an error: the rest of a body looks like them if a chunk size is damaged.
     fn read_chunk_header(&mut self, first: bool) -> Result<Option<Vec<u8>>, ExchangeError> {
-        let line_end_bytes = if first { 0 } else { 2 };
-        let Some(rest) = self.buffer.get(line_end_bytes..) else { return Ok(None) };
+        let line_end = if first { &b""[..] } else { LINE_END };
+        let Some(rest) = self.buffer.get(line_end.len()..) else { return Ok(None) };
+        if !self.buffer.starts_with(line_end)
+            || rest.first().is_some_and(|b| !b.is_ascii_hexdigit())
+        {
+            return Err(ExchangeError::Protocol("malformed chunk"));
+        }
         match httparse::parse_chunk_size(rest) {
             Err(_) => Err(ExchangeError::Protocol("malformed chunk size")),
             Ok(httparse::Status::Partial) => Ok(None),
-            Ok(httparse::Status::Complete((_, 0))) => {
-                self.framing = Framing::Ended;
-                Ok(None)
-            }
+            Ok(httparse::Status::Complete((length, 0))) => match &rest[length..] {
+                end if end.starts_with(LINE_END) => {
+                    self.framing = Framing::Ended;
+                    Ok(None)
+                }
+                end if LINE_END.starts_with(end) => Ok(None),
+                _ => Err(ExchangeError::Protocol("unexpected trailers")),
+            },
             Ok(httparse::Status::Complete((length, size))) => {
-                self.buffer.drain(..line_end_bytes + length);
+                self.buffer.drain(..line_end.len() + length);
                 self.framing = Framing::Chunked { remaining_in_chunk: size, first: false };
                 match self.buffer.is_empty() {
                     true => Ok(None),
--- a/crates/entry/tests/testsuite/main.rs
+++ b/crates/entry/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the entry process against raw connections.
 
+mod chunked_bodies;
 mod verdicts;
