daemon: a planned stop begins nothing that it might cut

Another VM was ready all the while.

Cause: an estimate of 2 s and 15 ms a token, made once at admission, decided. The route allowed 45 ms a token; a request that waited for capacity was sent late on the strength of it; a generation whose caller states no maximum counted as 0 tokens; plain requests were begun until 1 s before the end, whatever their timeout. Evidence: shutdown::late_requests_that_may_outlast_the_grace_period_are_refused and a_request_that_waits_is_not_sent_late_in_the_grace_period failed before: the requests ran, and were cut.

Change: what ends by its own deadline before the VM does is begun at any time. Anything else only in the first 2.5 s, and only if it ends in time at the pace that its route allows. It is asked at admission and whenever a request may be placed; a stream that has begun goes on in any case. Refused callers return in a fifth of a second, as before. generations_too_long_for_the_grace_period_are_refused took 300 tokens, for which its route allows 11 s, for short. It expects their refusal now, and that 100 tokens are served; its callers wait longer than the grace period, since a request that ends by its own deadline is served. The unit test asks the new question, in more cases.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -13,6 +13,7 @@
 use gypsumchute_routing::admission::retry_after_ms;
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::poison_segments::SuspectRun;
+use gypsumchute_routing::shutdown::{PendingRequest, may_start};
 use gypsumchute_routing::silent_runs::SilentRun;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_routing::{Customer, Priority, Route, RouteKind, Service};
@@ -31,6 +32,8 @@
 const OUTPUT_ESTIMATE_MARGIN: f64 = 1.25;
 /// Fraction of the maximum output length that is expected if the caller gives no estimate.
 const DEFAULT_OUTPUT_FRACTION: f64 = 0.5;
+/// Retry delay for callers that another VM can serve immediately, in milliseconds.
+const DRAIN_RETRY_AFTER_MS: u64 = 200;
 
 /// A request whose body was read completely and that was admitted.
 pub struct Call {
@@ -140,13 +143,6 @@
         (expected as u64).min(max_tokens)
     }
 
-    /// Returns the maximum number of output tokens as stated by the caller, or the caller's
-    /// estimate if there is no stated maximum.
-    pub fn max_output_tokens(&self) -> u64 {
-        let max_tokens = self.caller.max_output_tokens;
-        max_tokens.or(self.caller.expected_output_tokens).unwrap_or_default()
-    }
-
     /// Builds the refusal for a request that has not run, with a time after which the caller may
     /// retry.
     pub fn retryable_refusal(&self, reason: RefusalReason, typical_wait_ms: u64) -> Refusal {
@@ -154,6 +150,20 @@
         Refusal::not_run_retry_after(reason, after_ms)
     }
 
+    /// Returns the refusal if this VM shuts down and might cut the request. Checked whenever the request
+    /// may begin: it may have waited since it was admitted.
+    pub fn shutdown_refusal(&self) -> Option<Refusal> {
+        let shutdown = self.context.shutdown_course()?;
+        let request = PendingRequest {
+            route: &self.route,
+            service: &self.service,
+            max_output_tokens: self.caller.max_output_tokens,
+            deadline_ms: self.deadline_ms,
+        };
+        let refusal = || self.retryable_refusal(RefusalReason::Draining, DRAIN_RETRY_AFTER_MS);
+        (!may_start(boot_now(), shutdown, request)).then(refusal)
+    }
+
     /// Counts `refusal` in the metrics and builds the reply for it, with the verdict that is true of
     /// this request.
     pub fn refuse(&self, refusal: Refusal) -> Reply {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,6 +16,7 @@
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
+use gypsumchute_routing::shutdown::Shutdown;
 use gypsumchute_routing::silent_runs::SilentRuns;
 use gypsumchute_routing::stream_versions::StreamVersions;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
@@ -160,8 +161,8 @@
     registry_changed: watch::Sender<()>,
     /// Becomes `true` when the shutdown begins.
     shutdown: watch::Sender<bool>,
-    /// When the process exits; set when the shutdown begins.
-    shutdown_deadline_ms: Cell<Option<BootMs>>,
+    /// Course of the shutdown, once it has begun.
+    shutdown_course: Cell<Option<Shutdown>>,
     /// Number of open caller connections.
     connections: Cell<usize>,
 }
@@ -223,7 +224,7 @@
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
             shutdown: watch::Sender::new(false),
-            shutdown_deadline_ms: Cell::new(None),
+            shutdown_course: Cell::new(None),
             connections: Cell::new(0),
         })
     }
@@ -255,15 +256,18 @@
         self.registry_changed.subscribe()
     }
 
-    /// Begins the graceful shutdown; the process exits at `shutdown_deadline_ms` at the latest.
-    pub fn begin_shutdown(&self, shutdown_deadline_ms: BootMs) {
-        self.shutdown_deadline_ms.set(Some(shutdown_deadline_ms));
+    /// Begins the graceful shutdown; the process exits at `exit_ms` at the latest. Requests that wait
+    /// for an endpoint learn of it.
+    pub fn begin_shutdown(&self, exit_ms: BootMs) {
+        let last_answers_ms = BootMs(exit_ms.0.saturating_sub(LAST_ANSWERS_MS));
+        self.shutdown_course.set(Some(Shutdown { started_ms: boot_now(), last_answers_ms }));
         self.shutdown.send_replace(true);
+        self.notify_changed();
     }
 
-    /// Returns when the process exits at the latest, or `None` if it is not shutting down.
-    pub fn shutdown_deadline_ms(&self) -> Option<BootMs> {
-        self.shutdown_deadline_ms.get()
+    /// Returns the course of the shutdown, or `None` if the process is not shutting down.
+    pub fn shutdown_course(&self) -> Option<Shutdown> {
+        self.shutdown_course.get()
     }
 
     /// Reports whether the process is shutting down.
@@ -276,9 +280,8 @@
     pub async fn last_answers_due(&self) {
         // The sender is a field of the context, so it is not dropped.
         drop(self.shutdown.subscribe().wait_for(|closing| *closing).await);
-        let exit_ms = self.shutdown_deadline_ms().unwrap_or_default();
-        let left_ms = boot_now().until(exit_ms).saturating_sub(LAST_ANSWERS_MS);
-        sleep(Duration::from_millis(left_ms)).await;
+        let due_ms = self.shutdown_course().map(|course| course.last_answers_ms);
+        sleep(Duration::from_millis(boot_now().until(due_ms.unwrap_or_default()))).await;
     }
 
     /// Returns a receiver whose value becomes `true` when the shutdown begins.
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -11,7 +11,6 @@
     BodyBuffer, BudgetExceeded, BufferBudget, TcpTimeouts, set_tcp_timeouts,
 };
 use gypsumchute_platform::RequestHead;
-use gypsumchute_routing::shutdown::may_start;
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
@@ -51,8 +50,6 @@
 /// Time after SIGTERM for which idle connections stay open, in milliseconds. By then, the load
 /// balancer has removed this VM, and callers have had time to reuse the connection once more.
 const CLOSE_IDLE_AFTER_MS: u64 = 3_500;
-/// Retry delay for callers that another VM can serve immediately, in milliseconds.
-const DRAIN_RETRY_AFTER_MS: u64 = 200;
 /// Retry delay for callers if there is no better estimate, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 500;
 
@@ -244,7 +241,6 @@
         true => &context.settings.zone_regions,
         false => &table.zone_regions,
     };
-    let shutdown_left_ms = context.shutdown_deadline_ms().map(|deadline| now.until(deadline));
     let timeout_ms = caller.timeout_ms.unwrap_or(route.response_timeout_ms);
     let call = Call {
         context: context.clone(),
@@ -265,19 +261,14 @@
         origin,
         possible_runs: PossibleRuns::default(),
     };
-    let tokens = call.max_output_tokens();
-    match shutdown_left_ms {
-        Some(left_ms) if !may_start(call.route.kind, tokens, left_ms) => {
-            Err(reject(call.retryable_refusal(RefusalReason::Draining, DRAIN_RETRY_AFTER_MS)))
-        }
-        _ => {
-            // The VM that forwards a request has counted it.
-            if call.origin == Origin::Caller {
-                context.with(|state| state.retries.count_request(now, &call.service.id));
-            }
-            Ok(call)
-        }
+    if let Some(refusal) = call.shutdown_refusal() {
+        return Err(reject(refusal));
+    }
+    // The VM that forwards a request has counted it.
+    if call.origin == Origin::Caller {
+        context.with(|state| state.retries.count_request(now, &call.service.id));
     }
+    Ok(call)
 }
 
 /// Builds the refusal for an unknown route or API key. If this VM may have missed a configuration
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -233,7 +233,7 @@
         let position = self.context.with(|state| state.admission_queue.enqueue(priority, tokens));
         let _queue_entry = QueueEntry { context: self.context.clone(), position };
         loop {
-            if let Some(refusal) = self.poison_refusal() {
+            if let Some(refusal) = self.poison_refusal().or_else(|| self.begin_refusal(version)) {
                 return Err(refusal);
             }
             if version.is_some() && !self.has_endpoint_of(excluded, version) {
@@ -274,6 +274,15 @@
         }
     }
 
+    /// Returns the refusal if this VM shuts down and might cut the request. A stream that is bound to a
+    /// software `version` has begun, and goes on in any case.
+    fn begin_refusal(&self, version: Option<ServiceVersion>) -> Option<Refusal> {
+        match version {
+            Some(_) => None,
+            None => self.shutdown_refusal(),
+        }
+    }
+
     /// Returns the requirements that this request places on an endpoint.
     pub(crate) fn placement_request<'a>(
         &'a self,
