daemon: records of streams are passed on to VMs that start and by VMs that stop

Cause: the version that began a stream was told once, at its first event, to the VMs that lived then. A VM that started later was never told, and the last one that knew told nobody when it stopped. Evidence: software_versions::streams_are_taken_up_after_a_rolling_restart failed before: 24 of 24 refused.

Change: a VM that starts, was silent or knows nobody is sent the records that it should keep, by the VM that serves the stream and the first two others that keep it. A VM that shuts down sends all that it has to those that keep them without it. A fast restart goes unnoticed by heartbeats, so they say for 2 s that their sender has started (a new field). Records are paced, and one that was announced earlier doesn't replace a later one, since the version of a stream may be corrected.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,6 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
-use crate::stream_gossip::StreamMessage;
+use crate::stream_gossip::{RecordsToPassOn, StreamMessage};
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_exchange::{BufferBudget, Dial};
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
@@ -153,6 +153,8 @@
     pub stream_messages_due: Notify,
     /// Messages on streams that are still to be sent.
     pending_stream_messages: RefCell<Vec<StreamMessage>>,
+    /// Records of streams for VMs that may lack them.
+    pub records_to_pass_on: RecordsToPassOn,
     /// Routing state, accessed through [`Self::with`].
     state: RefCell<State>,
     /// Notifies waiters of changes to endpoints, loads or the configuration.
@@ -220,6 +222,7 @@
             recent_rejections: RefCell::default(),
             stream_messages_due: Notify::new(),
             pending_stream_messages: RefCell::default(),
+            records_to_pass_on: RecordsToPassOn::default(),
             state: RefCell::new(state),
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -165,6 +165,7 @@
             store_era: progress.position.era,
             merged: encode_position(progress.merged),
             cut_off_services: state.links.lost_services().map(ServiceId::to_string).collect(),
+            starting: state.members.is_starting(now),
         }
     })
 }
@@ -427,6 +428,9 @@
         info!(vm = peer.vm.as_str(), zone = peer.zone.as_str(), address:% = peer.address;
             "peer VM discovered");
     }
+    if heartbeat.joining || heartbeat.starting || is_new {
+        context.pass_records_to(&peer);
+    }
     if heartbeat.joining || is_new {
         let response = self::build_heartbeat(context, Audience::Newcomer);
         send_heartbeat(context, socket, response, &[peer.address]).await;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -9,6 +9,7 @@
 use gypsumchute_exchange::{Dial, TcpDialer};
 use gypsumchute_fleet::StorePosition;
 use gypsumchute_platform::{READINESS_PATH, StoreClient};
+use gypsumchute_units::BootMs;
 use gypsumchute_units::time::boot_now;
 use http::StatusCode;
 use log::{info, warn};
@@ -32,6 +33,8 @@
 /// Part of the grace period that is reserved for exiting, in milliseconds. Requests still in flight
 /// by then are aborted.
 const SHUTDOWN_RESERVE_MS: u64 = 400;
+/// Maximum number of datagrams with records of streams that are sent at the end, in a few milliseconds.
+const MAX_LAST_RECORDS: usize = 2_000;
 /// Interval between checks whether the shutdown is complete, in milliseconds.
 const DRAIN_POLL_INTERVAL_MS: u64 = 50;
 
@@ -129,6 +132,7 @@
     spawn_local(gossip::send_heartbeats(context.clone(), socket.clone()));
     spawn_local(gossip::send_load_notes(context.clone(), socket.clone()));
     spawn_local(stream_gossip::send_messages(context.clone(), socket.clone()));
+    spawn_local(stream_gossip::send_records_to_pass_on(context.clone(), socket.clone()));
     spawn_local(gossip::receive_datagrams(context.clone(), socket.clone()));
     spawn_local(peer_sync::pull_changes(context.clone()));
     spawn_local(peer_sync::serve_peers(context.clone(), peers));
@@ -166,13 +170,14 @@
 }
 
 /// Waits until all connections are closed, but at least for [`MIN_DRAIN_MS`], or until the grace
-/// period ends. Then announces the shutdown to peers.
+/// period ends. Passes on what peers need, and announces the shutdown to them.
 async fn shut_down(context: &Rc<Context>, socket: &UdpSocket) {
     let started_ms = boot_now();
     info!(connections = context.connections(); "daemon is shutting down");
     let deadline_ms =
         started_ms + context.settings.shutdown_grace_ms().saturating_sub(SHUTDOWN_RESERVE_MS);
     context.begin_shutdown(deadline_ms);
+    context.pass_on_records_since(BootMs::default());
     while boot_now() < deadline_ms {
         let may_end = boot_now().since(started_ms) >= MIN_DRAIN_MS && context.connections() == 0;
         if may_end {
@@ -184,5 +189,8 @@
         0 => info!("daemon stopped"),
         connections => warn!(connections; "daemon stopped with requests in flight"),
     }
+    // Records that arrived since, and those of streams that were cut just now.
+    context.pass_on_records_since(started_ms);
+    stream_gossip::send_pending_records(context, socket, MAX_LAST_RECORDS).await;
     gossip::announce_shutdown(context, socket).await;
 }
--- a/crates/daemon/tests/testsuite/software_versions.rs
+++ b/crates/daemon/tests/testsuite/software_versions.rs
@@ -2,7 +2,10 @@
 //! together, so a stream may go on only at the version that began it: within one response, and when
 //! the caller takes the stream up again at any VM.
 
-use crate::support::{Daemon, configured_store, eventually, generation_request, register_endpoint};
+use crate::support::{
+    API_KEY, Daemon, configuration, configured_store, eventually, generation_request,
+    register_endpoint,
+};
 use gypsumchute_platform_standin::{Behaviour, Endpoint, SharedEndpointState, Store};
 use std::collections::{BTreeMap, BTreeSet};
 use std::thread::sleep;
@@ -10,6 +13,8 @@
 
 /// Twice the timeout of the route `briefs`: for this long, a stream that began may be taken up.
 const TAKE_UP_PERIOD: Duration = Duration::from_millis(10_000);
+/// Timeout of routes whose streams may be taken up after a rolling restart, in milliseconds.
+const ROLL_TIMEOUT_MS: u64 = 20_000;
 /// Time until VMs that start have read the store and know each other.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
 
@@ -169,6 +174,42 @@
     assert_eq!(counted(ends), [(TakeUp::SameVersion, 24)].into());
 }
 
+/// Guards against records of streams that only those VMs have which lived when the streams began: the
+/// other VMs are replaced one after the other, then the VM that began them.
+#[test]
+fn streams_are_taken_up_after_a_rolling_restart() {
+    let engines = Engines::start(6, BRIEF);
+    let mut configuration = configuration(8, &[API_KEY]);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = ROLL_TIMEOUT_MS.into();
+    }
+    engines.store.configure(&configuration);
+    let mut daemons = engines.start_vms(3, "a");
+    let server = daemons.remove(0);
+    for n in 0..24 {
+        let mut stream = generation_request("briefs", &format!("first-{n}"))
+            .timeout_ms(ROLL_TIMEOUT_MS)
+            .send(server.address());
+        stream.next_chunk().expect("open stream").expect("first event");
+    }
+    let mut seeds = vec![server.settings.peers_listen];
+    let mut replacements = Vec::new();
+    for (n, daemon) in daemons.into_iter().enumerate() {
+        daemon.stop_and_wait();
+        let replacement = Daemon::start(engines.store.address(), &format!("vm-b{n}"), "a", &seeds);
+        replacement.wait_ready(true);
+        sleep(SETTLE_TIME);
+        seeds.push(replacement.settings.peers_listen);
+        replacements.push(replacement);
+    }
+    server.stop_and_wait();
+    engines.endpoint_state.delete_kv_copies();
+    let ends = (0..24).map(|n| {
+        take_up(&engines, &replacements[n % 2], &format!("first-{n}"), &format!("second-{n}"))
+    });
+    assert_eq!(counted(ends), [(TakeUp::SameVersion, 24)].into());
+}
+
 /// Guards against a second take-up that takes the version of the first one's attempt for unknown.
 #[test]
 fn a_stream_is_taken_up_more_than_once() {
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -91,6 +91,13 @@
         drop(self.stop.take());
     }
 
+    /// Stops the daemon and waits until it has ended.
+    pub fn stop_and_wait(mut self) {
+        self.stop();
+        let thread = self.thread.take().expect("the daemon runs");
+        thread.join().expect("the daemon ends without a panic");
+    }
+
     /// Waits until the readiness page reports the given status.
     pub fn wait_ready(&self, ready: bool) {
         let status = if ready { 200 } else { 503 };
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -9,6 +9,7 @@
 //! fleet.
 
 mod forwarding;
+mod stream_records;
 
 use crate::store_copy::CopyProgress;
 use gypsumchute_units::rendezvous::rank_candidates;
@@ -29,12 +30,6 @@
 /// Number of VMs in another zone that receive a message to be relayed in that zone. One of them may
 /// be gone.
 const RELAYS_PER_ZONE: usize = 2;
-/// Number of VMs of the zone that keep a record of a stream in a large fleet, besides the VM that
-/// serves the stream. One of them may be lost together with that VM.
-const STREAM_RECORD_VMS: usize = 2;
-/// Number of VMs of a zone that are asked for the record of a stream in a large fleet. It exceeds
-/// [`STREAM_RECORD_VMS`], because VMs may have been lost or found since the record was sent.
-const STREAM_QUERY_VMS: usize = 4;
 /// Time after the last heartbeat or mention of a VM for which the VM is used as a relay, in
 /// milliseconds. Each live VM is named by others every few seconds.
 const RELAY_TTL_MS: u64 = 15_000;
@@ -60,6 +55,9 @@
 /// Interval between heartbeats of a VM that has no live peers, in milliseconds. Most of these
 /// heartbeats go only to the seeds.
 const NO_PEERS_HEARTBEAT_MS: u64 = 100;
+/// Time for which a VM says in heartbeats that it has started, in milliseconds: several heartbeats, also
+/// to VMs that it discovers late.
+const STARTING_MS: u64 = 2_000;
 /// Maximum interval between heartbeats, in milliseconds. Changes must reach all VMs within 2 s.
 const MAX_HEARTBEAT_MS: u64 = 600;
 /// Estimated size of a heartbeat, in bytes.
@@ -253,6 +251,11 @@
         self.members.keys().cloned().chain([self.me.vm.clone()]).collect()
     }
 
+    /// Reports whether this VM has started lately, so that it lacks what others were told before.
+    pub fn is_starting(&self, now: BootMs) -> bool {
+        now.since(self.started_ms) < STARTING_MS
+    }
+
     /// Returns when this VM first heard from another one, or `None` if it has not yet. A VM without
     /// seeds looks for no others, and has known that since its start.
     pub fn discovered_ms(&self) -> Option<BootMs> {
@@ -352,41 +355,6 @@
         self.members.values().any(|member| IpAddr::V4(*member.peer.address.ip()) == ip)
     }
 
-    /// Returns the addresses of the VMs that keep the record of the stream `key`: all live VMs in a
-    /// small fleet, and some VMs of the local zone in a large one.
-    pub fn stream_record_addresses(&self, now: BootMs, key: &str) -> Vec<SocketAddrV4> {
-        self.ranked_for_stream(now, key, STREAM_RECORD_VMS)
-    }
-
-    /// Returns the addresses of the VMs that may have kept the record of the stream `key` if a VM of
-    /// the local zone sent it.
-    pub fn stream_query_addresses(&self, now: BootMs, key: &str) -> Vec<SocketAddrV4> {
-        self.ranked_for_stream(now, key, STREAM_QUERY_VMS)
-    }
-
-    /// Returns the addresses of VMs that relay queries to the VMs of the other zones. Empty in a
-    /// small fleet, in which all VMs keep all records.
-    pub fn stream_relay_addresses(&self, now: BootMs) -> Vec<SocketAddrV4> {
-        if self.is_full_mesh() {
-            return Vec::new();
-        }
-        let zones: BTreeSet<&ZoneId> = self.members.values().map(|m| &m.peer.zone).collect();
-        let others = zones.into_iter().filter(|zone| **zone != self.me.zone);
-        others.flat_map(|zone| self.relay_addresses(now, zone)).collect()
-    }
-
-    /// Returns the addresses of the other live VMs of the local zone that rank first for `key`, or
-    /// of all other live VMs in a small fleet.
-    fn ranked_for_stream(&self, now: BootMs, key: &str, count: usize) -> Vec<SocketAddrV4> {
-        let alive = self.members.values().filter(|m| self.is_alive(now, &m.peer.vm));
-        if self.is_full_mesh() {
-            return alive.map(|member| member.peer.address).collect();
-        }
-        let in_zone = alive.filter(|member| member.peer.zone == self.me.zone);
-        let ranked = rank_candidates(key, in_zone.map(|member| &member.peer.vm));
-        ranked.into_iter().take(count).map(|vm| self.members[vm].peer.address).collect()
-    }
-
     /// Returns the zones from which this VM received heartbeats before, but in which all VMs are
     /// now silent. This VM is probably partitioned from the endpoints in these zones as well.
     pub fn unreachable_zones(&self, now: BootMs) -> BTreeSet<ZoneId> {
--- a/crates/fleet/tests/testsuite/members.rs
+++ b/crates/fleet/tests/testsuite/members.rs
@@ -318,6 +318,36 @@
     }
 }
 
+/// Guards against VMs that restart and lack the records of streams that began before: in a large fleet
+/// the other VM that keeps a record, and the one that serves the stream, send it to them; in a small one
+/// two others do.
+#[test]
+fn a_vm_that_joins_is_sent_the_records_that_it_should_keep() {
+    for (count, zones, most) in [(90, 4, 2), (7, 4, 3), (2, 1, 1)] {
+        let mut net = SimulatedNetwork::new(count, zones);
+        net.run(12_000);
+        let server = peer(zones, zones);
+        let server = if count > zones { server } else { peer(0, zones) };
+        for key in (0..60).map(|key| format!("stream-{key}")) {
+            let keepers = net.vms[&server.address].stream_record_addresses(net.now, &key);
+            for newcomer in (0..count).map(|number| peer(number, zones)) {
+                let passes_on = |address: &SocketAddrV4, is_served_here| {
+                    let vm = &net.vms[address];
+                    *address != newcomer.address
+                        && vm.should_pass_on_record(net.now, &key, &newcomer, is_served_here)
+                };
+                let by_keepers = keepers.iter().filter(|keeper| passes_on(keeper, false)).count();
+                let senders = by_keepers + usize::from(passes_on(&server.address, true));
+                match keepers.contains(&newcomer.address) {
+                    true => assert!((1..=most).contains(&senders), "{count} VMs: {senders}"),
+                    false if newcomer.address == server.address => {}
+                    false => assert!(!passes_on(&server.address, true), "{count} VMs"),
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a zone whose VMs are all cut off from the endpoints and find no other VM.
 #[test]
 fn vms_of_other_zones_are_asked_where_the_own_zone_is_cut_off() {
--- a/crates/proto/src/fleet.rs
+++ b/crates/proto/src/fleet.rs
@@ -19,8 +19,8 @@
         StreamQuery(super::StreamQuery),
     }
 }
-/// The software version at which a stream began. Sent when the first event arrives, and in reply to a
-/// query.
+/// The software version at which a stream began. Sent when the first event arrives, in reply to a query,
+/// to VMs that join, and by a VM that shuts down.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamRecord {
     /// Hash that identifies the stream.
@@ -116,6 +116,9 @@
     /// Services whose endpoints the sender has lost its links to.
     #[prost(string, repeated, tag = "18")]
     pub cut_off_services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Whether the sender has started lately, and lacks what others were told before.
+    #[prost(bool, tag = "19")]
+    pub starting: bool,
 }
 /// Position in the history of the platform's store.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/routing/src/stream_versions.rs
+++ b/crates/routing/src/stream_versions.rs
@@ -67,10 +67,21 @@
     pub until_ms: BootMs,
 }
 
+/// The record of a stream, as it is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// Version of the stream.
+    pub begun: StreamVersion,
+    /// Whether this VM serves the stream, or has served it.
+    pub is_served_here: bool,
+    /// When this VM recorded the version.
+    recorded_ms: BootMs,
+}
+
 /// Versions of the streams that have begun, and of the endpoints that were seen.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
-    streams: BTreeMap<StreamKey, StreamVersion>,
+    streams: BTreeMap<StreamKey, StreamRecord>,
     /// Since when all versions in service have been seen.
     observing_since_ms: Option<BootMs>,
     last_observation_ms: BootMs,
@@ -79,20 +90,49 @@
 }
 
 impl StreamVersions {
-    /// Records at which version a stream began.
-    pub fn record(&mut self, begun: StreamVersion) {
-        if self.streams.len() >= MAX_STREAMS && !self.streams.contains_key(&begun.stream) {
-            let first_to_expire = self.streams.values().min_by_key(|known| known.until_ms);
-            if let Some(stream) = first_to_expire.map(|known| known.stream) {
+    /// Records at which version a stream began that this VM serves.
+    pub fn record_own(&mut self, now: BootMs, begun: StreamVersion) {
+        self.insert(StreamRecord { begun, is_served_here: true, recorded_ms: now });
+    }
+
+    /// Records at which version a stream began according to a peer. The version that was announced last
+    /// counts: a VM corrects the version of a stream if its engine turns out to have another one, and
+    /// others may pass on what they learned before.
+    pub fn record_of_peer(&mut self, now: BootMs, begun: StreamVersion) {
+        let known = self.streams.get(&begun.stream);
+        let is_newest = known.is_none_or(|known| known.begun.until_ms < begun.until_ms);
+        if is_newest {
+            let is_served_here = known.is_some_and(|known| known.is_served_here);
+            self.insert(StreamRecord { begun, is_served_here, recorded_ms: now });
+        }
+    }
+
+    fn insert(&mut self, record: StreamRecord) {
+        let stream = record.begun.stream;
+        if self.streams.len() >= MAX_STREAMS && !self.streams.contains_key(&stream) {
+            let first_to_expire = self.streams.values().min_by_key(|known| known.begun.until_ms);
+            if let Some(stream) = first_to_expire.map(|known| known.begun.stream) {
                 self.streams.remove(&stream);
             }
         }
-        self.streams.insert(begun.stream, begun);
+        self.streams.insert(stream, record);
     }
 
-    /// Returns the record of a stream that may still be resumed, if it is known here.
+    /// Returns the version of a stream that may still be resumed, if it is known here.
     pub fn get(&self, now: BootMs, stream: StreamKey) -> Option<StreamVersion> {
-        self.streams.get(&stream).copied().filter(|known| known.until_ms > now)
+        let known = self.streams.get(&stream).map(|known| known.begun);
+        known.filter(|begun| begun.until_ms > now)
+    }
+
+    /// Returns the records of streams that may still be resumed, as far as they were recorded at
+    /// `since_ms` or later.
+    pub fn records_since(
+        &self,
+        now: BootMs,
+        since_ms: BootMs,
+    ) -> impl Iterator<Item = &StreamRecord> {
+        let records = self.streams.values();
+        records.filter(move |known| known.begun.until_ms > now && known.recorded_ms >= since_ms)
     }
 
     /// Records the versions that are in service. `is_current` tells whether this VM learns of new
@@ -140,7 +180,7 @@
 
     /// Discards streams that can no longer be resumed, and versions that left service long ago.
     pub fn expire(&mut self, now: BootMs) {
-        self.streams.retain(|_, known| known.until_ms > now);
+        self.streams.retain(|_, known| known.begun.until_ms > now);
         self.last_seen_ms.retain(|_, seen_ms| now.since(*seen_ms) <= VERSION_MEMORY_MS);
     }
 }
--- a/crates/routing/tests/testsuite/stream_versions.rs
+++ b/crates/routing/tests/testsuite/stream_versions.rs
@@ -125,12 +125,52 @@
     let mut versions = StreamVersions::default();
     let stream = StreamKey(Fingerprint(7));
     let until_ms = NOW + resume_period_ms(5_000);
-    versions.record(StreamVersion { stream, version: version("v1"), until_ms });
+    versions.record_own(NOW, StreamVersion { stream, version: version("v1"), until_ms });
     assert_eq!(versions.get(NOW + 9_999, stream).map(|known| known.version), Some(version("v1")));
     assert_eq!(versions.get(NOW + 10_000, stream), None);
     assert_eq!(versions.get(NOW, StreamKey(Fingerprint(8))), None);
 }
 
+/// Guards against an old record that replaces the corrected version of a stream, because a VM passes on
+/// what it learned before the correction.
+#[test]
+fn the_version_that_was_announced_last_counts() {
+    let stream = StreamKey(Fingerprint(7));
+    let announced =
+        |name, until| StreamVersion { stream, version: version(name), until_ms: NOW + until };
+    let (first, corrected) = (announced("v1", 10_000), announced("v2", 10_500));
+    for order in [[first, corrected], [corrected, first]] {
+        let mut versions = StreamVersions::default();
+        order.into_iter().for_each(|begun| versions.record_of_peer(NOW, begun));
+        assert_eq!(versions.get(NOW, stream), Some(corrected));
+    }
+    let mut versions = StreamVersions::default();
+    versions.record_own(NOW, corrected);
+    versions.record_of_peer(NOW, first);
+    assert_eq!(versions.get(NOW, stream), Some(corrected));
+}
+
+#[test]
+fn records_are_passed_on_as_long_as_the_stream_may_be_resumed() {
+    let mut versions = StreamVersions::default();
+    for number in 0..4 {
+        let stream = StreamKey(Fingerprint(number));
+        let begun = StreamVersion { stream, version: version("v1"), until_ms: NOW + 1_000 };
+        match number % 2 {
+            0 => versions.record_own(NOW + number, begun),
+            _ => versions.record_of_peer(NOW + number, begun),
+        }
+    }
+    let records = |now, since| {
+        let records = versions.records_since(now, since);
+        records.map(|known| (known.begun.stream.0.0, known.is_served_here)).collect::<Vec<_>>()
+    };
+    let all = vec![(0, true), (1, false), (2, true), (3, false)];
+    assert_eq!(records(NOW + 999, BootMs::default()), all);
+    assert_eq!(records(NOW + 999, NOW + 2), all[2..]);
+    assert_eq!(records(NOW + 1_000, BootMs::default()), []);
+}
+
 /// Load pattern: every stream of a busy fleet is announced to a VM that can't hold them all.
 #[test]
 fn records_are_bounded_and_the_first_to_expire_goes_first() {
@@ -138,7 +178,7 @@
     for number in 0..20_000 {
         let stream = StreamKey(Fingerprint(number));
         let until_ms = NOW + 1_000 + number;
-        versions.record(StreamVersion { stream, version: version("v1"), until_ms });
+        versions.record_own(NOW, StreamVersion { stream, version: version("v1"), until_ms });
     }
     assert_eq!(versions.get(NOW, StreamKey(Fingerprint(0))), None);
     assert!(versions.get(NOW, StreamKey(Fingerprint(19_999))).is_some());
