daemon: a VM that starts later hears that an endpoint is leaving

The notice by which an endpoint itself says that it is leaving was repeated for 2.5 s to those that lived then. While the registry still says ready, a VM that started later sent it new requests until it had an answer of its own.

Change: the heartbeat that answers a VM which joins, or was silent, names all notices that belong to a known start of their endpoint. Such a notice ends with the next start wherever it was learned.

--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -22,6 +22,7 @@
 use gypsumchute_units::{BootMs, EndpointId, RequestRate, ServiceId};
 use log::{info, warn};
 use prost::Message;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -126,8 +127,18 @@
     let now = boot_now();
     context.with(|state| {
         let me = state.members.local_vm().clone();
-        let endpoints = state.endpoints_to_announce(now);
-        let loads = endpoints.iter().map(|endpoint| encode_load(state, now, endpoint)).collect();
+        let mut endpoints = state.endpoints_to_announce(now);
+        // A newcomer has heard no notices so far; those without a start might belong to an earlier one.
+        let noticed: BTreeSet<EndpointId> = match audience {
+            Audience::Newcomer => state.endpoints.leaving_by_notice().cloned().collect(),
+            Audience::Contacts => BTreeSet::new(),
+        };
+        endpoints.extend(noticed.iter().cloned());
+        let encode = |endpoint: &EndpointId| {
+            let load = encode_load(state, now, endpoint);
+            EndpointLoad { leaving: load.leaving || noticed.contains(endpoint), ..load }
+        };
+        let loads = endpoints.iter().map(encode).collect();
         let member_count = match audience {
             Audience::Contacts => state.members.members_per_heartbeat(),
             Audience::Newcomer => MEMBERS_PER_JOIN_REPLY,
--- a/crates/daemon/tests/testsuite/leaving_endpoints.rs
+++ b/crates/daemon/tests/testsuite/leaving_endpoints.rs
@@ -99,6 +99,32 @@
     assert_eq!(arrivals(&state, "book-1"), before);
 }
 
+/// Guards against a notice that is told only to the VMs that live at that moment.
+#[test]
+fn a_vm_that_starts_later_hears_that_an_endpoint_is_leaving() {
+    let (store, state) = (configured_store(), SharedEndpointState::default());
+    let books = start_books(&store, &state, 2);
+    let first = Daemon::start(store.address(), "vm-1", "a", &[]);
+    first.wait_ready(true);
+    books[0].set_leaving(true);
+    let before = send_until_answered_by(first.address(), &state, "book-1");
+    sleep(Duration::from_secs(4));
+    let second = Daemon::start(store.address(), "vm-2", "a", &[first.settings.peers_listen]);
+    second.wait_ready(true);
+    sleep(Duration::from_millis(300));
+    assert_eq!(serve_orders(second.address(), "a"), 20);
+    assert_eq!(arrivals(&state, "book-1"), before);
+    // The endpoint has started again.
+    books[0].start_again();
+    register_endpoint(&store, &books[0], "books", "a", "ready");
+    let third = Daemon::start(store.address(), "vm-3", "a", &[first.settings.peers_listen]);
+    third.wait_ready(true);
+    eventually("a request at the endpoint that started again", || {
+        send_order(third.address(), "again");
+        arrivals(&state, "book-1") > before
+    });
+}
+
 #[test]
 fn an_endpoint_that_starts_again_is_used_again() {
     let (store, state) = (configured_store(), SharedEndpointState::default());
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -158,6 +158,12 @@
         self.leaving_notices.started_wall_ms(id)
     }
 
+    /// Returns the endpoints that have said themselves that they are leaving, as far as the notice
+    /// belongs to a known start.
+    pub fn leaving_by_notice(&self) -> impl Iterator<Item = &EndpointId> {
+        self.leaving_notices.iter_with_start()
+    }
+
     /// Removes unconfirmed endpoints that were not registered again in time, and returns their ids.
     pub fn expire(&mut self, now: BootMs) -> Vec<EndpointId> {
         for id in self.leaving_notices.expire(now, |id| self.by_id.contains_key(id)) {
--- a/crates/routing/src/leaving_notices.rs
+++ b/crates/routing/src/leaving_notices.rs
@@ -54,6 +54,12 @@
         self.by_id.get(id).and_then(|notice| notice.started_wall_ms)
     }
 
+    /// Returns the endpoints that report their starts and have given notice.
+    pub fn iter_with_start(&self) -> impl Iterator<Item = &EndpointId> {
+        let with_start = self.by_id.iter().filter(|(_, notice)| notice.started_wall_ms.is_some());
+        with_start.map(|(id, _)| id)
+    }
+
     /// Records that the endpoint has left the registry for certain. Notices that name no start end
     /// with the entry; the others end with the next start.
     pub fn on_removed(&mut self, id: &EndpointId) {
