test: heads without end fit into the smallest VM, and other requests are served meanwhile

Cause: other operators report that a VM kept bytes without end of a faulty replica, ran out of memory, and failed the requests of others. Heads and the other requests had no test here. Change: memory::endless_heads_fit_into_the_smallest_vm and endless_responses::the_requests_of_others_are_served_while_endpoints_send_without_end, over each kind of head and stream. The daemon's limits are as they were.

--- a/crates/daemon/tests/testsuite/endless_responses.rs
+++ b/crates/daemon/tests/testsuite/endless_responses.rs
@@ -1,10 +1,13 @@
 //! Endpoints that send bytes without end which are no response, in the head or in the body, until
 //! the daemon closes the connection. Callers get the answer of another endpoint, or an error soon.
 
-use crate::support::{API_KEY, TestEnv, complete_stream, eventually, generation_request};
+use crate::support::{
+    API_KEY, TestEnv, complete_stream, eventually, generation_request, register_endpoint,
+};
 use gypsumchute_platform_standin::{
-    Behaviour, CallerRequest, CompleteResponse, Endpoint, RawEndpoint, RawResponse,
+    Behaviour, CallerRequest, CompleteResponse, Endpoint, OpenResponse, RawEndpoint, RawResponse,
 };
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Head of a response to request `r` that is valid so far.
@@ -223,3 +226,33 @@
         check_closed(what, &raw);
     }
 }
+
+/// Guards against a VM on which the requests of other callers fail or wait, while endpoints send without
+/// end.
+#[test]
+fn the_requests_of_others_are_served_while_endpoints_send_without_end() {
+    for (what, response) in endless_heads().into_iter().chain(endless_streams()) {
+        let (env, raw, _endpoints) = start("engines", response);
+        let book = Endpoint::start(&env.endpoint_state, "book", Behaviour::Succeeds);
+        register_endpoint(&env.store, &book, "books", "a", "ready");
+        let surveys = generation_request("surveys", "r").timeout_ms(2_000);
+        send_to_endless(&env, &raw, &surveys);
+        let address = env.daemon.address();
+        let endless: Vec<_> = (0..16)
+            .map(|_| {
+                let survey = surveys.clone();
+                thread::spawn(move || drop(survey.try_send(address).map(OpenResponse::read_to_end)))
+            })
+            .collect();
+        for n in 0..20 {
+            let order = CallerRequest::new("POST /orders/x", &format!("order-{n}"), API_KEY);
+            let sent_at = Instant::now();
+            let reply = order.body("an order").send_and_read(address);
+            assert_eq!(reply.status, 200, "{what}: {}", reply.body);
+            let elapsed = sent_at.elapsed();
+            assert!(elapsed < Duration::from_millis(500), "{what}: answered after {elapsed:?}");
+        }
+        endless.into_iter().for_each(|caller| caller.join().expect("caller"));
+        check_closed(what, &raw);
+    }
+}
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -68,6 +68,23 @@
     assert!(peak_kb < SMALLEST_VM_KB, "{peak_kb} KB");
 }
 
+/// Guards against heads without end, which would end the process.
+#[test]
+fn endless_heads_fit_into_the_smallest_vm() {
+    let head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Signature: s\r\n";
+    let endless = RawResponse {
+        first: head.as_bytes().to_vec(),
+        repeated: format!("X-Filler: {}\r\n", "x".repeat(4_000)).into_bytes(),
+        pause: Duration::ZERO,
+    };
+    for (subnet, service, path) in
+        [(215, "books", "/orders/new"), (216, "engines", "/surveys/write")]
+    {
+        let peak_kb = peak_memory_kb(subnet, service, endless.clone(), path);
+        assert!(peak_kb < SMALLEST_VM_KB, "{service}: {peak_kb} KB");
+    }
+}
+
 /// Guards against callers that don't read their streams, whose events would pile up.
 #[test]
 fn streams_that_nobody_reads_fit_into_the_smallest_vm() {
