entry: bytes without end from an endpoint are bounded in size and time

Other operators report that a machine kept bytes without end of a faulty replica, ran out of memory, and ended the requests of others. In the entry and control pair that could happen.

Cause: a line of an engine's stream, and the line with the size of a chunk, were kept until they ended; a response body of up to 64 MB was kept for each of up to 1,024 calls; a head that trickled in was awaited up to its 64 KB, an hour at 20 bytes a second.

Change: a line has at most 64 KB, the line with a chunk size 4 KB, a body 8 MB, all bodies together 16 MB (the budget that the daemon has), and a head is complete 1.2 s after its first byte. After an invalid stream the reader waits before it resumes.

--- a/crates/entry/src/application.rs
+++ b/crates/entry/src/application.rs
@@ -10,7 +10,9 @@
 use crate::link::{ControlEvent, ControlSession};
 use crate::responses::{self, refusal_from_event};
 use crate::server::{EntryState, RequestContext};
+use bytes::Bytes;
 use gypsumchute_decide::idempotency::MAX_KEPT_ANSWER_BYTES;
+use gypsumchute_exchange::{BodyBuffer, BufferBudget};
 use gypsumchute_proto::local::{Admit, Finished, Granted, Replay, RequestKind};
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
@@ -19,7 +21,7 @@
 
 /// Maximum size of a response body that is passed to the caller, in bytes. A larger response counts
 /// as a failed attempt.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Fraction of the remaining time that one attempt of a repeatable call may take, as a divisor. The
 /// rest is left for further attempts.
 const ATTEMPT_TIMEOUT_DIVISOR: u64 = 3;
@@ -68,7 +70,7 @@
 struct BufferedResponse {
     status: u16,
     headers: Vec<(String, String)>,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 /// Reports whether a header is not forwarded.
@@ -104,7 +106,8 @@
         };
         record.set_customer(&granted.customer);
         record.add_step(format!("granted endpoint {}", granted.endpoint));
-        match call_endpoint(&context, &granted, call, body, &session) {
+        let budget = &entry.response_buffers;
+        match call_endpoint(&context, &granted, call, body, &session, budget) {
             Outcome::NotSent => {
                 record.add_step("not sent: connection failed or permit expired");
                 session.request_retry(false, true);
@@ -169,7 +172,7 @@
         stopped: true,
         status: u32::from(response.status),
         content_type: content_type.unwrap_or_default(),
-        answer: if is_stored { response.body.clone() } else { Vec::new() },
+        answer: if is_stored { response.body.to_vec() } else { Vec::new() },
         whole_answer: is_stored,
         ..Finished::default()
     }
@@ -193,6 +196,7 @@
     call: &Call,
     body: &[u8],
     session: &ControlSession,
+    budget: &BufferBudget,
 ) -> Outcome {
     let Ok(address) = granted.address.parse::<SocketAddr>() else { return Outcome::NotSent };
     let use_until_ms = BootMs(granted.use_until_ms);
@@ -215,7 +219,7 @@
         return Outcome::Failed(RefusalReason::EndpointLost);
     };
     let response = await_head(&mut pending, answer_by_ms, session);
-    match response.and_then(|response| read_body(response, answer_by_ms, session)) {
+    match response.and_then(|response| read_body(response, answer_by_ms, session, budget)) {
         Ok(response) => Outcome::Completed(response),
         Err(RefusalReason::KeyWithdrawn) => Outcome::Cancelled(RefusalReason::KeyWithdrawn),
         Err(reason) => Outcome::Failed(reason),
@@ -267,16 +271,18 @@
     }
 }
 
-/// Reads the response body until the deadline passes or the request is cancelled.
+/// Reads the response body until the deadline passes, the request is cancelled, or `budget` has no room
+/// for the body.
 fn read_body(
     mut response: Response,
     answer_by_ms: BootMs,
     session: &ControlSession,
+    budget: &BufferBudget,
 ) -> Result<BufferedResponse, RefusalReason> {
-    let mut body = Vec::new();
+    let mut body = BodyBuffer::new(budget);
     loop {
         match response.next_data() {
-            Ok(Some(data)) => body.extend(data),
+            Ok(Some(data)) => body.push(&data).map_err(|_| RefusalReason::Overloaded)?,
             Ok(None) => break,
             Err(ExchangeError::ReadTimeout) => {}
             Err(err) => return Err(refusal_reason(&err)),
@@ -289,5 +295,5 @@
         }
     }
     let headers = response.headers.iter().filter(|(name, _)| !is_dropped(name)).cloned().collect();
-    Ok(BufferedResponse { status: response.status, headers, body })
+    Ok(BufferedResponse { status: response.status, headers, body: body.freeze() })
 }
--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -9,10 +9,15 @@
 use quick_error::quick_error;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum size of the line with the size of a chunk, in bytes.
+const MAX_CHUNK_HEADER_BYTES: usize = 4 << 10;
+/// Time within which a response head must be complete after its first byte, in milliseconds. TCP
+/// retransmits a lost packet after 1 s.
+const HEAD_TIMEOUT_MS: u64 = 1_200;
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 100;
 /// End of a line in a head and of a chunk.
@@ -98,7 +103,7 @@
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(body);
         self.stream.write_all(&bytes)?;
-        Ok(PendingResponse { stream: self.stream, buffer: Vec::new() })
+        Ok(PendingResponse { stream: self.stream, buffer: Vec::new(), first_byte_at: None })
     }
 }
 
@@ -106,6 +111,8 @@
 pub struct PendingResponse {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// When the first byte of the head arrived.
+    first_byte_at: Option<Instant>,
 }
 
 /// How the end of a response body is detected.
@@ -165,7 +172,14 @@
         if let Some(response) = self.parse_head()? {
             return Ok(Some(response));
         }
-        match read_more(&mut self.stream, &mut self.buffer)? {
+        let read = read_more(&mut self.stream, &mut self.buffer);
+        if !self.buffer.is_empty() {
+            let first_byte_at = *self.first_byte_at.get_or_insert_with(Instant::now);
+            if first_byte_at.elapsed() > Duration::from_millis(HEAD_TIMEOUT_MS) {
+                return Err(ExchangeError::Protocol("response head is incomplete for too long"));
+            }
+        }
+        match read? {
             0 => Err(unexpected_eof()),
             _ => self.parse_head(),
         }
@@ -288,6 +302,9 @@
         }
         match httparse::parse_chunk_size(rest) {
             Err(_) => Err(ExchangeError::Protocol("malformed chunk size")),
+            Ok(httparse::Status::Partial) if rest.len() > MAX_CHUNK_HEADER_BYTES => {
+                Err(ExchangeError::Protocol("chunk size is too long"))
+            }
             Ok(httparse::Status::Partial) => Ok(None),
             Ok(httparse::Status::Complete((length, 0))) => match &rest[length..] {
                 end if end.starts_with(LINE_END) => {
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -28,6 +28,8 @@
 const MAX_REFUSED_CONNECTIONS: u32 = 3;
 /// Delay between two attempts to resume, in milliseconds.
 const RESUME_RETRY_DELAY_MS: u64 = 50;
+/// Maximum size of a line of the stream of an engine, in bytes. A line holds one token.
+const MAX_LINE_BYTES: usize = 64 << 10;
 /// Read timeout for the response to a cancellation, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 1_000;
 /// Response header with the customer of a generation.
@@ -210,7 +212,11 @@
                     }
                     ReadOutcome::Idle
                 }
-                Err(_) => ReadOutcome::Idle,
+                Err(ExchangeError::Protocol(_)) => {
+                    thread::sleep(Duration::from_millis(RESUME_RETRY_DELAY_MS));
+                    ReadOutcome::Idle
+                }
+                Err(ExchangeError::Io(_)) => ReadOutcome::Idle,
             },
         }
     }
@@ -223,6 +229,9 @@
                 return Ok(Some(std::mem::replace(&mut self.line_buffer, rest)));
             }
             match stream.next_data()? {
+                Some(_) if self.line_buffer.len() > MAX_LINE_BYTES => {
+                    return Err(ExchangeError::Protocol("line is too long"));
+                }
                 Some(data) => self.line_buffer.extend(data),
                 None => return Ok(None),
             }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,6 +8,7 @@
 use crate::responses;
 use crate::resume;
 use gypsumchute_config::EntrySettings;
+use gypsumchute_exchange::BufferBudget;
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::{Refusal, RefusalReason};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -19,6 +20,8 @@
 
 /// Maximum size of a request body before a configuration sets one, in bytes.
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
+/// Memory for large responses that are buffered at once, in bytes. The smallest VMs have 88 MB.
+const RESPONSE_BUFFER_BYTES: usize = 16 << 20;
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1_024;
 /// Number of open connections allowed for each request that may be in flight.
@@ -36,6 +39,8 @@
     pub link: ControlLink,
     /// Steps of recent requests.
     pub request_history: RequestHistory,
+    /// Memory for responses that are buffered as a whole.
+    pub response_buffers: BufferBudget,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Whether the process is shutting down gracefully.
@@ -74,6 +79,7 @@
         EntryState {
             link: ControlLink::start(settings.control),
             request_history: RequestHistory::default(),
+            response_buffers: BufferBudget::new(RESPONSE_BUFFER_BYTES),
             metrics: Metrics::new(),
             draining: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
