control: reports and responses of the platform without end are errors

The control process read each report of an endpoint, and each response of the platform, as a whole, however long, until the timeout. Evidence: control endless_responses::a_report_without_an_end_is_an_error failed before: 70 MB in half a second from one endpoint.

--- a/crates/control/src/endpoints.rs
+++ b/crates/control/src/endpoints.rs
@@ -20,6 +20,8 @@
 
 /// Timeout of a request for a load report, in milliseconds.
 const REPORT_TIMEOUT_MS: u64 = 500;
+/// Maximum size of a load report, in bytes.
+const MAX_REPORT_BYTES: u64 = 64 << 10;
 /// Timeout of a request that sends an order, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 2_000;
 /// Number of consecutive failed polls after which an endpoint is reported as lost.
@@ -81,7 +83,8 @@
 impl EndpointClient for HttpEndpointClient {
     fn get_load(&self, address: SocketAddr) -> Result<LoadReport, CallError> {
         let requested_ms = boot_now();
-        let response: LoadResponse = get_json(address, "/-/load", REPORT_TIMEOUT_MS)?;
+        let response: LoadResponse =
+            get_json(address, "/-/load", REPORT_TIMEOUT_MS, MAX_REPORT_BYTES)?;
         Ok(LoadReport {
             // Subtract the age from the time of the request, not of the response, so that the
             // report never appears more recent than it is.
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -25,6 +25,8 @@
 const WATCH_MS: u64 = 1_000;
 /// Timeout of a platform call in milliseconds, not counting the wait that the call requests.
 const RESPONSE_TIMEOUT_MS: u64 = 1_000;
+/// Maximum size of a response, in bytes. A page has values of up to 2 MB, the list of VMs less.
+const MAX_RESPONSE_BYTES: u64 = 16 << 20;
 /// Delay between a failed platform call and the next one, in milliseconds.
 const RETRY_DELAY_MS: u64 = 250;
 /// Interval at which a paused reader thread checks whether this VM has to read the platform again,
@@ -108,7 +110,7 @@
         from: &str,
     ) -> Result<ConfigPage, CallError> {
         let path = format!("/v1/config?after={after}&wait_ms={wait_ms}&from={from}");
-        get_json(self.address, &path, wait_ms + RESPONSE_TIMEOUT_MS)
+        get_json(self.address, &path, wait_ms + RESPONSE_TIMEOUT_MS, MAX_RESPONSE_BYTES)
     }
 }
 
@@ -140,7 +142,7 @@
     fn watch_vm_list(&self, after: u64) -> Result<VmList, CallError> {
         let path = format!("/v1/vms?after={after}&wait_ms={WATCH_MS}");
         let response: VmListResponse =
-            get_json(self.address, &path, WATCH_MS + RESPONSE_TIMEOUT_MS)?;
+            get_json(self.address, &path, WATCH_MS + RESPONSE_TIMEOUT_MS, MAX_RESPONSE_BYTES)?;
         let vms: BTreeMap<VmId, VmRecord> = response
             .vms
             .into_iter()
--- /dev/null
+++ b/crates/control/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the control process against raw connections.
+
+mod endless_responses;
