--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -153,7 +153,7 @@
     /// Returns the refusal if this VM shuts down and might cut the request. Checked whenever the request
     /// may begin: it may have waited since it was admitted.
     pub fn shutdown_refusal(&self) -> Option<Refusal> {
-        let shutdown = self.context.shutdown_course()?;
+        let shutdown = self.context.shutdown.course()?;
         let request = PendingRequest {
             route: &self.route,
             service: &self.service,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,5 +1,6 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
+use crate::shutdown::ShutdownState;
 use crate::stream_gossip::{RecordsToPassOn, StreamMessage};
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_exchange::{BufferBudget, Dial};
@@ -16,7 +17,6 @@
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
 use gypsumchute_routing::poison::PoisonTracker;
-use gypsumchute_routing::shutdown::Shutdown;
 use gypsumchute_routing::silent_runs::SilentRuns;
 use gypsumchute_routing::stream_versions::StreamVersions;
 use gypsumchute_routing::{EndpointTable, RoutingTable};
@@ -30,9 +30,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::sleep;
 
 /// Number of endpoint crashes after which a request counts as a poison request and is refused on
 /// all VMs. After two crashes, the request could still be an innocent one that ran next to the
@@ -45,8 +43,6 @@
 const REQUEST_BUFFER_BYTES: usize = 24 << 20;
 /// Memory for large responses that are buffered at once, in bytes. The smallest VMs have 88 MB.
 const RESPONSE_BUFFER_BYTES: usize = 16 << 20;
-/// Time before the exit of the process at which requests in flight are answered, in milliseconds.
-const LAST_ANSWERS_MS: u64 = 150;
 /// Time for which an endpoint's termination notice is repeated in heartbeats, in milliseconds: the
 /// duration of several heartbeats.
 const ANNOUNCE_MS: u64 = 2_500;
@@ -161,10 +157,8 @@
     changed: watch::Sender<()>,
     /// Notifies waiters of changes to the registry or the configuration.
     registry_changed: watch::Sender<()>,
-    /// Becomes `true` when the shutdown begins.
-    shutdown: watch::Sender<bool>,
-    /// Course of the shutdown, once it has begun.
-    shutdown_course: Cell<Option<Shutdown>>,
+    /// Whether the process shuts down.
+    pub shutdown: ShutdownState,
     /// Number of open caller connections.
     connections: Cell<usize>,
 }
@@ -226,8 +220,7 @@
             state: RefCell::new(state),
             changed: watch::Sender::new(()),
             registry_changed: watch::Sender::new(()),
-            shutdown: watch::Sender::new(false),
-            shutdown_course: Cell::new(None),
+            shutdown: ShutdownState::default(),
             connections: Cell::new(0),
         })
     }
@@ -259,39 +252,6 @@
         self.registry_changed.subscribe()
     }
 
-    /// Begins the graceful shutdown; the process exits at `exit_ms` at the latest. Requests that wait
-    /// for an endpoint learn of it.
-    pub fn begin_shutdown(&self, exit_ms: BootMs) {
-        let last_answers_ms = BootMs(exit_ms.0.saturating_sub(LAST_ANSWERS_MS));
-        self.shutdown_course.set(Some(Shutdown { started_ms: boot_now(), last_answers_ms }));
-        self.shutdown.send_replace(true);
-        self.notify_changed();
-    }
-
-    /// Returns the course of the shutdown, or `None` if the process is not shutting down.
-    pub fn shutdown_course(&self) -> Option<Shutdown> {
-        self.shutdown_course.get()
-    }
-
-    /// Reports whether the process is shutting down.
-    pub fn is_shutting_down(&self) -> bool {
-        *self.shutdown.borrow()
-    }
-
-    /// Completes shortly before the process exits, when requests that are still in flight must be
-    /// answered. Never completes unless the shutdown begins.
-    pub async fn last_answers_due(&self) {
-        // The sender is a field of the context, so it is not dropped.
-        drop(self.shutdown.subscribe().wait_for(|closing| *closing).await);
-        let due_ms = self.shutdown_course().map(|course| course.last_answers_ms);
-        sleep(Duration::from_millis(boot_now().until(due_ms.unwrap_or_default()))).await;
-    }
-
-    /// Returns a receiver whose value becomes `true` when the shutdown begins.
-    pub fn shutdown_signal(&self) -> watch::Receiver<bool> {
-        self.shutdown.subscribe()
-    }
-
     /// Returns the number of open caller connections.
     pub fn connections(&self) -> usize {
         self.connections.get()
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -315,7 +315,7 @@
             let reaches_it = service.is_ok_and(|service| !state.links.are_lost(&service));
             state.table.is_some() && reaches_it
         });
-        let accepted = may_serve && !context.is_shutting_down();
+        let accepted = may_serve && !context.shutdown.has_begun();
         context.metrics.count_forwarded(if accepted { "accepted" } else { "declined" });
         framed.send(Bytes::from(ForwardAnswer { accepted }.encode_to_vec())).await?;
         let offer = PeerOffer { max_endpoints: offer.max_endpoints, continued_run: run };
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -130,7 +130,7 @@
             end = self.run_to_completion() => end,
             () = events.closed() => GenerationEnd::CallerDisconnected,
             () = sleep(left) => GenerationEnd::TimedOut,
-            () = context.last_answers_due() => GenerationEnd::TimedOut,
+            () = context.shutdown.last_answers_due() => GenerationEnd::TimedOut,
         };
         if matches!(end, GenerationEnd::CallerDisconnected | GenerationEnd::TimedOut) {
             self.record_silent_run();
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -74,8 +74,7 @@
         return;
     }
     let limits = context.with(|state| ingress_limits(state.table.as_deref()));
-    let mut shutdown = context.shutdown_signal();
-    let handler = service_fn(move |request| {
+    let handler = service_fn(|request| {
         let context = context.clone();
         async move { Ok::<_, Infallible>(handle_request(context, request, Origin::Caller).await) }
     });
@@ -90,7 +89,7 @@
     tokio::select! {
         // If the connection fails, the caller is gone and the error cannot be reported to it.
         _ = connection.as_mut() => return,
-        _ = shutdown.wait_for(|closing| *closing) => {}
+        _ = context.shutdown.begun() => {}
     }
     // Callers reuse connections for a while: the next request is answered with `Connection: close`.
     tokio::select! {
@@ -144,7 +143,7 @@
         },
         Err(rejected) => rejected.into_reply(&context),
     };
-    if context.is_shutting_down() || is_chunked {
+    if context.shutdown.has_begun() || is_chunked {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     context.metrics.record_request_latency(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,8 +17,8 @@
 //!   [`maintenance`] discards expired state;
 //! - [`stream_gossip`] tells peers at which software version a stream began, and asks them when a
 //!   caller resumes it; [`registry_check`] reads what this VM may have missed before that;
-//! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon, and
-//!   [`reload`] applies changed settings.
+//! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon
+//!   ([`shutdown`]), and [`reload`] applies changed settings.
 
 pub mod call;
 pub mod context;
@@ -41,6 +41,7 @@
 pub mod registry_check;
 pub mod reload;
 pub mod reply;
+pub mod shutdown;
 pub mod status_server;
 pub mod store_reader;
 pub mod store_updates;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -52,7 +52,7 @@
     };
     let reply = tokio::select! {
         reply = request.run() => Some(reply),
-        () = call.context.last_answers_due() => None,
+        () = call.context.shutdown.last_answers_due() => None,
     };
     let reply = reply.unwrap_or_else(|| request.refuse_at_shutdown());
     request.is_answered = true;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -162,7 +162,7 @@
     let has_configuration = context.with(|state| {
         state.table.is_some() && state.store_copy.position() > StorePosition::default()
     });
-    match (context.is_shutting_down(), has_configuration) {
+    match (context.shutdown.has_begun(), has_configuration) {
         (false, true) => (StatusCode::OK, "ready\n".to_owned()),
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "shutting down\n".to_owned()),
         (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n".to_owned()),
@@ -176,7 +176,9 @@
     info!(connections = context.connections(); "daemon is shutting down");
     let deadline_ms =
         started_ms + context.settings.shutdown_grace_ms().saturating_sub(SHUTDOWN_RESERVE_MS);
-    context.begin_shutdown(deadline_ms);
+    context.shutdown.begin(deadline_ms);
+    // Requests that wait for an endpoint may have to be refused.
+    context.notify_changed();
     context.pass_on_records_since(BootMs::default());
     while boot_now() < deadline_ms {
         let may_end = boot_now().since(started_ms) >= MIN_DRAIN_MS && context.connections() == 0;
