daemon: a VM that ends accepts no connection while it passes records on

Cause: a process checked that no connection was open and then ended; with the records of streams there is more to send in between, and a request that came then could be passed on and cut. Found in reading, not seen. Change: the process stops accepting first, and ends at the next check that finds no connection.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::sleep;
 
 /// Path of the metrics page.
@@ -138,7 +138,7 @@
     spawn_local(peer_sync::serve_peers(context.clone(), peers));
     spawn_local(maintenance::run(context.clone()));
     spawn_local(engine_reports::run(context.clone()));
-    spawn_local(ingress::serve(context.clone(), callers));
+    let accepting = spawn_local(ingress::serve(context.clone(), callers));
     let page_context = context.clone();
     let page = Rc::new(move || readiness_page(&page_context));
     spawn_local(status_server::serve(readiness, READINESS_PATH, page));
@@ -147,7 +147,7 @@
     spawn_local(status_server::serve(metrics, METRICS_PATH, page));
 
     stop.await;
-    shut_down(&context, &socket).await;
+    shut_down(&context, &socket, &accepting).await;
     Ok(())
 }
 
@@ -170,8 +170,9 @@
 }
 
 /// Waits until all connections are closed, but at least for [`MIN_DRAIN_MS`], or until the grace
-/// period ends. Passes on what peers need, and announces the shutdown to them.
-async fn shut_down(context: &Rc<Context>, socket: &UdpSocket) {
+/// period ends. Then accepts no more connections, passes on what peers need, and announces the shutdown
+/// to them.
+async fn shut_down(context: &Rc<Context>, socket: &UdpSocket, accepting: &JoinHandle<()>) {
     let started_ms = boot_now();
     info!(connections = context.connections(); "daemon is shutting down");
     let deadline_ms =
@@ -182,9 +183,13 @@
     context.pass_on_records_since(BootMs::default());
     while boot_now() < deadline_ms {
         let may_end = boot_now().since(started_ms) >= MIN_DRAIN_MS && context.connections() == 0;
-        if may_end {
+        // A connection may have been accepted since the last check.
+        if may_end && accepting.is_finished() {
             break;
         }
+        if may_end {
+            accepting.abort();
+        }
         sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
     }
     match context.connections() {
