daemon: passing records on stands in a module of its own

Cause: stream_gossip held two jobs, the messages on streams and what VMs that join later are sent. Change: record_passing has the latter; nothing else changes.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,8 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
+use crate::record_passing::RecordsToPassOn;
 use crate::shutdown::ShutdownState;
-use crate::stream_gossip::{RecordsToPassOn, StreamMessage};
+use crate::stream_gossip::StreamMessage;
 use gypsumchute_config::DaemonSettings;
 use gypsumchute_exchange::{BufferBudget, Dial};
 use gypsumchute_fleet::{Membership, PeerAddress, StoreReplica};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`gossip`] and [`crash_gossip`] exchange load, membership and crashes with peers;
 //!   [`maintenance`] discards expired state;
 //! - [`stream_gossip`] tells peers at which software version a stream began, and asks them when a
-//!   caller resumes it; [`registry_check`] reads what this VM may have missed before that;
+//!   caller resumes it, [`record_passing`] tells VMs that join later; [`registry_check`] reads what this VM may have missed before that;
 //! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon
 //!   ([`shutdown`]), and [`reload`] applies changed settings.
 
@@ -38,6 +38,7 @@
 pub mod plain;
 pub mod possible_runs;
 pub mod process;
+pub mod record_passing;
 pub mod registry_check;
 pub mod reload;
 pub mod reply;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,8 +2,8 @@
 
 use crate::context::Context;
 use crate::{
-    engine_reports, folder_reader, gossip, ingress, maintenance, peer_sync, reload, status_server,
-    store_reader, stream_gossip,
+    engine_reports, folder_reader, gossip, ingress, maintenance, peer_sync, record_passing, reload,
+    status_server, store_reader, stream_gossip,
 };
 use gypsumchute_config::{ConfigSource, DaemonSettings};
 use gypsumchute_exchange::{Dial, TcpDialer};
@@ -132,7 +132,7 @@
     spawn_local(gossip::send_heartbeats(context.clone(), socket.clone()));
     spawn_local(gossip::send_load_notes(context.clone(), socket.clone()));
     spawn_local(stream_gossip::send_messages(context.clone(), socket.clone()));
-    spawn_local(stream_gossip::send_records_to_pass_on(context.clone(), socket.clone()));
+    spawn_local(record_passing::send_records_to_pass_on(context.clone(), socket.clone()));
     spawn_local(gossip::receive_datagrams(context.clone(), socket.clone()));
     spawn_local(peer_sync::pull_changes(context.clone()));
     spawn_local(peer_sync::serve_peers(context.clone(), peers));
@@ -198,6 +198,6 @@
     }
     // Records that arrived since, and those of streams that were cut just now.
     context.pass_on_records_since(started_ms);
-    stream_gossip::send_pending_records(context, socket, MAX_LAST_RECORDS).await;
+    record_passing::send_pending_records(context, socket, MAX_LAST_RECORDS).await;
     gossip::announce_shutdown(context, socket).await;
 }
