daemon: the end of each request names who ended it and why

'request ended' had only the outcome; a deadline and the exit of the process looked alike; a response that a peer serves ended without a line; errors of callers' connections were dropped. Change: 'request ended' has ended_by, cause, events and silent_ms; 'recovery chosen' has silent_ms; the ends of relayed responses and the failures of callers' connections are logged. A counter of ends. No decision is changed. Measured: request_ends::the_end_of_a_stream_names_who_ended_it passes; before, there was no such counter.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -287,15 +287,12 @@
         }
     }
 
-    /// Logs the outcome of the request.
-    pub fn log_completion(
-        &self,
-        outcome: &str,
-        status: u16,
-        endpoint: Option<&EndpointId>,
-        tries: u32,
-    ) {
+    /// Logs and counts the end of the request.
+    pub fn log_completion(&self, end: RequestEnd<'_>) {
+        let RequestEnd { outcome, status, ended_by, cause, endpoint, tries, events, silent_ms } =
+            end;
         let elapsed_ms = boot_now().since(self.arrived_ms);
+        self.context.metrics.count_request_end(ended_by.into(), outcome);
         info!(
             request = self.id(),
             fingerprint:% = self.fingerprint,
@@ -304,6 +301,10 @@
             endpoint = endpoint.map_or("-", EndpointId::as_str),
             outcome,
             status,
+            ended_by:% = ended_by,
+            cause,
+            events,
+            silent_ms:? = silent_ms,
             tries,
             possible_runs = self.possible_runs.endpoints(),
             elapsed_ms,
@@ -319,6 +320,45 @@
     }
 }
 
+/// Who ended a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndedBy {
+    /// The endpoint, with a complete answer, an error or a broken connection.
+    Endpoint,
+    /// The caller closed the connection, or the connection to it broke.
+    Caller,
+    /// This VM refused the request or gave a run up.
+    Vm,
+    /// The peer VM that serves the request.
+    Peer,
+    /// The deadline expired.
+    Deadline,
+    /// This VM is about to exit.
+    Shutdown,
+}
+
+/// How a request ended, for log lines and metrics.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestEnd<'a> {
+    /// What the caller got.
+    pub outcome: &'static str,
+    /// Status of the reply, or 0 if there is none.
+    pub status: u16,
+    /// Who ended the request.
+    pub ended_by: EndedBy,
+    /// Failure or refusal that ended it, or `-`.
+    pub cause: &'a str,
+    /// Endpoint that the request was last sent to.
+    pub endpoint: Option<&'a EndpointId>,
+    /// Number of times the request was sent to an endpoint.
+    pub tries: u32,
+    /// Number of events that the caller was sent.
+    pub events: u64,
+    /// Time since the last sign of life of the run, in milliseconds. `None` if there is no run.
+    pub silent_ms: Option<u64>,
+}
+
 /// Options that differ between the attempts of one request.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SendOptions<'a> {
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -10,7 +10,7 @@
 use crate::ingress;
 use crate::peer_sync::{FramedStream, codec, read_frame};
 use crate::placing::{EndpointConnection, LinkUse};
-use crate::reply::{Reply, ReplyBody, is_not_run_refusal, refusal_reason};
+use crate::reply::{RelayedBody, Reply, ReplyBody, is_not_run_refusal, refusal_reason};
 use bytes::Bytes;
 use futures_util::SinkExt;
 use gypsumchute_exchange::{Connection, ResponseStream, TcpTimeouts, set_tcp_timeouts};
@@ -157,7 +157,7 @@
             let Some(response) = self.send_to_peer(&peer, connection).await else {
                 return Some(Placed::ForwardLost);
             };
-            let reply = relay_response(response);
+            let reply = self.relay_response(response);
             if is_not_run_refusal(&reply) {
                 possible_run.disprove();
             }
@@ -177,6 +177,17 @@
         unreachable.map(Placed::Forwarded)
     }
 
+    /// Returns the peer's response as the reply to the caller.
+    fn relay_response(&self, response: ResponseStream) -> Reply {
+        let (status, headers) = (response.head.status, &response.head.headers);
+        let headers = endpoints::response_headers(headers);
+        let body = RelayedBody::new(response, self.id(), &self.context.metrics);
+        let mut reply = Response::new(ReplyBody::Relayed(Box::new(body)));
+        *reply.status_mut() = status;
+        *reply.headers_mut() = headers;
+        reply
+    }
+
     /// Has another VM move `run` to another engine, and returns the stream of what follows the events
     /// that the caller has. Returns `None` if that failed; the run may have been stopped then.
     pub async fn continue_at_peer(&self, run: &ContinuedRun) -> Option<ResponseStream> {
@@ -282,16 +293,6 @@
     }
 }
 
-/// Returns the peer's response as the reply to the caller.
-fn relay_response(response: ResponseStream) -> Reply {
-    let (status, headers) = (response.head.status, &response.head.headers);
-    let headers = endpoints::response_headers(headers);
-    let mut reply = Response::new(ReplyBody::Relayed(Box::new(response)));
-    *reply.status_mut() = status;
-    *reply.headers_mut() = headers;
-    reply
-}
-
 /// A request that a peer is about to send on an open connection.
 pub struct ForwardedRequest {
     stream: TcpStream,
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -16,10 +16,10 @@
 mod run;
 
 use self::run::{
-    Backup, GenerationEnd, RelayEnd, ResponseSender, Run, RunFailure, RunProgress, StartFrom,
-    StartOutcome,
+    Backup, GenerationEnd, NoRecovery, RelayEnd, ResponseSender, Run, RunFailure, RunProgress,
+    StartFrom, StartOutcome,
 };
-use crate::call::{Call, SendOptions};
+use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
 use crate::events::{EventAction, EventReader, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
@@ -95,6 +95,10 @@
     /// Last sign of life of the run at `last_endpoint`: when the request was sent, or the last event
     /// arrived. `None` if there is no run.
     run_alive_ms: Option<BootMs>,
+    /// Last failure of a run, for log lines.
+    last_failure: Option<String>,
+    /// Why the last run that was lost was not followed by another one.
+    no_recovery: Option<NoRecovery>,
     /// How far the last run came.
     progress: RunProgress,
     /// Software version that began the stream, at which alone it may go on. `None` until the first
@@ -116,6 +120,8 @@
             rejections: 0,
             last_endpoint: None,
             run_alive_ms: None,
+            last_failure: None,
+            no_recovery: None,
             progress: RunProgress::Waiting,
             version: None,
         }
@@ -130,12 +136,16 @@
             end = self.run_to_completion() => end,
             () = events.closed() => GenerationEnd::CallerDisconnected,
             () = sleep(left) => GenerationEnd::TimedOut,
-            () = context.shutdown.last_answers_due() => GenerationEnd::TimedOut,
+            () = context.shutdown.last_answers_due() => GenerationEnd::ShutDown,
         };
-        if matches!(end, GenerationEnd::CallerDisconnected | GenerationEnd::TimedOut) {
+        let silent_ms = self.run_alive_ms.map(|alive_ms| boot_now().since(alive_ms));
+        if let GenerationEnd::CallerDisconnected
+        | GenerationEnd::TimedOut
+        | GenerationEnd::ShutDown = end
+        {
             self.record_silent_run();
         }
-        self.finish(end).await;
+        self.finish(end, silent_ms).await;
     }
 
     /// Records that the run ends without a response, unless there was a sign of life just now.
@@ -156,11 +166,14 @@
     }
 
     /// Logs the outcome and sends the final reply, or aborts a stream that has already started.
-    async fn finish(&mut self, end: GenerationEnd) {
+    /// `silent_ms` is the time since the last sign of life of the run, if there is one.
+    async fn finish(&mut self, end: GenerationEnd, silent_ms: Option<u64>) {
+        let ended_by = self.ended_by(&end);
+        let cause = self.end_cause(&end);
         let (outcome, reply) = match end {
             GenerationEnd::Complete => ("answered", None),
             GenerationEnd::CallerDisconnected => ("caller_left", None),
-            GenerationEnd::TimedOut => {
+            GenerationEnd::TimedOut | GenerationEnd::ShutDown => {
                 let refusal = match self.call.possible_runs.endpoints() {
                     0 => self.call.retryable_refusal(RefusalReason::NoRoom, 0),
                     _ => Refusal::may_have_run(RefusalReason::EndpointTimeout),
@@ -174,7 +187,16 @@
             GenerationEnd::Forwarded(reply) => ("forwarded", Some(reply)),
         };
         let status = reply.as_ref().map_or(200, |reply| reply.status().as_u16());
-        self.call.log_completion(outcome, status, self.last_endpoint.as_ref(), self.attempts);
+        self.call.log_completion(RequestEnd {
+            outcome,
+            status,
+            ended_by,
+            cause: &cause,
+            endpoint: self.last_endpoint.as_ref(),
+            tries: self.attempts,
+            events: self.delivered_events,
+            silent_ms,
+        });
         let Some(reply) = reply else { return };
         match self.response_sender.head.take() {
             // The send fails only if the caller has disconnected, and then no reply is needed.
@@ -183,6 +205,34 @@
         }
     }
 
+    /// Returns who ended the generation.
+    fn ended_by(&self, end: &GenerationEnd) -> EndedBy {
+        match end {
+            GenerationEnd::CallerDisconnected => EndedBy::Caller,
+            GenerationEnd::TimedOut => EndedBy::Deadline,
+            GenerationEnd::ShutDown => EndedBy::Shutdown,
+            GenerationEnd::Refused(_) if self.last_failure.is_none() => EndedBy::Vm,
+            GenerationEnd::Forwarded(_) => EndedBy::Peer,
+            GenerationEnd::Complete | GenerationEnd::Refused(_) | GenerationEnd::Failed(_) => {
+                EndedBy::Endpoint
+            }
+        }
+    }
+
+    /// Describes why the generation ended without its complete stream, or returns `-`: the last
+    /// failure of a run, and why no other run followed.
+    fn end_cause(&self, end: &GenerationEnd) -> String {
+        let refusal = match end {
+            GenerationEnd::Complete | GenerationEnd::CallerDisconnected => return "-".to_owned(),
+            GenerationEnd::Refused(refusal) => Some(<&str>::from(refusal.reason)),
+            _ => None,
+        };
+        let no_recovery = self.no_recovery.map(|reason| reason.to_string());
+        let parts = [self.last_failure.clone(), no_recovery, refusal.map(str::to_owned)];
+        let known: Vec<_> = parts.into_iter().flatten().collect();
+        if known.is_empty() { "-".to_owned() } else { known.join("; ") }
+    }
+
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
         let mut from_backup = false;
@@ -252,15 +302,21 @@
             false => RecoveryAction::Fail,
         };
         self.log_recovery(interruption, next);
-        match (next, backup) {
-            (RecoveryAction::ResumeFromBackup, Some(backup)) => Ok(StartFrom::Backup(backup)),
-            (RecoveryAction::Restart, _)
-                if self.call.context.take_retry(&self.call.service.id, interruption.into()) =>
-            {
-                Ok(StartFrom::Prompt)
+        let no_recovery = match (next, backup) {
+            (RecoveryAction::ResumeFromBackup, Some(backup)) => {
+                return Ok(StartFrom::Backup(backup));
             }
-            _ => Err(Refusal::may_have_run(RefusalReason::EndpointLost)),
-        }
+            (RecoveryAction::Restart, _) => {
+                if self.call.context.take_retry(&self.call.service.id, interruption.into()) {
+                    return Ok(StartFrom::Prompt);
+                }
+                NoRecovery::RetryBudgetSpent
+            }
+            _ if self.has_certain_version() => NoRecovery::NotRepeatable,
+            _ => NoRecovery::VersionUncertain,
+        };
+        self.no_recovery = Some(no_recovery);
+        Err(Refusal::may_have_run(RefusalReason::EndpointLost))
     }
 
     /// Returns the state that [`choose_recovery`] bases the decision on.
@@ -298,6 +354,7 @@
             next:% = next,
             events = self.delivered_events,
             breaks = self.failed_runs,
+            silent_ms:? = self.run_alive_ms.map(|alive_ms| boot_now().since(alive_ms)),
             left_ms = self.call.remaining_ms();
             "run was lost or must move; recovery chosen"
         );
@@ -434,6 +491,7 @@
     /// Records a connection failure or an invalid response of `endpoint`.
     fn on_run_failed(&mut self, endpoint: &EndpointId, failure: &RunFailure) {
         self.failed_runs += 1;
+        self.last_failure = Some(failure.cause().to_owned());
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
         let alive_ms = self.run_alive_ms.take();
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -88,6 +88,7 @@
                             "engine stream failed");
                         if run.is_at_peer {
                             self.failed_runs += 1;
+                            self.last_failure = Some(failure.cause().to_owned());
                             return RelayEnd::Lost(Interruption::Disconnected, None);
                         }
                         self.on_run_failed(&run.endpoint, &failure);
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -183,6 +183,8 @@
     CallerDisconnected,
     /// The deadline expired.
     TimedOut,
+    /// This VM is about to exit.
+    ShutDown,
     /// No engine could run or resume the generation.
     Refused(Refusal),
     /// An engine's error response is forwarded to the caller.
@@ -191,6 +193,18 @@
     Forwarded(Reply),
 }
 
+/// Why a run that was lost was not followed by another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum NoRecovery {
+    /// The software version that began the stream is not certain.
+    VersionUncertain,
+    /// The run has no backup, and the request may not run again.
+    NotRepeatable,
+    /// No retry is left in the budget.
+    RetryBudgetSpent,
+}
+
 /// Why the events of a run are no longer relayed.
 pub(super) enum RelayEnd {
     /// The stream reached its end.
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -25,7 +25,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
 use rand::RngExt;
+use std::cell::RefCell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -74,8 +76,12 @@
         return;
     }
     let limits = context.with(|state| ingress_limits(state.table.as_deref()));
-    let handler = service_fn(|request| {
+    let last_request = RefCell::new(String::new());
+    let handler = service_fn(|request: Request<Incoming>| {
         let context = context.clone();
+        let caller = RequestHead::from_headers(request.headers());
+        *last_request.borrow_mut() =
+            caller.request_id.map_or_else(String::new, |id| id.to_string());
         async move { Ok::<_, Infallible>(handle_request(context, request, Origin::Caller).await) }
     });
     // hyper starts the header timer when the connection becomes idle, so this timeout limits both.
@@ -87,17 +93,31 @@
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     tokio::select! {
-        // If the connection fails, the caller is gone and the error cannot be reported to it.
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return log_connection_end(ended, &last_request),
         _ = context.shutdown.begun() => {}
     }
     // Callers reuse connections for a while: the next request is answered with `Connection: close`.
     tokio::select! {
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return log_connection_end(ended, &last_request),
         _ = sleep(Duration::from_millis(CLOSE_IDLE_AFTER_MS)) => {}
     }
     connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+    log_connection_end(connection.await, &last_request);
+}
+
+/// Logs the failure of a caller's connection that was not caused by the response itself. The caller
+/// is gone, so that the error can't be reported to it.
+fn log_connection_end(ended: hyper::Result<()>, last_request: &RefCell<String>) {
+    match ended {
+        Ok(()) => {}
+        // The stream was aborted, or the connection was idle for too long.
+        Err(err) if err.is_user() || err.is_timeout() => {}
+        Err(err) => {
+            let cause = err.source().map_or("-".to_owned(), ToString::to_string);
+            info!(last_request = last_request.borrow().as_str(), error:% = err, cause;
+                "caller connection failed");
+        }
+    }
 }
 
 /// Serves one request that another VM forwards on `stream`.
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -1,9 +1,9 @@
 //! Requests to plain services, which are answered by one complete response.
 
-use crate::call::{Call, SendOptions};
+use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
 use crate::forwarding::Placed;
 use crate::placing::EndpointConnection;
-use crate::reply::{Reply, ReplyBody};
+use crate::reply::{Reply, ReplyBody, refusal_reason};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
 use gypsumchute_platform::{ResponseKind, classify_response, endpoints};
@@ -54,10 +54,18 @@
         reply = request.run() => Some(reply),
         () = call.context.shutdown.last_answers_due() => None,
     };
+    let is_cut_short = reply.is_none();
     let reply = reply.unwrap_or_else(|| request.refuse_at_shutdown());
     request.is_answered = true;
     let outcome = if reply.status().is_success() { "answered" } else { "failed" };
-    request.log_completion(outcome, reply.status().as_u16());
+    let reason = refusal_reason(reply.headers());
+    let ended_by = match reason {
+        _ if is_cut_short => EndedBy::Shutdown,
+        Some(RefusalReason::EndpointTimeout) => EndedBy::Deadline,
+        Some(_) => EndedBy::Vm,
+        None => EndedBy::Endpoint,
+    };
+    request.log_completion(outcome, reply.status().as_u16(), ended_by, reason);
     reply
 }
 
@@ -86,14 +94,29 @@
         if let Some((endpoint, sent_ms)) = &self.in_flight {
             self.call.record_silent_run(endpoint, self.call.unanswered_run(), *sent_ms);
         }
-        self.log_completion("caller_left", 0);
+        self.log_completion("caller_left", 0, EndedBy::Caller, None);
     }
 }
 
 impl PlainRequest<'_> {
     /// Logs the outcome of the request.
-    fn log_completion(&self, outcome: &str, status: u16) {
-        self.call.log_completion(outcome, status, self.last_endpoint.as_ref(), self.attempts);
+    fn log_completion(
+        &self,
+        outcome: &'static str,
+        status: u16,
+        ended_by: EndedBy,
+        reason: Option<RefusalReason>,
+    ) {
+        self.call.log_completion(RequestEnd {
+            outcome,
+            status,
+            ended_by,
+            cause: reason.map_or("-", Into::into),
+            endpoint: self.last_endpoint.as_ref(),
+            tries: self.attempts,
+            events: 0,
+            silent_ms: self.in_flight.as_ref().map(|(_, sent_ms)| boot_now().since(*sent_ms)),
+        });
     }
 
     /// Sends the request until it is answered or no further attempt is allowed.
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -1,15 +1,18 @@
 //! Replies to callers: a complete body, a stream or a refusal.
 
+use crate::call::EndedBy;
 use bytes::Bytes;
 use gypsumchute_exchange::ResponseStream;
+use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::{Refusal, RefusalReason, promises_not_run};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
+use log::info;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 /// Header of each refusal that names the reason, so that a VM which handed a request over can tell it.
@@ -59,7 +62,61 @@
     /// Chunks as they arrive. The sender is notified when the caller disconnects.
     Stream(mpsc::Receiver<Result<QueuedChunk, StreamAborted>>),
     /// The response of another VM, as it arrives.
-    Relayed(Box<ResponseStream>),
+    Relayed(Box<RelayedBody>),
+}
+
+/// Body of another VM's response. Its end is logged and counted.
+pub struct RelayedBody {
+    response: ResponseStream,
+    request_id: String,
+    metrics: Metrics,
+    is_ended: bool,
+}
+
+impl RelayedBody {
+    /// Relays the body of `response` to the request `request_id`.
+    pub fn new(response: ResponseStream, request_id: &str, metrics: &Metrics) -> Self {
+        let (request_id, metrics) = (request_id.to_owned(), metrics.clone());
+        RelayedBody { response, request_id, metrics, is_ended: false }
+    }
+
+    /// Logs and counts the end of the response.
+    fn log_end(&mut self, outcome: &'static str, ended_by: EndedBy, cause: &str) {
+        self.is_ended = true;
+        self.metrics.count_request_end(ended_by.into(), outcome);
+        info!(request = self.request_id.as_str(), outcome, ended_by:% = ended_by, cause;
+            "response of peer VM ended");
+    }
+
+    /// Polls the next frame of the body.
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        let frame = ready!(self.response.poll_frame(cx));
+        Poll::Ready(match frame {
+            Some(Ok(frame)) => Some(Ok(frame)),
+            Some(Err(err)) => {
+                self.log_end("endpoint_lost", EndedBy::Peer, &err.to_string());
+                Some(Err(StreamAborted))
+            }
+            None => {
+                self.log_end("answered", EndedBy::Peer, "-");
+                None
+            }
+        })
+    }
+}
+
+/// A body with a known length is dropped at its last byte, before its end is polled.
+impl Drop for RelayedBody {
+    fn drop(&mut self) {
+        match self.response.size_hint().exact() {
+            _ if self.is_ended => {}
+            Some(0) => self.log_end("answered", EndedBy::Peer, "-"),
+            _ => self.log_end("caller_left", EndedBy::Caller, "-"),
+        }
+    }
 }
 
 impl Body for ReplyBody {
@@ -76,9 +133,7 @@
                 let chunk = chunks.poll_recv(cx);
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(|queued| Frame::data(queued.bytes))))
             }
-            ReplyBody::Relayed(response) => response
-                .poll_frame(cx)
-                .map(|frame| frame.map(|frame| frame.map_err(|_| StreamAborted))),
+            ReplyBody::Relayed(body) => body.poll_frame(cx),
         }
     }
 
@@ -92,7 +147,7 @@
                 SizeHint::with_exact(body.as_ref().map_or(0, Bytes::len) as u64)
             }
             ReplyBody::Stream(_) => SizeHint::default(),
-            ReplyBody::Relayed(response) => response.size_hint(),
+            ReplyBody::Relayed(body) => body.response.size_hint(),
         }
     }
 }
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod plain;
 mod poison;
 mod poison_segments;
+mod request_ends;
 mod request_limits;
 mod restored_store;
 mod retry_budget;
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -54,10 +54,22 @@
         vm: &str,
         zone: &str,
         seeds: &[SocketAddrV4],
+    ) -> Self {
+        Daemon::start_tuned(links, configuration, vm, zone, seeds, |_| {})
+    }
+
+    /// Starts a daemon whose settings `tune` changes.
+    fn start_tuned(
+        links: &Links,
+        configuration: ConfigSource,
+        vm: &str,
+        zone: &str,
+        seeds: &[SocketAddrV4],
+        tune: impl FnOnce(&mut DaemonSettings),
     ) -> Self {
         let ip = next_ip();
         let [callers, readiness, metrics, peers] = ports().map(|port| SocketAddrV4::new(ip, port));
-        let settings = DaemonSettings {
+        let mut settings = DaemonSettings {
             vm: vm.parse().expect("valid id"),
             zone: zone.parse().expect("valid id"),
             zone_regions: BTreeMap::new(),
@@ -72,6 +84,7 @@
             retry_fixed: 50.0,
             retry_window_s: 10.0,
         };
+        tune(&mut settings);
         let (stop, stopped) = oneshot::channel::<()>();
         let (daemon_settings, links) = (settings.clone(), links.clone());
         let thread = thread::spawn(move || {
@@ -176,13 +189,22 @@
     /// Starts the environment. The endpoints are registered before the daemon is ready.
     pub fn start(
         make: impl FnOnce(&SharedEndpointState) -> Vec<(Endpoint, &'static str, &'static str)>,
+    ) -> (Self, Vec<Endpoint>) {
+        TestEnv::start_with_settings(|_| {}, make)
+    }
+
+    /// Starts the environment with a daemon whose settings `tune` changes.
+    pub fn start_with_settings(
+        tune: impl FnOnce(&mut DaemonSettings),
+        make: impl FnOnce(&SharedEndpointState) -> Vec<(Endpoint, &'static str, &'static str)>,
     ) -> (Self, Vec<Endpoint>) {
         let (store, endpoint_state) = (configured_store(), SharedEndpointState::default());
         let started = make(&endpoint_state);
         for (endpoint, service, zone) in &started {
             register_endpoint(&store, endpoint, service, zone, "ready");
         }
-        let daemon = Daemon::start(store.address(), "vm-1", "a", &[]);
+        let source = ConfigSource::Store(store.address());
+        let daemon = Daemon::start_tuned(&Links::default(), source, "vm-1", "a", &[], tune);
         daemon.wait_ready(true);
         let endpoints = started.into_iter().map(|(endpoint, _, _)| endpoint).collect();
         (TestEnv { store, endpoint_state, daemon }, endpoints)
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -61,6 +61,7 @@
     endpoint_signs: Counter<u64>,
     ignored_items: Counter<u64>,
     forwarded: Counter<u64>,
+    request_ends: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -91,6 +92,7 @@
             endpoint_signs: meter.u64_counter("gypsumchute_endpoint_signs").build(),
             ignored_items: meter.u64_counter("gypsumchute_ignored_items").build(),
             forwarded: meter.u64_counter("gypsumchute_forwarded_requests").build(),
+            request_ends: meter.u64_counter("gypsumchute_request_ends").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -136,6 +138,12 @@
         self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts the end of a request that was admitted, by who ended it and what the caller got.
+    pub fn count_request_end(&self, ended_by: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("ended_by", ended_by), KeyValue::new("outcome", outcome)];
+        self.request_ends.add(1, &labels);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
