--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod restored_store;
 mod retry_budget;
 mod shutdown;
+mod silent_engines;
 mod simulated_fleet;
 mod software_versions;
 mod spoiled_events;
--- /dev/null
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -0,0 +1,124 @@
+//! Streams whose engine falls silent for a while and then goes on, as a sound engine may.
+
+use crate::support::{TestEnv, complete_stream, eventually, generation_request};
+use gypsumchute_platform_standin::{Behaviour, CallerRequest, CompleteResponse, Endpoint};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time for which engines fall silent, in milliseconds. A run counts as stalled after 600 ms, four
+/// times the target for the time between events.
+const SILENCE_MS: u64 = 1_200;
+/// An engine that sends ten events, falls silent, and sends ten more.
+const PAUSES: Behaviour = Behaviour::StreamsWithPause { pause_ms: SILENCE_MS };
+/// Maximum time for which two runs of a generation may overlap, in milliseconds.
+const MAX_OVERLAP_MS: u128 = 400;
+
+/// Starts `count` engines that fall silent in the middle of each stream.
+fn pausing_engines(count: usize) -> (TestEnv, Vec<Endpoint>) {
+    TestEnv::start(|state| {
+        let start = |n| Endpoint::start(state, &format!("engine-{n}"), PAUSES);
+        (0..count).map(|n| (start(n), "engines", "a")).collect()
+    })
+}
+
+/// Returns a request on `route` that is so short that it has no backup if it may run again.
+fn short_request(route: &str, request_id: &str) -> CallerRequest {
+    generation_request(route, request_id).output_tokens(100, 80)
+}
+
+/// Starts two engines, and a stream on `route` that has begun at one of them. That engine falls silent
+/// for `pause_ms`; the other one behaves as `other` from now on. Returns the stream as it ends.
+fn stream_beside(
+    route: &str,
+    pause_ms: u64,
+    other: Behaviour,
+) -> (TestEnv, Vec<Endpoint>, String, CompleteResponse) {
+    let (env, engines) = pausing_engines(2);
+    let pauses = Behaviour::StreamsWithPause { pause_ms };
+    engines.iter().for_each(|engine| engine.set_behaviour(pauses));
+    let mut stream = short_request(route, "r1").send(env.daemon.address());
+    let first = stream.next_chunk().expect("open stream").expect("next event");
+    let silent = env.last_run_endpoint("r1");
+    let others = engines.iter().filter(|engine| engine.id != silent);
+    others.for_each(|engine| engine.set_behaviour(other));
+    let mut reply = stream.read_to_end();
+    reply.body = first + &reply.body;
+    (env, engines, silent, reply)
+}
+
+/// Guards against LOST: streams that are cut because their engines are silent for a second, while no
+/// other engine has room for all of them.
+#[test]
+fn streams_survive_the_silence_of_all_engines() {
+    for (engine_count, stream_count) in [(1, 1), (2, 24), (3, 35)] {
+        let (env, _engines) = pausing_engines(engine_count);
+        let address = env.daemon.address();
+        let send = |n: usize| short_request("briefs", &format!("r{n}")).try_send(address);
+        let callers: Vec<_> = (0..stream_count)
+            .map(|n| {
+                let sent = send(n);
+                thread::spawn(move || sent.map(|stream| (stream.status, stream.read_to_end())))
+            })
+            .collect();
+        let ends: Vec<_> =
+            callers.into_iter().map(|caller| caller.join().expect("caller")).collect();
+        let begun = ends.iter().flatten().filter(|(status, _)| *status == 200);
+        let replies: Vec<_> = begun.map(|(_, reply)| reply).collect();
+        let cut = replies.iter().filter(|reply| !reply.complete).count();
+        assert_eq!(cut, 0, "of {} streams that began at {engine_count} engines", replies.len());
+        let expected = complete_stream(20);
+        assert!(replies.iter().all(|reply| reply.body == expected));
+        for n in 0..stream_count {
+            let overlap_ms = env.endpoint_state.longest_overlap_ms(&format!("r{n}"));
+            assert!(overlap_ms < MAX_OVERLAP_MS, "runs of r{n} overlap for {overlap_ms} ms");
+        }
+    }
+}
+
+/// Guards against a silent run being given up for an engine that turns the request away.
+#[test]
+fn a_silent_stream_goes_on_if_no_other_engine_takes_it() {
+    let (env, _engines, silent, reply) = stream_beside("briefs", SILENCE_MS, Behaviour::Rejects);
+    assert_eq!((reply.complete, reply.body), (true, complete_stream(20)));
+    assert_eq!(env.last_run_endpoint("r1"), silent);
+}
+
+/// Guards against a silent run being given up although no retry is left.
+#[test]
+fn a_silent_stream_goes_on_if_no_retry_is_left() {
+    let (env, _engines) = TestEnv::start_with_settings(
+        |settings| (settings.retry_ratio, settings.retry_fixed) = (0.0, 0.0),
+        |state| {
+            let start = |id| (Endpoint::start(state, id, PAUSES), "engines", "a");
+            vec![start("engine-1"), start("engine-2")]
+        },
+    );
+    let reply = short_request("briefs", "r1").send_and_read(env.daemon.address());
+    assert_eq!((reply.complete, reply.body), (true, complete_stream(20)));
+    assert_eq!(env.endpoint_state.received_requests().len(), 1);
+}
+
+/// Guards against a run being given up that goes on before the run that was to replace it has begun.
+#[test]
+fn a_silent_stream_goes_on_at_its_engine_if_that_is_the_first_to_answer() {
+    for route in ["briefs", "surveys"] {
+        let (env, _engines, _, reply) = stream_beside(route, 700, Behaviour::Hangs);
+        assert_eq!((reply.complete, reply.body), (true, complete_stream(20)), "{route}");
+        eventually("the other run to end", || env.endpoint_state.active_executions("r1") == 0);
+        assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
+    }
+}
+
+/// Guards against streams that wait for an engine that hangs, although another engine has room.
+#[test]
+fn a_stream_leaves_an_engine_that_stays_silent() {
+    for route in ["briefs", "surveys"] {
+        let started = Instant::now();
+        let other = Behaviour::Streams { events: 20, event_interval_ms: 10 };
+        let (env, _engines, silent, reply) = stream_beside(route, 60_000, other);
+        assert_eq!((reply.complete, reply.body), (true, complete_stream(20)), "{route}");
+        assert_ne!(env.last_run_endpoint("r1"), silent);
+        assert!(started.elapsed() < Duration::from_millis(2_000), "{:?}", started.elapsed());
+        assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
+    }
+}
