daemon: a silent run is kept until another one can take its place

Callers saw streams of short checks end with a closed connection, while the engines were sound. Cause: after four gaps of silence the run was dropped first, and only then was another one looked for. No retry in the budget, no room, a pause, a rejection: each of them then ended the stream. What is held was let go before what replaces it was certain. Change: another engine is looked for while the silent run is still read, and its next event ends the search. What is missing is looked for again after 250 ms.

--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -2,8 +2,7 @@
 //! used, and where those of an unknown run may be.
 
 use super::Generation;
-use super::run::{Backup, StartOutcome};
-use crate::context::LoadGuard;
+use super::run::Backup;
 use crate::placing::EndpointConnection;
 use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_platform::KvSource;
@@ -11,7 +10,7 @@
 use gypsumchute_routing::placement::{choose_backup_engine, likely_backup_engines, needs_backup};
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, RequestId};
+use gypsumchute_units::{EndpointId, Refusal, RequestId};
 
 /// Number of engines of each software version that are tried for the backup of a stream whose
 /// version is not known. The first of them may run the stream itself, and the second may have been
@@ -52,7 +51,7 @@
         })?;
         let source = KvSource { address, name: request_id.to_string() };
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        Some(Backup { endpoint, address, version, source, load_guard })
+        Some(Backup { endpoint, address, version, source, _load_guard: load_guard })
     }
 
     /// Reports whether the engine that holds `backup` accepts requests and still runs the software
@@ -65,36 +64,35 @@
         })
     }
 
-    /// Connects to the engine that holds `backup`, and returns the connection, where the engine reads
-    /// the backup from, and the guard of the memory that the backup occupies.
+    /// Connects to the engine that holds `backup`.
     ///
     /// # Errors
     ///
-    /// Returns the outcome of the start if the engine cannot or must not be reached. Nothing was
-    /// sent.
+    /// Returns an error if the engine cannot or must not be reached, with the refusal if the request
+    /// must not run at all. Nothing was sent.
     pub(super) async fn connect_to_backup(
         &self,
-        backup: Backup,
-    ) -> Result<(EndpointConnection, KvSource, LoadGuard), StartOutcome> {
+        backup: &Backup,
+    ) -> Result<EndpointConnection, Option<Refusal>> {
         if let Some(refusal) = self.call.poison_refusal() {
-            return Err(StartOutcome::Refused(refusal));
+            return Err(Some(refusal));
         }
         let context = &self.call.context;
-        if !self.is_usable(&backup) || !context.may_send_to(&backup.endpoint) {
-            return Err(StartOutcome::NotRun);
+        if !self.is_usable(backup) || !context.may_send_to(&backup.endpoint) {
+            return Err(None);
         }
         let dialer = &*context.dialer;
         let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
         let opened = Connection::open(dialer, backup.address, limit_ms, timeouts).await;
         let Ok(connection) = opened else {
             context.record_connect_failed(&self.call.service.id, &backup.endpoint);
-            return Err(StartOutcome::NotRun);
+            return Err(None);
         };
         context.record_connected(&self.call.service.id);
         let load_guard = context.reserve_load(&backup.endpoint, self.call.load());
-        let Backup { endpoint, address, version, source, load_guard: backup_load_guard } = backup;
-        let placed = EndpointConnection { endpoint, address, version, connection, load_guard };
-        Ok((placed, source, backup_load_guard))
+        let (endpoint, address, version) =
+            (backup.endpoint.clone(), backup.address, backup.version);
+        Ok(EndpointConnection { endpoint, address, version, connection, load_guard })
     }
 
     /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
@@ -120,7 +118,7 @@
         });
         possible.sort_by_key(|(rank, ..)| *rank);
         let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
-            load_guard: context.reserve_load(&endpoint, Load::default()),
+            _load_guard: context.reserve_load(&endpoint, Load::default()),
             endpoint,
             address,
             version,
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -164,13 +164,19 @@
         match result {
             Ok(copy) => {
                 let source = KvSource { address: source, name: copy.handle };
-                Some(Backup { endpoint: target, address, version, source, load_guard })
+                Some(Backup { endpoint: target, address, version, source, _load_guard: load_guard })
             }
             Err(CopyError::TargetUnavailable(Some(retained))) => {
                 let endpoint = run.endpoint.clone();
                 let load_guard = context.reserve_load(&endpoint, self.backup_load());
                 let kept = KvSource { address: source, name: retained.handle };
-                Some(Backup { endpoint, address: source, version, source: kept, load_guard })
+                Some(Backup {
+                    endpoint,
+                    address: source,
+                    version,
+                    source: kept,
+                    _load_guard: load_guard,
+                })
             }
             Err(_) => None,
         }
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -12,15 +12,16 @@
 mod backup;
 mod handover;
 mod relay;
+mod replacement;
 mod resume;
 mod run;
 
 use self::run::{
     Backup, GenerationEnd, NoRecovery, RelayEnd, ResponseSender, Run, RunFailure, RunProgress,
-    StartFrom, StartOutcome,
+    RunTrace, StartFrom, StartOutcome,
 };
 use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
-use crate::events::{EventAction, EventReader, EventSequence};
+use crate::events::{Event, EventAction, EventReader, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
@@ -90,17 +91,12 @@
     failed_runs: u32,
     /// Number of engines that rejected the request without running it.
     rejections: u32,
-    /// Endpoint that the request was last sent to.
-    last_endpoint: Option<EndpointId>,
-    /// Last sign of life of the run at `last_endpoint`: when the request was sent, or the last event
-    /// arrived. `None` if there is no run.
-    run_alive_ms: Option<BootMs>,
+    /// The run that the request was last sent for.
+    trace: RunTrace,
     /// Last failure of a run, for log lines.
     last_failure: Option<String>,
     /// Why the last run that was lost was not followed by another one.
     no_recovery: Option<NoRecovery>,
-    /// How far the last run came.
-    progress: RunProgress,
     /// Software version that began the stream, at which alone it may go on. `None` until the first
     /// event.
     version: Option<ServiceVersion>,
@@ -118,11 +114,9 @@
             attempts: 0,
             failed_runs: 0,
             rejections: 0,
-            last_endpoint: None,
-            run_alive_ms: None,
+            trace: RunTrace::default(),
             last_failure: None,
             no_recovery: None,
-            progress: RunProgress::Waiting,
             version: None,
         }
     }
@@ -138,7 +132,7 @@
             () = sleep(left) => GenerationEnd::TimedOut,
             () = context.shutdown.last_answers_due() => GenerationEnd::ShutDown,
         };
-        let silent_ms = self.run_alive_ms.map(|alive_ms| boot_now().since(alive_ms));
+        let silent_ms = self.trace.alive_ms.map(|alive_ms| boot_now().since(alive_ms));
         if let GenerationEnd::CallerDisconnected
         | GenerationEnd::TimedOut
         | GenerationEnd::ShutDown = end
@@ -150,7 +144,8 @@
 
     /// Records that the run ends without a response, unless there was a sign of life just now.
     fn record_silent_run(&mut self) {
-        if let (Some(endpoint), Some(alive_ms)) = (&self.last_endpoint, self.run_alive_ms.take()) {
+        if let (Some(endpoint), Some(alive_ms)) = (&self.trace.endpoint, self.trace.alive_ms.take())
+        {
             self.call.record_silent_run(endpoint, self.suspect_run(alive_ms), alive_ms);
         }
     }
@@ -158,8 +153,8 @@
     /// Describes the last run, the last sign of life of which was at `alive_ms`.
     fn suspect_run(&self, alive_ms: BootMs) -> SuspectRun {
         let mut run = self.call.unanswered_run();
-        run.answer_began = self.progress != RunProgress::Waiting;
-        if self.progress.has_gone_on(alive_ms) {
+        run.answer_began = self.trace.progress != RunProgress::Waiting;
+        if self.trace.progress.has_gone_on(alive_ms) {
             run.segments.clear();
         }
         run
@@ -192,7 +187,7 @@
             status,
             ended_by,
             cause: &cause,
-            endpoint: self.last_endpoint.as_ref(),
+            endpoint: self.trace.endpoint.as_ref(),
             tries: self.attempts,
             events: self.delivered_events,
             silent_ms,
@@ -250,6 +245,7 @@
                 StartOutcome::Running(run) => match self.relay_events(*run).await {
                     RelayEnd::Complete => return GenerationEnd::Complete,
                     RelayEnd::Lost(interruption, backup) => self.after_loss(interruption, backup),
+                    RelayEnd::Failed(reply) => return GenerationEnd::Failed(reply),
                 },
                 StartOutcome::Lost(backup) => self.after_loss(Interruption::Disconnected, backup),
                 StartOutcome::NotRun if from_backup => {
@@ -324,7 +320,7 @@
         GenerationState {
             kind: self.call.route.kind,
             event_delivered: self.delivered_events > 0,
-            answer_began: self.progress != RunProgress::Waiting,
+            answer_began: self.trace.progress != RunProgress::Waiting,
             remaining_tokens: self.remaining_tokens(),
             has_backup,
             supports_kv_copy: self
@@ -349,12 +345,12 @@
     fn log_recovery(&self, interruption: Interruption, next: RecoveryAction) {
         info!(
             request = self.call.id(),
-            endpoint = self.last_endpoint.as_ref().map_or("-", EndpointId::as_str),
+            endpoint = self.trace.endpoint.as_ref().map_or("-", EndpointId::as_str),
             loss:% = interruption,
             next:% = next,
             events = self.delivered_events,
             breaks = self.failed_runs,
-            silent_ms:? = self.run_alive_ms.map(|alive_ms| boot_now().since(alive_ms)),
+            silent_ms:? = self.trace.alive_ms.map(|alive_ms| boot_now().since(alive_ms)),
             left_ms = self.call.remaining_ms();
             "run was lost or must move; recovery chosen"
         );
@@ -390,18 +386,29 @@
 
     /// Starts a run from the prompt, or resumes the generation from a backup.
     async fn start_run(&mut self, start_from: StartFrom) -> StartOutcome {
-        let (placed, source, backup_load_guard) = match start_from {
+        match start_from {
             StartFrom::Prompt => match self.place().await {
-                Ok(Placed::Direct(placed)) => (placed, None, None),
-                Ok(Placed::Forwarded(reply)) => return StartOutcome::Forwarded(reply),
-                Ok(Placed::ForwardLost) => return StartOutcome::ForwardLost,
-                Err(refusal) => return StartOutcome::Refused(refusal),
+                Ok(Placed::Direct(placed)) => self.start_run_at(placed, None).await,
+                Ok(Placed::Forwarded(reply)) => StartOutcome::Forwarded(reply),
+                Ok(Placed::ForwardLost) => StartOutcome::ForwardLost,
+                Err(refusal) => StartOutcome::Refused(refusal),
             },
-            StartFrom::Backup(backup) => match self.connect_to_backup(backup).await {
-                Ok((placed, source, load_guard)) => (placed, Some(source), Some(load_guard)),
-                Err(outcome) => return outcome,
+            StartFrom::Backup(backup) => match self.connect_to_backup(&backup).await {
+                Ok(placed) => self.start_run_at(placed, Some(backup)).await,
+                Err(None) => StartOutcome::NotRun,
+                Err(Some(refusal)) => StartOutcome::Refused(refusal),
             },
-        };
+        }
+    }
+
+    /// Sends the request on an open connection. The run begins from the prompt, or from `copy`, which
+    /// the engine holds.
+    async fn start_run_at(
+        &mut self,
+        placed: EndpointConnection,
+        copy: Option<Backup>,
+    ) -> StartOutcome {
+        let source = copy.as_ref().map(|copy| copy.source.clone());
         let backup = self.reserve_backup(&placed.endpoint, placed.version);
         let options = SendOptions {
             backup_at: backup.as_ref().map(|backup| backup.address),
@@ -410,11 +417,14 @@
         };
         self.attempts += 1;
         let EndpointConnection { endpoint, address, version, connection, load_guard } = placed;
-        self.last_endpoint = Some(endpoint.clone());
-        self.run_alive_ms = Some(boot_now());
-        self.progress = RunProgress::Waiting;
+        self.trace = RunTrace {
+            endpoint: Some(endpoint.clone()),
+            alive_ms: Some(boot_now()),
+            progress: RunProgress::Waiting,
+        };
         let sent = self.call.send(connection, &endpoint, options).await;
-        drop(backup_load_guard);
+        // The load of the run counts instead of that of the copy from now on.
+        drop(copy);
         let (mut response, kind) = match sent {
             Ok(sent) => sent,
             Err(err) => {
@@ -434,8 +444,8 @@
             elapsed_ms = boot_now().since(self.call.arrived_ms);
             "engine answered");
         match kind {
-            ResponseKind::Success => self.progress = RunProgress::Began,
-            _ => self.run_alive_ms = None,
+            ResponseKind::Success => self.trace.progress = RunProgress::Began,
+            _ => self.trace.alive_ms = None,
         }
         match kind {
             ResponseKind::Success => StartOutcome::Running(Box::new(Run {
@@ -448,6 +458,8 @@
                 events: EventReader::default(),
                 backup,
                 last_event_at: Instant::now(),
+                unread: None,
+                next_search_at: None,
                 termination_handled: false,
                 load_guard,
             })),
@@ -494,7 +506,7 @@
         self.last_failure = Some(failure.cause().to_owned());
         self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
         self.excluded.insert(endpoint.clone());
-        let alive_ms = self.run_alive_ms.take();
+        let alive_ms = self.trace.alive_ms.take();
         match failure {
             // An engine that sent a termination notice or was unregistered may end as planned.
             RunFailure::Disconnected(cause) if !self.is_terminating(endpoint) => {
@@ -512,38 +524,36 @@
         }
     }
 
-    /// Appends `chunk` to the event buffer and forwards each complete event to the caller. Returns
-    /// an error if an event is too large, can't be identified or does not follow the previous event.
-    async fn deliver_events(&mut self, run: &mut Run, chunk: &[u8]) -> Result<(), RunFailure> {
-        run.events.push(chunk);
-        while let Some(event) = run.events.next_event()? {
-            match self.sequence.advance(event.id)? {
-                EventAction::Skip => continue,
-                EventAction::Forward => {}
-            }
-            run.last_event_at = Instant::now();
-            self.record_progress(boot_now());
-            run.load_guard.release_prefill_load();
-            self.correct_version(run)?;
-            self.bind_begun_stream(run.version);
-            self.send_response_head(run);
-            self.delivered_events += 1;
-            if !self.response_sender.send_event(event.bytes).await {
-                // The caller has disconnected, so this task is about to be cancelled.
-                pending::<()>().await;
-            }
+    /// Forwards an event of `run` to the caller. Returns an error if the event does not follow the
+    /// previous one.
+    async fn deliver_event(&mut self, run: &mut Run, event: Event) -> Result<(), RunFailure> {
+        match self.sequence.advance(event.id)? {
+            EventAction::Skip => return Ok(()),
+            EventAction::Forward => {}
+        }
+        run.last_event_at = Instant::now();
+        run.next_search_at = None;
+        self.record_progress(boot_now());
+        run.load_guard.release_prefill_load();
+        self.correct_version(run)?;
+        self.bind_begun_stream(run.version);
+        self.send_response_head(run);
+        self.delivered_events += 1;
+        if !self.response_sender.send_event(event.bytes).await {
+            // The caller has disconnected, so this task is about to be cancelled.
+            pending::<()>().await;
         }
         Ok(())
     }
 
     /// Records that an event arrived.
     fn record_progress(&mut self, now: BootMs) {
-        self.run_alive_ms = Some(now);
-        if self.progress.has_gone_on(now) {
+        self.trace.alive_ms = Some(now);
+        if self.trace.progress.has_gone_on(now) {
             self.call.record_sound_segments();
         }
-        if let RunProgress::Waiting | RunProgress::Began = self.progress {
-            self.progress = RunProgress::Writing { since_ms: now };
+        if let RunProgress::Waiting | RunProgress::Began = self.trace.progress {
+            self.trace.progress = RunProgress::Writing { since_ms: now };
         }
     }
 
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -4,7 +4,7 @@
 use super::Generation;
 use super::handover::Handovers;
 use super::run::{
-    Backup, CopyTarget, PendingCopy, RelayEnd, Run, RunFailure, StartFrom, StartOutcome,
+    Backup, CopyTarget, PendingCopy, RelayEnd, Run, RunFailure, RunSignal, StartFrom, StartOutcome,
 };
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy, copy_kv_cache, free_kv_copy};
@@ -22,7 +22,7 @@
 /// Maximum wait for the backup engine to resume a run while the old run is still active, in
 /// milliseconds. Two runs of one generation must not be active at once for 400 ms, and this limit
 /// ends the old run well before that.
-const CUTOVER_TIMEOUT_MS: u64 = 250;
+pub(super) const CUTOVER_TIMEOUT_MS: u64 = 250;
 /// Timeout for copying the KV cache of a run to another engine, in milliseconds. Engines are
 /// terminated within seconds of their notice.
 pub(super) const COPY_TIMEOUT_MS: u64 = 4_000;
@@ -53,46 +53,9 @@
                 _ => self.stall_deadline(&run),
             };
             tokio::select! {
-                chunk = run.response.next_chunk() => {
-                    let delivered = match chunk {
-                        Ok(Some(chunk)) => self.deliver_events(&mut run, &chunk).await,
-                        // A stream without framing ends so if the connection breaks.
-                        Ok(None) if run.events.has_partial_event() => Err(
-                            RunFailure::Disconnected("stream ended within an event".to_owned())
-                        ),
-                        Ok(None) if !self.sequence.is_reached_by(run.events.last_id()) => Err(
-                            RunFailure::InvalidResponse("stream ended too early".to_owned())
-                        ),
-                        Ok(None) if self.delivered_events == 0 => Err(
-                            RunFailure::Disconnected("stream ended without an event".to_owned())
-                        ),
-                        Ok(None) => {
-                            self.run_alive_ms = None;
-                            self.call.record_completed();
-                            if !run.response.ends_with_connection() {
-                                self.call.record_sound_segments();
-                            }
-                            if !run.is_at_peer {
-                                self.call
-                                    .context
-                                    .record_outcome(&run.endpoint, RequestOutcome::Success);
-                            }
-                            free_unused_copy(run.backup.take());
-                            return RelayEnd::Complete;
-                        }
-                        Err(err) => Err(err.into()),
-                    };
-                    if let Err(failure) = delivered {
-                        info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
-                            error = failure.cause(), events = self.delivered_events;
-                            "engine stream failed");
-                        if run.is_at_peer {
-                            self.failed_runs += 1;
-                            self.last_failure = Some(failure.cause().to_owned());
-                            return RelayEnd::Lost(Interruption::Disconnected, None);
-                        }
-                        self.on_run_failed(&run.endpoint, &failure);
-                        return RelayEnd::Lost(Interruption::Disconnected, run.backup);
+                signal = run.next_signal() => {
+                    if let Some(end) = self.on_signal(&mut run, signal).await {
+                        return end;
                     }
                 }
                 // The termination check below runs again.
@@ -114,10 +77,7 @@
                     if self.stall_deadline(&run).is_none() {
                         continue;
                     }
-                    self.call.context.record_outcome(&run.endpoint, RequestOutcome::Timeout);
-                    self.record_silent_run();
-                    self.excluded.insert(run.endpoint.clone());
-                    match self.fail_over_stalled_run(run).await {
+                    match self.replace_silent_run(Box::new(run)).await {
                         Ok(next_run) => run = *next_run,
                         Err(relay_end) => return relay_end,
                     }
@@ -149,6 +109,56 @@
         }
     }
 
+    /// Handles what the stream of `run` has brought. Returns how the run ended, if it did.
+    async fn on_signal(&mut self, run: &mut Run, signal: RunSignal) -> Option<RelayEnd> {
+        let failure = match signal {
+            RunSignal::Event(event) => self.deliver_event(run, event).await.err()?,
+            // A stream without framing ends so if the connection breaks.
+            RunSignal::Ended if run.events.has_partial_event() => {
+                RunFailure::Disconnected("stream ended within an event".to_owned())
+            }
+            RunSignal::Ended if !self.sequence.is_reached_by(run.events.last_id()) => {
+                RunFailure::InvalidResponse("stream ended too early".to_owned())
+            }
+            RunSignal::Ended if self.delivered_events == 0 => {
+                RunFailure::Disconnected("stream ended without an event".to_owned())
+            }
+            RunSignal::Ended => {
+                self.on_completed(run);
+                return Some(RelayEnd::Complete);
+            }
+            RunSignal::Failed(failure) => failure,
+        };
+        Some(self.on_stream_failed(run, &failure))
+    }
+
+    /// Records that `run` has delivered its complete stream.
+    fn on_completed(&mut self, run: &mut Run) {
+        self.trace.alive_ms = None;
+        self.call.record_completed();
+        if !run.response.ends_with_connection() {
+            self.call.record_sound_segments();
+        }
+        if !run.is_at_peer {
+            self.call.context.record_outcome(&run.endpoint, RequestOutcome::Success);
+        }
+        free_unused_copy(run.backup.take());
+    }
+
+    /// Records that the stream of `run` failed, and returns how the run ended.
+    fn on_stream_failed(&mut self, run: &mut Run, failure: &RunFailure) -> RelayEnd {
+        info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
+            error = failure.cause(), events = self.delivered_events;
+            "engine stream failed");
+        if run.is_at_peer {
+            self.failed_runs += 1;
+            self.last_failure = Some(failure.cause().to_owned());
+            return RelayEnd::Lost(Interruption::Disconnected, None);
+        }
+        self.on_run_failed(&run.endpoint, failure);
+        RelayEnd::Lost(Interruption::Disconnected, run.backup.take())
+    }
+
     /// Stores a finished copy as the backup of the run, or excludes the engine that failed to
     /// receive the copy.
     fn on_copy_finished(
@@ -161,7 +171,8 @@
             Ok(copy) => {
                 let source = KvSource { address: run.address, name: copy.handle };
                 let CopyTarget { endpoint, address, version, load_guard } = target;
-                run.backup = Some(Backup { endpoint, address, version, source, load_guard });
+                run.backup =
+                    Some(Backup { endpoint, address, version, source, _load_guard: load_guard });
                 run.termination_handled = false;
             }
             Err(error) => {
@@ -173,25 +184,10 @@
         }
     }
 
-    /// Resumes a stalled run from the backup. If the backup cannot be reached either, the run is
-    /// kept: a network partition may only delay the events, which arrive once the partition heals.
-    /// A run without a usable backup is given up, so that the generation can restart from the
-    /// prompt.
-    async fn fail_over_stalled_run(&mut self, mut run: Run) -> Result<Box<Run>, RelayEnd> {
-        let backup = run.backup.take().filter(|backup| self.is_usable(backup));
-        match backup {
-            Some(backup) => {
-                self.log_recovery(Interruption::Stalled, RecoveryAction::ResumeFromBackup);
-                self.cut_over(run, backup).await
-            }
-            None => Err(RelayEnd::Lost(Interruption::Stalled, None)),
-        }
-    }
-
     /// Resumes the run from `backup`. The old run is kept until the new one has started, but no
     /// longer than `CUTOVER_TIMEOUT_MS`, so that the two runs do not overlap for too long.
     async fn cut_over(&mut self, run: Run, backup: Backup) -> Result<Box<Run>, RelayEnd> {
-        let progress = self.progress;
+        let trace = self.trace.clone();
         let (outcome, old_run) = {
             let mut start = Box::pin(self.start_run(StartFrom::Backup(backup)));
             match timeout(Duration::from_millis(CUTOVER_TIMEOUT_MS), start.as_mut()).await {
@@ -207,9 +203,7 @@
             // The run stays at the current engine, and the KV cache can still be copied.
             (_, Some(mut run)) => {
                 run.termination_handled = false;
-                self.last_endpoint = Some(run.endpoint.clone());
-                self.run_alive_ms = Some(boot_now());
-                self.progress = progress;
+                self.trace = trace;
                 Ok(Box::new(run))
             }
             (StartOutcome::Lost(backup), None) => {
@@ -250,20 +244,18 @@
         }))
     }
 
-    /// Returns when the run counts as stalled, or `None` if the generation could neither resume
-    /// from a backup nor restart: the run is then kept however long it pauses.
+    /// Returns when another engine is to take the run over because it is silent, or `None` if the
+    /// generation could neither resume from a backup nor restart: the run is then kept however long it
+    /// pauses.
     fn stall_deadline(&self, run: &Run) -> Option<Instant> {
         let backup = run.backup.as_ref();
         let has_backup = backup.is_some_and(|backup| self.is_usable(backup));
-        let next = choose_recovery(Interruption::Stalled, self.run_state(has_backup));
-        let limit_ms = match (next, self.delivered_events) {
-            (RecoveryAction::KeepRunning | RecoveryAction::Fail | RecoveryAction::Migrate, _) => {
-                return None;
-            }
+        let limit_ms = match (self.choose_replacement(has_backup)?, self.delivered_events) {
             (_, 0) => self.call.route.latency_target_ms + FIRST_EVENT_GRACE_MS,
             _ => self.call.route.inter_event_target_ms * STALL_PAUSE_FACTOR,
         };
-        Some(run.last_event_at + Duration::from_millis(limit_ms))
+        let stalled_at = run.last_event_at + Duration::from_millis(limit_ms);
+        Some(run.next_search_at.map_or(stalled_at, |at| at.max(stalled_at)))
     }
 }
 
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -80,7 +80,7 @@
     /// Reports whether the last run was at the version that began the stream, as far as is known
     /// now. It is not certain if the registry has named another version for its engine since.
     pub(super) fn has_certain_version(&self) -> bool {
-        let registered = self.last_endpoint.as_ref().and_then(|id| self.registered_version(id));
+        let registered = self.trace.endpoint.as_ref().and_then(|id| self.registered_version(id));
         match (self.version, registered) {
             (Some(version), Some(registered)) => version == registered,
             (None, _) | (_, None) => true,
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -1,7 +1,7 @@
 //! Types that describe the runs of a generation, their backups and their outcomes.
 
 use crate::context::LoadGuard;
-use crate::events::{EventError, EventReader};
+use crate::events::{Event, EventError, EventReader};
 use crate::reply::{QueuedChunk, Reply, StreamAborted};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
@@ -57,7 +57,7 @@
     /// Where the engine reads the copy from when it resumes the generation.
     pub(super) source: KvSource,
     /// Accounts for the memory that the copy occupies.
-    pub(super) load_guard: LoadGuard,
+    pub(super) _load_guard: LoadGuard,
 }
 
 impl Backup {
@@ -89,16 +89,64 @@
     pub(super) backup: Option<Backup>,
     /// When the last event arrived, or the response head if no event has arrived yet.
     pub(super) last_event_at: Instant,
+    /// What the stream brought while another run was to take the place of this one.
+    pub(super) unread: Option<RunSignal>,
+    /// When another engine is looked for at the earliest, if that has failed since the last event.
+    pub(super) next_search_at: Option<Instant>,
     /// Whether the announced termination of the engine has already been acted on.
     pub(super) termination_handled: bool,
     /// Accounts for the load of the run.
     pub(super) load_guard: LoadGuard,
 }
 
+/// What the stream of a run brings next.
+pub(super) enum RunSignal {
+    /// A complete event.
+    Event(Event),
+    /// The end of the stream, which may not be complete.
+    Ended,
+    /// The connection broke, or the engine sent something invalid.
+    Failed(RunFailure),
+}
+
+impl Run {
+    /// Waits for the next event or the end of the stream. No bytes are lost if this is cancelled.
+    pub(super) async fn next_signal(&mut self) -> RunSignal {
+        if let Some(signal) = self.unread.take() {
+            return signal;
+        }
+        loop {
+            match self.events.next_event() {
+                Ok(Some(event)) => return RunSignal::Event(event),
+                Ok(None) => {}
+                Err(err) => return RunSignal::Failed(err.into()),
+            }
+            match self.response.next_chunk().await {
+                Ok(Some(chunk)) => self.events.push(&chunk),
+                Ok(None) => return RunSignal::Ended,
+                Err(err) => return RunSignal::Failed(err.into()),
+            }
+        }
+    }
+}
+
+/// What is known of a run if it ends without a response.
+#[derive(Debug, Clone, Default)]
+pub(super) struct RunTrace {
+    /// Endpoint that the request was sent to.
+    pub(super) endpoint: Option<EndpointId>,
+    /// Last sign of life of the run: when the request was sent, or the last event arrived. `None` if
+    /// there is no run.
+    pub(super) alive_ms: Option<BootMs>,
+    /// How far the run came.
+    pub(super) progress: RunProgress,
+}
+
 /// How far a run came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum RunProgress {
     /// The engine has not answered.
+    #[default]
     Waiting,
     /// The response head has arrived.
     Began,
@@ -211,6 +259,8 @@
     Complete,
     /// The run was lost; contains the backup, if one is still usable.
     Lost(Interruption, Option<Backup>),
+    /// The engine that was to continue the generation responded with an error.
+    Failed(Reply),
 }
 
 /// A copy of a run's KV cache that is in progress, with the engine that receives it.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -62,6 +62,7 @@
     ignored_items: Counter<u64>,
     forwarded: Counter<u64>,
     request_ends: Counter<u64>,
+    silent_runs: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -93,6 +94,7 @@
             ignored_items: meter.u64_counter("gypsumchute_ignored_items").build(),
             forwarded: meter.u64_counter("gypsumchute_forwarded_requests").build(),
             request_ends: meter.u64_counter("gypsumchute_request_ends").build(),
+            silent_runs: meter.u64_counter("gypsumchute_silent_runs").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -144,6 +146,11 @@
         self.request_ends.add(1, &labels);
     }
 
+    /// Counts a decision on a run whose engine is silent: replaced, or why it was kept.
+    pub fn count_silent_run(&self, outcome: &'static str) {
+        self.silent_runs.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
