daemon: a silent run takes no engine's room while no retry is left

Change: the budget is asked before the search and taken before the send; the failure of a silent run is recorded as any other one.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -327,16 +327,9 @@
     /// Consumes one retry of `service` from this VM's share of the retry budget. Returns whether
     /// one was left.
     pub fn take_retry(&self, service: &ServiceId, reason: &'static str) -> bool {
-        let allowance = RetryAllowance {
-            retries_per_request: self.settings.retry_ratio,
-            fixed_retries: self.settings.retry_fixed,
-            window_ms: self.settings.retry_window_ms(),
-        };
+        let allowance = self.retry_allowance();
         let taken = self.with(|state| {
-            let fleet = KnownFleet {
-                vms: state.members.known_vms().len(),
-                since_ms: state.members.discovered_ms(),
-            };
+            let fleet = state.known_fleet();
             state.retries.try_take_retry(boot_now(), service, allowance, fleet)
         });
         match taken {
@@ -346,6 +339,23 @@
         taken
     }
 
+    /// Reports whether a retry of `service` is left in this VM's share of the retry budget.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let allowance = self.retry_allowance();
+        self.with(|state| {
+            let fleet = state.known_fleet();
+            state.retries.has_retry(boot_now(), service, allowance, fleet)
+        })
+    }
+
+    fn retry_allowance(&self) -> RetryAllowance {
+        RetryAllowance {
+            retries_per_request: self.settings.retry_ratio,
+            fixed_retries: self.settings.retry_fixed,
+            window_ms: self.settings.retry_window_ms(),
+        }
+    }
+
     /// Records that the endpoint that started at `started_wall_ms` gave a termination notice itself,
     /// and announces the notice to peers.
     pub fn record_termination_notice(&self, endpoint: &EndpointId, started_wall_ms: Option<u64>) {
@@ -383,6 +393,11 @@
         }
     }
 
+    /// Returns what this VM knows of the fleet that shares the retry budget.
+    fn known_fleet(&self) -> KnownFleet {
+        KnownFleet { vms: self.members.known_vms().len(), since_ms: self.members.discovered_ms() }
+    }
+
     /// Reports whether a registry entry that is removed now may only have expired, because the
     /// store was unavailable.
     pub fn registry_is_unreliable(&self, now: BootMs) -> bool {
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -11,8 +11,8 @@
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::placement::{Placement, choose_migration_target};
-use gypsumchute_units::RequestId;
 use gypsumchute_units::time::boot_now;
+use gypsumchute_units::{EndpointId, RequestId};
 use log::info;
 use std::future::pending;
 use std::time::Duration;
@@ -129,7 +129,9 @@
             }
             RunSignal::Failed(failure) => failure,
         };
-        Some(self.on_stream_failed(run, &failure))
+        self.on_stream_failed(&run.endpoint, run.is_at_peer, &failure);
+        let backup = run.backup.take().filter(|_| !run.is_at_peer);
+        Some(RelayEnd::Lost(Interruption::Disconnected, backup))
     }
 
     /// Records that `run` has delivered its complete stream.
@@ -145,18 +147,23 @@
         free_unused_copy(run.backup.take());
     }
 
-    /// Records that the stream of `run` failed, and returns how the run ended.
-    fn on_stream_failed(&mut self, run: &mut Run, failure: &RunFailure) -> RelayEnd {
-        info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
+    /// Records that the stream of a run at `endpoint` failed, which a peer VM relays if `is_at_peer`.
+    pub(super) fn on_stream_failed(
+        &mut self,
+        endpoint: &EndpointId,
+        is_at_peer: bool,
+        failure: &RunFailure,
+    ) {
+        info!(request = self.call.id(), endpoint = endpoint.as_str(),
             error = failure.cause(), events = self.delivered_events;
             "engine stream failed");
-        if run.is_at_peer {
-            self.failed_runs += 1;
-            self.last_failure = Some(failure.cause().to_owned());
-            return RelayEnd::Lost(Interruption::Disconnected, None);
+        match is_at_peer {
+            true => {
+                self.failed_runs += 1;
+                self.last_failure = Some(failure.cause().to_owned());
+            }
+            false => self.on_run_failed(endpoint, failure),
         }
-        self.on_run_failed(&run.endpoint, failure);
-        RelayEnd::Lost(Interruption::Disconnected, run.backup.take())
     }
 
     /// Stores a finished copy as the backup of the run, or excludes the engine that failed to
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -65,6 +65,12 @@
         let Some(next) = self.choose_replacement(backup.is_some()) else {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
         };
+        let service = &self.call.service.id;
+        let needs_retry = next == RecoveryAction::Restart;
+        // Without a retry, an engine's room would be taken in vain.
+        if needs_retry && !self.call.context.has_retry(service) {
+            return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
+        }
         let silent = run.endpoint.clone();
         let found = tokio::select! {
             biased;
@@ -81,10 +87,7 @@
         let Some(connection) = found else {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
         };
-        let service = &self.call.service.id;
-        let may_send = next != RecoveryAction::Restart
-            || self.call.context.take_retry(service, Interruption::Stalled.into());
-        if !may_send {
+        if needs_retry && !self.call.context.take_retry(service, Interruption::Stalled.into()) {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
         }
         self.log_recovery(Interruption::Stalled, next);
@@ -120,7 +123,7 @@
         copy: Option<Backup>,
     ) -> Result<Box<Run>, RelayEnd> {
         let mut trace = self.trace.clone();
-        let silent = run.endpoint.clone();
+        let (silent, is_at_peer) = (run.endpoint.clone(), run.is_at_peer);
         let (outcome, end) = {
             let mut start = Box::pin(self.start_run_at(connection, copy));
             tokio::select! {
@@ -161,7 +164,7 @@
             }
             SilentRunEnd::Failed(failure) => {
                 std::mem::swap(&mut self.trace, &mut trace);
-                self.on_run_failed(&silent, &failure);
+                self.on_stream_failed(&silent, is_at_peer, &failure);
                 self.trace = trace;
             }
         }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -82,17 +82,28 @@
         service: &ServiceId,
         allowance: RetryAllowance,
         fleet: KnownFleet,
+    ) -> bool {
+        let is_allowed = self.has_retry(now, service, allowance, fleet);
+        if is_allowed {
+            self.by_service.entry(service.clone()).or_default().retries.push_back(now);
+        }
+        is_allowed
+    }
+
+    /// Reports whether a retry is left for this VM in the budget for `service`.
+    pub fn has_retry(
+        &mut self,
+        now: BootMs,
+        service: &ServiceId,
+        allowance: RetryAllowance,
+        fleet: KnownFleet,
     ) -> bool {
         let window = self.by_service.entry(service.clone()).or_default();
         window.drop_before(BootMs(now.0.saturating_sub(allowance.window_ms)));
         let fixed = allowance.fixed_retries * fleet.part(now);
         let allowed =
             SAFETY_FACTOR * (allowance.retries_per_request * window.requests.len() as f64 + fixed);
-        let is_allowed = (window.retries.len() + 1) as f64 <= allowed;
-        if is_allowed {
-            window.retries.push_back(now);
-        }
-        is_allowed
+        (window.retries.len() + 1) as f64 <= allowed
     }
 
     /// Drops entries older than `window_ms`, so that services without traffic use no memory.
