daemon: ends of requests at peers, and of plain requests, name the right side

A peer's response that is not passed on was logged as left by the caller; a request that a peer served was counted twice; plain requests whose endpoint broke the connection or whose peer did not reply were put down to this VM. Change: a relayed body has an end once it is read; 'forwarded' is not counted, the end of the peer's response is; plain requests name endpoint and peer. Measured: request_ends:: passes, before and after; no test shows the false lines of before.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -292,7 +292,10 @@
         let RequestEnd { outcome, status, ended_by, cause, endpoint, tries, events, silent_ms } =
             end;
         let elapsed_ms = boot_now().since(self.arrived_ms);
-        self.context.metrics.count_request_end(ended_by.into(), outcome);
+        // The end of the response that the peer sends is counted instead.
+        if outcome != "forwarded" {
+            self.context.metrics.count_request_end(ended_by.into(), outcome);
+        }
         info!(
             request = self.id(),
             fingerprint:% = self.fingerprint,
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -48,6 +48,7 @@
         attempts: 0,
         last_endpoint: None,
         in_flight: None,
+        is_forwarded: false,
         is_answered: false,
     };
     let reply = tokio::select! {
@@ -61,7 +62,9 @@
     let reason = refusal_reason(reply.headers());
     let ended_by = match reason {
         _ if is_cut_short => EndedBy::Shutdown,
+        _ if request.is_forwarded => EndedBy::Peer,
         Some(RefusalReason::EndpointTimeout) => EndedBy::Deadline,
+        Some(RefusalReason::EndpointLost | RefusalReason::EndpointProtocol) => EndedBy::Endpoint,
         Some(_) => EndedBy::Vm,
         None => EndedBy::Endpoint,
     };
@@ -81,6 +84,8 @@
     last_endpoint: Option<EndpointId>,
     /// Endpoint that has not responded yet, and when the request was sent.
     in_flight: Option<(EndpointId, BootMs)>,
+    /// Whether a peer VM took the request.
+    is_forwarded: bool,
     /// Whether the request has its final reply.
     is_answered: bool,
 }
@@ -129,9 +134,11 @@
                 match self.call.place_or_forward(&self.excluded, None, endpoints_left).await {
                     Ok(Placed::Direct(placed)) => placed,
                     Ok(Placed::Forwarded(reply)) => {
+                        self.is_forwarded = true;
                         return self.on_forwarded(reply, earlier_runs, failure);
                     }
                     Ok(Placed::ForwardLost) => {
+                        self.is_forwarded = true;
                         return self.refuse_may_have_run(RefusalReason::EndpointLost);
                     }
                     Err(refusal) => {
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -70,6 +70,8 @@
     response: ResponseStream,
     request_id: String,
     metrics: Metrics,
+    /// Whether the caller's connection has begun to read the body.
+    is_read: bool,
     is_ended: bool,
 }
 
@@ -77,7 +79,7 @@
     /// Relays the body of `response` to the request `request_id`.
     pub fn new(response: ResponseStream, request_id: &str, metrics: &Metrics) -> Self {
         let (request_id, metrics) = (request_id.to_owned(), metrics.clone());
-        RelayedBody { response, request_id, metrics, is_ended: false }
+        RelayedBody { response, request_id, metrics, is_read: false, is_ended: false }
     }
 
     /// Logs and counts the end of the response.
@@ -93,6 +95,7 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        self.is_read = true;
         let frame = ready!(self.response.poll_frame(cx));
         Poll::Ready(match frame {
             Some(Ok(frame)) => Some(Ok(frame)),
@@ -112,7 +115,8 @@
 impl Drop for RelayedBody {
     fn drop(&mut self) {
         match self.response.size_hint().exact() {
-            _ if self.is_ended => {}
+            // A response that is not passed on has no end of its own.
+            _ if self.is_ended || !self.is_read => {}
             Some(0) => self.log_end("answered", EndedBy::Peer, "-"),
             _ => self.log_end("caller_left", EndedBy::Caller, "-"),
         }
