daemon: a silence that was no loss costs a stream nothing that it may need later

An engine that turned a silent run away was excluded for the rest of the stream, so that a later crash had nowhere to go. The end of an unframed stream inside an event, during a switch, ended the other run. What was read during a search could be taken for the stream of a peer that had taken the run over. A silent run that was given up was only held against its engine once the other engine had answered. The silent engine could be chosen for the backup of the other run, and a copy of the old run was kept as that of the new one. Change: what a silence excludes is forgotten with its next event; a truncated end is a failure; what was read is handled before anything else; evidence is recorded as the run ends. An event of the silent run after the send no longer ends the other run at once: the first of the two engines that has answered goes on, so that no engine that has begun is left for one that works on. Measured: silent_engines::an_engine_that_turned_a_silent_stream_away_takes_it_over_later failed before and passes; the others of silent_engines, and generations::, pass before and after. The other points were found by reading; no test shows them.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -7,7 +7,7 @@
 
 use super::Generation;
 use super::relay::{COPY_TIMEOUT_MS, STALL_PAUSE_FACTOR};
-use super::run::{Backup, Run, StartFrom, StartOutcome};
+use super::run::{Backup, Run, Silence, StartFrom, StartOutcome};
 use crate::events::{EventReader, EventSequence};
 use crate::forwarding::{ContinuedRun, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
@@ -86,6 +86,8 @@
             events: EventReader::default(),
             backup: None,
             last_event_at: Instant::now(),
+            unread: None,
+            silence: Silence::default(),
             termination_handled: true,
             ..run
         }
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -15,23 +15,26 @@
 mod replacement;
 mod resume;
 mod run;
+mod trace;
 
 use self::run::{
-    Backup, GenerationEnd, NoRecovery, RelayEnd, ResponseSender, Run, RunFailure, RunProgress,
-    RunTrace, StartFrom, StartOutcome,
+    Backup, GenerationEnd, NoRecovery, RelayEnd, ResponseSender, Run, RunFailure, Silence,
+    StartFrom, StartOutcome,
 };
+use self::trace::{RunProgress, RunTrace};
 use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
+use crate::context::LoadGuard;
 use crate::events::{Event, EventAction, EventReader, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
+use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::{ResponseKind, endpoints};
 use gypsumchute_routing::continuity::{
     GenerationState, Interruption, RecoveryAction, choose_recovery,
 };
 use gypsumchute_routing::outcomes::RequestOutcome;
-use gypsumchute_routing::poison_segments::SuspectRun;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason, RequestId};
@@ -39,6 +42,7 @@
 use log::info;
 use std::collections::BTreeSet;
 use std::future::pending;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -73,6 +77,40 @@
     }
 }
 
+/// A run whose request is about to be sent.
+struct PreparedRun {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    version: ServiceVersion,
+    load_guard: LoadGuard,
+    /// Backup that the engine is asked to maintain.
+    backup: Option<Backup>,
+    /// Copy that the run continues from.
+    copy: Option<Backup>,
+    /// Id of the last event that the caller has received.
+    after_event: Option<u64>,
+}
+
+impl PreparedRun {
+    /// Sends the request and waits for the beginning of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Call::send`] does.
+    async fn send(
+        &self,
+        call: &Call,
+        connection: Connection,
+    ) -> Result<(ResponseStream, ResponseKind), ExchangeError> {
+        let options = SendOptions {
+            backup_at: self.backup.as_ref().map(|backup| backup.address),
+            source: self.copy.as_ref().map(|copy| &copy.source),
+            last_event: self.after_event,
+        };
+        call.send(connection, &self.endpoint, options).await
+    }
+}
+
 /// State of one generation across all runs.
 struct Generation {
     /// Request that is served.
@@ -93,8 +131,10 @@
     rejections: u32,
     /// The run that the request was last sent for.
     trace: RunTrace,
-    /// Last failure of a run, for log lines.
-    last_failure: Option<String>,
+    /// A silent run that is kept while the request is sent for another one.
+    silent_trace: Option<RunTrace>,
+    /// Last failure of a run since the last event, and whose failure it was, for log lines.
+    last_failure: Option<(EndedBy, String)>,
     /// Why the last run that was lost was not followed by another one.
     no_recovery: Option<NoRecovery>,
     /// Software version that began the stream, at which alone it may go on. `None` until the first
@@ -115,6 +155,7 @@
             failed_runs: 0,
             rejections: 0,
             trace: RunTrace::default(),
+            silent_trace: None,
             last_failure: None,
             no_recovery: None,
             version: None,
@@ -132,34 +173,18 @@
             () = sleep(left) => GenerationEnd::TimedOut,
             () = context.shutdown.last_answers_due() => GenerationEnd::ShutDown,
         };
-        let silent_ms = self.trace.alive_ms.map(|alive_ms| boot_now().since(alive_ms));
+        let mut silent_trace = self.silent_trace.take();
+        let silent_ms = silent_trace.as_ref().unwrap_or(&self.trace).silent_ms();
         if let GenerationEnd::CallerDisconnected
         | GenerationEnd::TimedOut
         | GenerationEnd::ShutDown = end
         {
-            self.record_silent_run();
+            let traces = silent_trace.iter_mut().chain([&mut self.trace]);
+            traces.for_each(|trace| trace.record_silent(&self.call));
         }
         self.finish(end, silent_ms).await;
     }
 
-    /// Records that the run ends without a response, unless there was a sign of life just now.
-    fn record_silent_run(&mut self) {
-        if let (Some(endpoint), Some(alive_ms)) = (&self.trace.endpoint, self.trace.alive_ms.take())
-        {
-            self.call.record_silent_run(endpoint, self.suspect_run(alive_ms), alive_ms);
-        }
-    }
-
-    /// Describes the last run, the last sign of life of which was at `alive_ms`.
-    fn suspect_run(&self, alive_ms: BootMs) -> SuspectRun {
-        let mut run = self.call.unanswered_run();
-        run.answer_began = self.trace.progress != RunProgress::Waiting;
-        if self.trace.progress.has_gone_on(alive_ms) {
-            run.segments.clear();
-        }
-        run
-    }
-
     /// Logs the outcome and sends the final reply, or aborts a stream that has already started.
     /// `silent_ms` is the time since the last sign of life of the run, if there is one.
     async fn finish(&mut self, end: GenerationEnd, silent_ms: Option<u64>) {
@@ -206,11 +231,11 @@
             GenerationEnd::CallerDisconnected => EndedBy::Caller,
             GenerationEnd::TimedOut => EndedBy::Deadline,
             GenerationEnd::ShutDown => EndedBy::Shutdown,
-            GenerationEnd::Refused(_) if self.last_failure.is_none() => EndedBy::Vm,
-            GenerationEnd::Forwarded(_) => EndedBy::Peer,
-            GenerationEnd::Complete | GenerationEnd::Refused(_) | GenerationEnd::Failed(_) => {
-                EndedBy::Endpoint
+            GenerationEnd::Refused(_) => {
+                self.last_failure.as_ref().map_or(EndedBy::Vm, |(ended_by, _)| *ended_by)
             }
+            GenerationEnd::Forwarded(_) => EndedBy::Peer,
+            GenerationEnd::Complete | GenerationEnd::Failed(_) => EndedBy::Endpoint,
         }
     }
 
@@ -223,7 +248,8 @@
             _ => None,
         };
         let no_recovery = self.no_recovery.map(|reason| reason.to_string());
-        let parts = [self.last_failure.clone(), no_recovery, refusal.map(str::to_owned)];
+        let failure = self.last_failure.as_ref().map(|(_, cause)| cause.clone());
+        let parts = [failure, no_recovery, refusal.map(str::to_owned)];
         let known: Vec<_> = parts.into_iter().flatten().collect();
         if known.is_empty() { "-".to_owned() } else { known.join("; ") }
     }
@@ -256,6 +282,7 @@
                 StartOutcome::Failed(reply) => return GenerationEnd::Failed(reply),
                 StartOutcome::Forwarded(reply) => return GenerationEnd::Forwarded(reply),
                 StartOutcome::ForwardLost => {
+                    self.last_failure = Some((EndedBy::Peer, "no reply".to_owned()));
                     return GenerationEnd::Refused(Refusal::may_have_run(
                         RefusalReason::EndpointLost,
                     ));
@@ -308,8 +335,9 @@
                 }
                 NoRecovery::RetryBudgetSpent
             }
-            _ if self.has_certain_version() => NoRecovery::NotRepeatable,
-            _ => NoRecovery::VersionUncertain,
+            _ if !self.has_certain_version() => NoRecovery::VersionUncertain,
+            _ if self.call.is_repeatable() => NoRecovery::EndpointsUsed,
+            _ => NoRecovery::NotRepeatable,
         };
         self.no_recovery = Some(no_recovery);
         Err(Refusal::may_have_run(RefusalReason::EndpointLost))
@@ -350,7 +378,7 @@
             next:% = next,
             events = self.delivered_events,
             breaks = self.failed_runs,
-            silent_ms:? = self.trace.alive_ms.map(|alive_ms| boot_now().since(alive_ms)),
+            silent_ms:? = self.trace.silent_ms(),
             left_ms = self.call.remaining_ms();
             "run was lost or must move; recovery chosen"
         );
@@ -408,22 +436,40 @@
         placed: EndpointConnection,
         copy: Option<Backup>,
     ) -> StartOutcome {
-        let source = copy.as_ref().map(|copy| copy.source.clone());
+        let (connection, prepared) = self.prepare_run(placed, copy);
+        let sent = prepared.send(&self.call, connection).await;
+        self.on_sent(prepared, sent).await
+    }
+
+    /// Prepares the run that begins once the request is sent on the connection, which is returned.
+    fn prepare_run(
+        &mut self,
+        placed: EndpointConnection,
+        copy: Option<Backup>,
+    ) -> (Connection, PreparedRun) {
         let backup = self.reserve_backup(&placed.endpoint, placed.version);
-        let options = SendOptions {
-            backup_at: backup.as_ref().map(|backup| backup.address),
-            source: source.as_ref(),
-            last_event: self.sequence.last_id(),
-        };
-        self.attempts += 1;
         let EndpointConnection { endpoint, address, version, connection, load_guard } = placed;
+        self.attempts += 1;
         self.trace = RunTrace {
             endpoint: Some(endpoint.clone()),
             alive_ms: Some(boot_now()),
             progress: RunProgress::Waiting,
         };
-        let sent = self.call.send(connection, &endpoint, options).await;
+        let after_event = self.sequence.last_id();
+        let prepared =
+            PreparedRun { endpoint, address, version, load_guard, backup, copy, after_event };
+        (connection, prepared)
+    }
+
+    /// Handles the beginning of the response to the request of `prepared`.
+    async fn on_sent(
+        &mut self,
+        prepared: PreparedRun,
+        sent: Result<(ResponseStream, ResponseKind), ExchangeError>,
+    ) -> StartOutcome {
+        let PreparedRun { endpoint, address, version, load_guard, backup, copy, .. } = prepared;
         // The load of the run counts instead of that of the copy from now on.
+        let is_from_copy = copy.is_some();
         drop(copy);
         let (mut response, kind) = match sent {
             Ok(sent) => sent,
@@ -439,7 +485,7 @@
             resumes = self.call.caller.resumed_request_id.as_ref().map_or("-", RequestId::as_str),
             status = response.head.status.as_u16(),
             answer:? = kind, backup = backup.as_ref().map_or("-", |b| b.endpoint.as_str()),
-            from_copy = source.is_some(), after_event:? = self.sequence.last_id(),
+            from_copy = is_from_copy, after_event:? = self.sequence.last_id(),
             tokens = self.call.load().reserved_tokens,
             elapsed_ms = boot_now().since(self.call.arrived_ms);
             "engine answered");
@@ -459,13 +505,13 @@
                 backup,
                 last_event_at: Instant::now(),
                 unread: None,
-                next_search_at: None,
+                silence: Silence::default(),
                 termination_handled: false,
                 load_guard,
             })),
             // The engine does not hold this backup, but can still run the generation from the
             // prompt.
-            ResponseKind::NotRun if source.is_some() => StartOutcome::NotRun,
+            ResponseKind::NotRun if is_from_copy => StartOutcome::NotRun,
             ResponseKind::NotRun | ResponseKind::WrongEndpoint => {
                 // An endpoint that asked for a pause is not at fault, and is passed over until its end.
                 if !self.call.context.has_pause(&endpoint) {
@@ -502,25 +548,17 @@
 
     /// Records a connection failure or an invalid response of `endpoint`.
     fn on_run_failed(&mut self, endpoint: &EndpointId, failure: &RunFailure) {
+        self.count_failed_run(endpoint, EndedBy::Endpoint, failure);
+        self.trace.record_failure(&self.call, failure);
+    }
+
+    /// Counts a run at `endpoint` that failed there, or at the peer VM that relays it.
+    fn count_failed_run(&mut self, endpoint: &EndpointId, at: EndedBy, failure: &RunFailure) {
         self.failed_runs += 1;
-        self.last_failure = Some(failure.cause().to_owned());
-        self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
-        self.excluded.insert(endpoint.clone());
-        let alive_ms = self.trace.alive_ms.take();
-        match failure {
-            // An engine that sent a termination notice or was unregistered may end as planned.
-            RunFailure::Disconnected(cause) if !self.is_terminating(endpoint) => {
-                let run = self.suspect_run(alive_ms.unwrap_or(boot_now()));
-                self.call.record_crash(endpoint, run, cause);
-            }
-            RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
-                if let (RunFailure::Disconnected(_), Some(alive_ms)) = (failure, alive_ms) {
-                    self.call.record_silent_run(endpoint, self.suspect_run(alive_ms), alive_ms);
-                }
-                info!(request = self.call.id(), fingerprint:% = self.call.fingerprint,
-                    endpoint = endpoint.as_str(), cause = failure.cause();
-                    "failed run is not held against the request");
-            }
+        self.last_failure = Some((at, failure.cause().to_owned()));
+        if at == EndedBy::Endpoint {
+            self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
+            self.excluded.insert(endpoint.clone());
         }
     }
 
@@ -532,7 +570,8 @@
             EventAction::Forward => {}
         }
         run.last_event_at = Instant::now();
-        run.next_search_at = None;
+        run.silence = Silence::default();
+        self.last_failure = None;
         self.record_progress(boot_now());
         run.load_guard.release_prefill_load();
         self.correct_version(run)?;
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -6,6 +6,7 @@
 use super::run::{
     Backup, CopyTarget, PendingCopy, RelayEnd, Run, RunFailure, RunSignal, StartFrom, StartOutcome,
 };
+use crate::call::EndedBy;
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy, copy_kv_cache, free_kv_copy};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
@@ -47,6 +48,11 @@
         let mut copy_attempts = 0;
         let mut handovers = Handovers::default();
         loop {
+            if let Some(signal) = run.unread.take()
+                && let Some(end) = self.on_signal(&mut run, signal).await
+            {
+                return end;
+            }
             let handover_deadline = self.handover_deadline(&run, &handovers);
             let stall_deadline = match handover_deadline {
                 Some(_) if self.is_cut_off() => None,
@@ -77,10 +83,16 @@
                     if self.stall_deadline(&run).is_none() {
                         continue;
                     }
+                    let silent = run.endpoint.clone();
                     match self.replace_silent_run(Box::new(run)).await {
                         Ok(next_run) => run = *next_run,
                         Err(relay_end) => return relay_end,
                     }
+                    if run.endpoint != silent {
+                        pending_copy = None;
+                    } else if run.unread.is_some() {
+                        continue;
+                    }
                 }
             }
             if run.termination_handled
@@ -113,20 +125,13 @@
     async fn on_signal(&mut self, run: &mut Run, signal: RunSignal) -> Option<RelayEnd> {
         let failure = match signal {
             RunSignal::Event(event) => self.deliver_event(run, event).await.err()?,
-            // A stream without framing ends so if the connection breaks.
-            RunSignal::Ended if run.events.has_partial_event() => {
-                RunFailure::Disconnected("stream ended within an event".to_owned())
-            }
-            RunSignal::Ended if !self.sequence.is_reached_by(run.events.last_id()) => {
-                RunFailure::InvalidResponse("stream ended too early".to_owned())
-            }
-            RunSignal::Ended if self.delivered_events == 0 => {
-                RunFailure::Disconnected("stream ended without an event".to_owned())
-            }
-            RunSignal::Ended => {
-                self.on_completed(run);
-                return Some(RelayEnd::Complete);
-            }
+            RunSignal::Ended => match run.check_end(&self.sequence, self.delivered_events) {
+                Ok(()) => {
+                    self.on_completed(run);
+                    return Some(RelayEnd::Complete);
+                }
+                Err(failure) => failure,
+            },
             RunSignal::Failed(failure) => failure,
         };
         self.on_stream_failed(&run.endpoint, run.is_at_peer, &failure);
@@ -147,21 +152,18 @@
         free_unused_copy(run.backup.take());
     }
 
-    /// Records that the stream of a run at `endpoint` failed, which a peer VM relays if `is_at_peer`.
-    pub(super) fn on_stream_failed(
-        &mut self,
-        endpoint: &EndpointId,
-        is_at_peer: bool,
-        failure: &RunFailure,
-    ) {
+    /// Logs that the stream of a run at `endpoint` failed.
+    pub(super) fn log_stream_failure(&self, endpoint: &EndpointId, failure: &RunFailure) {
         info!(request = self.call.id(), endpoint = endpoint.as_str(),
             error = failure.cause(), events = self.delivered_events;
             "engine stream failed");
+    }
+
+    /// Records that the stream of a run at `endpoint` failed, which a peer VM relays if `is_at_peer`.
+    fn on_stream_failed(&mut self, endpoint: &EndpointId, is_at_peer: bool, failure: &RunFailure) {
+        self.log_stream_failure(endpoint, failure);
         match is_at_peer {
-            true => {
-                self.failed_runs += 1;
-                self.last_failure = Some(failure.cause().to_owned());
-            }
+            true => self.count_failed_run(endpoint, EndedBy::Peer, failure),
             false => self.on_run_failed(endpoint, failure),
         }
     }
@@ -262,7 +264,7 @@
             _ => self.call.route.inter_event_target_ms * STALL_PAUSE_FACTOR,
         };
         let stalled_at = run.last_event_at + Duration::from_millis(limit_ms);
-        Some(run.next_search_at.map_or(stalled_at, |at| at.max(stalled_at)))
+        Some(run.silence.next_search_at.map_or(stalled_at, |at| at.max(stalled_at)))
     }
 }
 
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -1,30 +1,33 @@
 //! Replaces a run whose engine has fallen silent.
 //!
-//! A sound engine may be silent for a while and then go on. The run is therefore kept until nothing
-//! stands in the way of another one: an engine with room has accepted a connection, and the retry
-//! budget has a retry left. Whatever is missing, the run stays and another engine is looked for later.
-//! An event of the silent run ends the search.
+//! A sound engine may be silent for a while and then go on. The run is therefore kept until an engine
+//! with room has accepted a connection and the retry budget has granted a retry. Whatever is missing,
+//! the run stays and another engine is looked for later. An event of the silent run ends the search.
+//!
+//! Once the request was sent, two runs may be at work. The first answer of the other engine ends the
+//! silent run, and a rejection leaves it as it was. If there is neither in time, the run that goes on
+//! stays, or else the other one: a request that is not rejected at once has usually been accepted.
 
 use super::Generation;
 use super::relay::CUTOVER_TIMEOUT_MS;
 use super::run::{Backup, RelayEnd, Run, RunFailure, RunSignal, StartOutcome};
+use super::trace::RunTrace;
+use crate::call::EndedBy;
 use crate::placing::{EndpointConnection, LinkUse};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::EndpointId;
 use log::info;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 /// Time between two searches for an engine that takes a silent run over, in milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 250;
 /// Maximum duration of one search, in milliseconds.
-const MAX_SEARCH_MS: u64 = 1_000;
+const MAX_SEARCH_MS: u64 = 500;
 /// Time for reading what has arrived before a silent run is given up, in milliseconds.
 const READ_GRACE_MS: u64 = 10;
-/// Number of engines that turned a generation away after which no other engine is looked for.
-const MAX_REPLACEMENT_REJECTIONS: u32 = 3;
-
 /// Why a silent run stays at its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -42,7 +45,7 @@
 impl Generation {
     /// Returns how another engine would take a silent run over, or `None` if none can.
     pub(super) fn choose_replacement(&self, has_backup: bool) -> Option<RecoveryAction> {
-        if !self.has_certain_version() || self.rejections >= MAX_REPLACEMENT_REJECTIONS {
+        if !self.has_certain_version() {
             return None;
         }
         match choose_recovery(Interruption::Stalled, self.run_state(has_backup)) {
@@ -61,6 +64,9 @@
         &mut self,
         mut run: Box<Run>,
     ) -> Result<Box<Run>, RelayEnd> {
+        if run.silence.next_search_at.is_some() {
+            self.record_silence(&mut run);
+        }
         let backup = run.backup.take().filter(|backup| self.is_usable(backup));
         let Some(next) = self.choose_replacement(backup.is_some()) else {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
@@ -71,41 +77,46 @@
         if needs_retry && !self.call.context.has_retry(service) {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
         }
-        let silent = run.endpoint.clone();
+        let mut excluded = self.excluded.clone();
+        excluded.extend(run.silence.turned_away.iter().chain([&run.endpoint]).cloned());
         let found = tokio::select! {
             biased;
             signal = run.next_signal() => {
                 run.unread = Some(signal);
                 return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
             }
-            found = self.connect_replacement(&silent, backup.as_ref()) => found,
+            found = self.connect_replacement(excluded, backup.as_ref()) => found,
             () = sleep(Duration::from_millis(MAX_SEARCH_MS)) => None,
         };
-        if run.next_search_at.is_none() {
-            self.call.context.record_outcome(&silent, RequestOutcome::Timeout);
-        }
-        let Some(connection) = found else {
+        self.record_silence(&mut run);
+        let Some(placed) = found else {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
         };
         if needs_retry && !self.call.context.take_retry(service, Interruption::Stalled.into()) {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
         }
         self.log_recovery(Interruption::Stalled, next);
-        self.switch_run(run, connection, backup).await
+        self.switch_run(run, placed, backup).await
     }
 
-    /// Connects to an engine that can continue the run at `silent`: that of `backup`, or any other one
-    /// if there is no backup. Returns `None` if there is none.
+    /// Records once that the engine of `run` is silent.
+    fn record_silence(&self, run: &mut Run) {
+        if !run.silence.is_recorded {
+            run.silence.is_recorded = true;
+            self.call.context.record_outcome(&run.endpoint, RequestOutcome::Timeout);
+        }
+    }
+
+    /// Connects to an engine that can continue a silent run: that of `backup`, or any one that is not
+    /// excluded if there is no backup. Returns `None` if there is none.
     async fn connect_replacement(
         &self,
-        silent: &EndpointId,
+        mut excluded: BTreeSet<EndpointId>,
         backup: Option<&Backup>,
     ) -> Option<EndpointConnection> {
         match backup {
             Some(backup) => self.connect_to_backup(backup).await.ok(),
             None => {
-                let mut excluded = self.excluded.clone();
-                excluded.insert(silent.clone());
                 let placing =
                     self.call.place_and_connect(&mut excluded, self.version, LinkUse::Always);
                 placing.await.ok()
@@ -113,69 +124,114 @@
         }
     }
 
-    /// Starts a run on `connection`, which continues from `copy` or from the prompt. The silent `run`
-    /// is kept until the other engine answers, but no longer than `CUTOVER_TIMEOUT_MS`: the other
-    /// engine may have begun although its answer is lost.
+    /// Starts a run at `placed`, which continues from `copy` or from the prompt. The silent `run` is
+    /// kept until the other engine answers, but no longer than `CUTOVER_TIMEOUT_MS` unless it goes on:
+    /// the other engine may have begun although its answer is lost.
     async fn switch_run(
         &mut self,
         mut run: Box<Run>,
-        connection: EndpointConnection,
+        placed: EndpointConnection,
         copy: Option<Backup>,
     ) -> Result<Box<Run>, RelayEnd> {
+        let (silent, other) = (run.endpoint.clone(), placed.endpoint.clone());
+        let excluded_before = self.excluded.clone();
+        // The other run's backup must not be at the silent engine.
+        self.excluded.insert(silent.clone());
         let mut trace = self.trace.clone();
-        let (silent, is_at_peer) = (run.endpoint.clone(), run.is_at_peer);
-        let (outcome, end) = {
-            let mut start = Box::pin(self.start_run_at(connection, copy));
-            tokio::select! {
-                biased;
-                signal = run.next_signal() => match signal {
-                    RunSignal::Failed(failure) => {
-                        drop(run);
-                        (Some(start.await), SilentRunEnd::Failed(failure))
+        let (connection, prepared) = self.prepare_run(placed, copy);
+        self.silent_trace = Some(trace.clone());
+        let (sent, end) = {
+            let sending = prepared.send(&self.call, connection);
+            let cutover = cutover_due();
+            tokio::pin!(sending, cutover);
+            loop {
+                tokio::select! {
+                    biased;
+                    signal = run.next_signal(), if run.unread.is_none() => {
+                        match run.checked(signal, &self.sequence, self.delivered_events) {
+                            RunSignal::Failed(failure) => {
+                                if !run.is_at_peer {
+                                    trace.record_failure(&self.call, &failure);
+                                }
+                                self.silent_trace = None;
+                                let end = SilentRunEnd::Failed(failure, run.is_at_peer);
+                                drop(run);
+                                break (Some(sending.await), end);
+                            }
+                            // What follows the event is read once it is clear which run goes on.
+                            signal @ RunSignal::Event(_) => run.unread = Some(signal),
+                            RunSignal::Ended => {
+                                run.unread = Some(RunSignal::Ended);
+                                break (None, SilentRunEnd::Kept(run));
+                            }
+                        }
                     }
-                    RunSignal::Event(_) | RunSignal::Ended => {
-                        run.unread = Some(signal);
-                        (None, SilentRunEnd::Kept(run))
+                    sent = sending.as_mut() => break (Some(sent), SilentRunEnd::Kept(run)),
+                    () = cutover.as_mut() => {
+                        if run.unread.is_some() {
+                            break (None, SilentRunEnd::Kept(run));
+                        }
+                        trace.record_silent(&self.call);
+                        self.silent_trace = None;
+                        drop(run);
+                        break (Some(sending.await), SilentRunEnd::GivenUp);
                     }
-                },
-                outcome = start.as_mut() => (Some(outcome), SilentRunEnd::Kept(run)),
-                () = cutover_due() => {
-                    drop(run);
-                    (Some(start.await), SilentRunEnd::GivenUp)
                 }
             }
         };
-        let is_running = matches!(outcome, Some(StartOutcome::Running(_)));
-        match end {
-            SilentRunEnd::Kept(run) if !is_running => {
+        if let SilentRunEnd::Failed(failure, is_at_peer) = &end {
+            self.log_stream_failure(&silent, failure);
+            let at = if *is_at_peer { EndedBy::Peer } else { EndedBy::Endpoint };
+            self.count_failed_run(&silent, at, failure);
+        }
+        let outcome = match sent {
+            Some(sent) => Some(self.on_sent(prepared, sent).await),
+            None => None,
+        };
+        self.silent_trace = None;
+        match (outcome, end) {
+            (Some(StartOutcome::Running(next_run)), end) => {
+                if let SilentRunEnd::Kept(run) = end {
+                    self.end_replaced_run(*run, trace, &excluded_before);
+                }
+                self.call.context.metrics.count_silent_run("replaced");
+                Ok(next_run)
+            }
+            (outcome, SilentRunEnd::Kept(mut run)) => {
                 self.trace = trace;
                 let because = match outcome {
                     None => KeptBecause::SignOfLife,
                     Some(_) => KeptBecause::NotStarted,
                 };
-                self.rejections += u32::from(matches!(outcome, Some(StartOutcome::NotRun)));
-                return Ok(self.keep_silent_run(run, None, because));
+                self.excluded.clone_from(&excluded_before);
+                if outcome.is_some() {
+                    run.silence.turned_away.insert(other);
+                }
+                Ok(self.keep_silent_run(run, None, because))
             }
-            SilentRunEnd::Kept(_) | SilentRunEnd::GivenUp => {
-                std::mem::swap(&mut self.trace, &mut trace);
-                self.record_silent_run();
-                self.excluded.insert(silent);
-                self.trace = trace;
+            (Some(StartOutcome::Lost(backup)), _) => {
+                Err(RelayEnd::Lost(Interruption::Disconnected, backup))
             }
-            SilentRunEnd::Failed(failure) => {
-                std::mem::swap(&mut self.trace, &mut trace);
-                self.on_stream_failed(&silent, is_at_peer, &failure);
-                self.trace = trace;
+            (Some(StartOutcome::Failed(reply)), _) => Err(RelayEnd::Failed(reply)),
+            (_, SilentRunEnd::GivenUp | SilentRunEnd::Failed(..)) => {
+                Err(RelayEnd::Lost(Interruption::Stalled, None))
             }
         }
-        self.call.context.metrics.count_silent_run("replaced");
-        match outcome {
-            Some(StartOutcome::Running(next_run)) => Ok(next_run),
-            Some(StartOutcome::Lost(backup)) => {
-                Err(RelayEnd::Lost(Interruption::Disconnected, backup))
+    }
+
+    /// Ends `run`, in place of which another one has started.
+    fn end_replaced_run(
+        &mut self,
+        run: Run,
+        mut trace: RunTrace,
+        excluded_before: &BTreeSet<EndpointId>,
+    ) {
+        match run.unread {
+            Some(_) if !excluded_before.contains(&run.endpoint) => {
+                self.excluded.remove(&run.endpoint);
             }
-            Some(StartOutcome::Failed(reply)) => Err(RelayEnd::Failed(reply)),
-            _ => Err(RelayEnd::Lost(Interruption::Stalled, None)),
+            Some(_) => {}
+            None => trace.record_silent(&self.call),
         }
     }
 
@@ -192,7 +248,8 @@
             "silent run stays at its engine");
         self.call.context.metrics.count_silent_run(because.into());
         run.backup = backup;
-        run.next_search_at = Some(Instant::now() + Duration::from_millis(SEARCH_INTERVAL_MS));
+        run.silence.next_search_at =
+            Some(Instant::now() + Duration::from_millis(SEARCH_INTERVAL_MS));
         run
     }
 }
@@ -201,8 +258,8 @@
 enum SilentRunEnd {
     /// It is still there.
     Kept(Box<Run>),
-    /// Its stream failed.
-    Failed(RunFailure),
+    /// Its stream failed: at a peer VM that relayed it, or at its engine.
+    Failed(RunFailure, bool),
     /// It was given up because the other engine has accepted the request and not answered yet.
     GivenUp,
 }
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -1,17 +1,17 @@
 //! Types that describe the runs of a generation, their backups and their outcomes.
 
 use crate::context::LoadGuard;
-use crate::events::{Event, EventError, EventReader};
+use crate::events::{Event, EventError, EventReader, EventSequence};
 use crate::reply::{QueuedChunk, Reply, StreamAborted};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
 use gypsumchute_platform::KvSource;
 use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::continuity::Interruption;
-use gypsumchute_routing::poison_segments::BEGINNING_MS;
 use gypsumchute_routing::stream_versions::ServiceVersion;
-use gypsumchute_units::{BootMs, EndpointId, Refusal};
+use gypsumchute_units::{EndpointId, Refusal};
 use http::response::Parts;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -91,8 +91,8 @@
     pub(super) last_event_at: Instant,
     /// What the stream brought while another run was to take the place of this one.
     pub(super) unread: Option<RunSignal>,
-    /// When another engine is looked for at the earliest, if that has failed since the last event.
-    pub(super) next_search_at: Option<Instant>,
+    /// Attempts to replace the run since its last event.
+    pub(super) silence: Silence,
     /// Whether the announced termination of the engine has already been acted on.
     pub(super) termination_handled: bool,
     /// Accounts for the load of the run.
@@ -112,9 +112,6 @@
 impl Run {
     /// Waits for the next event or the end of the stream. No bytes are lost if this is cancelled.
     pub(super) async fn next_signal(&mut self) -> RunSignal {
-        if let Some(signal) = self.unread.take() {
-            return signal;
-        }
         loop {
             match self.events.next_event() {
                 Ok(Some(event)) => return RunSignal::Event(event),
@@ -128,42 +125,60 @@
             }
         }
     }
-}
 
-/// What is known of a run if it ends without a response.
-#[derive(Debug, Clone, Default)]
-pub(super) struct RunTrace {
-    /// Endpoint that the request was sent to.
-    pub(super) endpoint: Option<EndpointId>,
-    /// Last sign of life of the run: when the request was sent, or the last event arrived. `None` if
-    /// there is no run.
-    pub(super) alive_ms: Option<BootMs>,
-    /// How far the run came.
-    pub(super) progress: RunProgress,
-}
-
-/// How far a run came.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) enum RunProgress {
-    /// The engine has not answered.
-    #[default]
-    Waiting,
-    /// The response head has arrived.
-    Began,
-    /// Events arrive, the first of them at `since_ms`.
-    Writing { since_ms: BootMs },
-}
+    /// Returns `signal`, or a failure in place of the end of a stream that is not complete. See
+    /// [`Self::check_end`].
+    pub(super) fn checked(
+        &self,
+        signal: RunSignal,
+        sequence: &EventSequence,
+        delivered_events: u64,
+    ) -> RunSignal {
+        match signal {
+            RunSignal::Ended => match self.check_end(sequence, delivered_events) {
+                Ok(()) => RunSignal::Ended,
+                Err(failure) => RunSignal::Failed(failure),
+            },
+            RunSignal::Event(_) | RunSignal::Failed(_) => signal,
+        }
+    }
 
-impl RunProgress {
-    /// Reports whether the answer had gone on for a while at `alive_ms`.
-    pub(super) fn has_gone_on(self, alive_ms: BootMs) -> bool {
-        match self {
-            RunProgress::Waiting | RunProgress::Began => false,
-            RunProgress::Writing { since_ms } => alive_ms.since(since_ms) >= BEGINNING_MS,
+    /// Checks whether the stream, which has ended, is complete. The caller has received the events of
+    /// `sequence`, which are `delivered_events` since the request arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the end of the stream shows.
+    pub(super) fn check_end(
+        &self,
+        sequence: &EventSequence,
+        delivered_events: u64,
+    ) -> Result<(), RunFailure> {
+        // A stream without framing ends so if the connection breaks.
+        if self.events.has_partial_event() {
+            return Err(RunFailure::Disconnected("stream ended within an event".to_owned()));
+        }
+        if !sequence.is_reached_by(self.events.last_id()) {
+            return Err(RunFailure::InvalidResponse("stream ended too early".to_owned()));
+        }
+        if delivered_events == 0 {
+            return Err(RunFailure::Disconnected("stream ended without an event".to_owned()));
         }
+        Ok(())
     }
 }
 
+/// Attempts to replace a run that is silent.
+#[derive(Debug, Default)]
+pub(super) struct Silence {
+    /// When another engine is looked for at the earliest. `None` before the first attempt.
+    pub(super) next_search_at: Option<Instant>,
+    /// Whether the silence was recorded against the engine.
+    pub(super) is_recorded: bool,
+    /// Engines that did not start a run in place of this one.
+    pub(super) turned_away: BTreeSet<EndpointId>,
+}
+
 /// Where a run takes its state from.
 pub(super) enum StartFrom {
     /// Prefill: a newly chosen engine processes the prompt.
@@ -249,6 +264,8 @@
     VersionUncertain,
     /// The run has no backup, and the request may not run again.
     NotRepeatable,
+    /// As many endpoints as the route allows may have run the request.
+    EndpointsUsed,
     /// No retry is left in the budget.
     RetryBudgetSpent,
 }
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -122,3 +122,46 @@
         assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
     }
 }
+
+/// Guards against a silence that was no loss costing the stream its way out of a later one: the engine
+/// that had no room at that time.
+#[test]
+fn an_engine_that_turned_a_silent_stream_away_takes_it_over_later() {
+    let (env, mut engines) = pausing_engines(2);
+    let mut stream = short_request("briefs", "r1").send(env.daemon.address());
+    let mut body = stream.next_chunk().expect("open stream").expect("next event");
+    let silent = env.last_run_endpoint("r1");
+    let (silent, other): (Vec<_>, Vec<_>) =
+        engines.iter_mut().partition(|engine| engine.id == silent);
+    other[0].set_behaviour(Behaviour::Rejects);
+    while !body.contains("id: 11\n") {
+        body += &stream.next_chunk().expect("open stream").expect("next event");
+    }
+    other[0].set_behaviour(Behaviour::Streams { events: 20, event_interval_ms: 10 });
+    silent.into_iter().for_each(Endpoint::kill);
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, body + &reply.body), (true, complete_stream(20)));
+    let arrivals = env.endpoint_state.received_requests();
+    let rejections = arrivals.iter().filter(|arrival| !arrival.executed).count();
+    assert_eq!(rejections, 1, "the other engine is asked once while the run is silent");
+}
+
+/// Guards against two runs at work after both engines have answered.
+#[test]
+fn a_silent_stream_that_goes_on_ends_once_another_engine_has_answered() {
+    let (env, engines) = pausing_engines(2);
+    // The other engine begins to answer 200 ms after the request was sent, 800 ms after the last event.
+    let pauses = Behaviour::StreamsWithPause { pause_ms: 700 };
+    engines.iter().for_each(|engine| engine.set_behaviour(pauses));
+    let mut stream = short_request("briefs", "r1").send(env.daemon.address());
+    let first = stream.next_chunk().expect("open stream").expect("next event");
+    let silent = env.last_run_endpoint("r1");
+    let others = engines.iter().filter(|engine| engine.id != silent);
+    others.for_each(|engine| {
+        engine.set_behaviour(Behaviour::Streams { events: 20, event_interval_ms: 50 });
+    });
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(20)));
+    assert_ne!(env.last_run_endpoint("r1"), silent);
+    assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
+}
