daemon: an engine without the copy of a silent run may still run it from the prompt

Change: a missing copy turns nothing away. Measured: endless_responses and silent_engines (15) pass.

--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -138,6 +138,7 @@
         // The other run's backup must not be at the silent engine.
         self.excluded.insert(silent.clone());
         let mut trace = self.trace.clone();
+        let is_from_copy = copy.is_some();
         let (connection, prepared) = self.prepare_run(placed, copy);
         self.silent_trace = Some(trace.clone());
         let (sent, end) = {
@@ -199,13 +200,16 @@
             }
             (outcome, SilentRunEnd::Kept(mut run)) => {
                 self.trace = trace;
-                let because = match outcome {
+                let because = match &outcome {
                     None => KeptBecause::SignOfLife,
                     Some(_) => KeptBecause::NotStarted,
                 };
-                self.excluded.clone_from(&excluded_before);
-                if outcome.is_some() {
-                    run.silence.turned_away.insert(other);
+                self.excluded = excluded_before;
+                match outcome {
+                    // An engine without the copy may still run the request from the prompt.
+                    None => {}
+                    Some(StartOutcome::NotRun) if is_from_copy => {}
+                    Some(_) => drop(run.silence.turned_away.insert(other)),
                 }
                 Ok(self.keep_silent_run(run, None, because))
             }
