daemon: a pause of the VM is not taken for the silence of its engines

Callers saw streams cut that a busy or suspended VM relayed, once their engines were lost a little later. Cause: after a pause the deadline of a silent run has passed and its events are in the socket. A connection to another engine was open before they were read, so that a second run began; it used up the retry and the endpoints that the route allows. Change: what has arrived is read for 10 ms before the request is sent.

--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -20,13 +20,13 @@
 use log::info;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between two searches for an engine that takes a silent run over, in milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 250;
 /// Maximum duration of one search, in milliseconds.
 const MAX_SEARCH_MS: u64 = 500;
-/// Time for reading what has arrived before a silent run is given up, in milliseconds.
+/// Time for reading what has arrived before a silent run is replaced or given up, in milliseconds.
 const READ_GRACE_MS: u64 = 10;
 /// Why a silent run stays at its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -88,6 +88,11 @@
             found = self.connect_replacement(excluded, backup.as_ref()) => found,
             () = sleep(Duration::from_millis(MAX_SEARCH_MS)) => None,
         };
+        // If this process was suspended, what has arrived meanwhile is read first.
+        if let Ok(signal) = timeout(Duration::from_millis(READ_GRACE_MS), run.next_signal()).await {
+            run.unread = Some(signal);
+            return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
+        }
         self.record_silence(&mut run);
         let Some(placed) = found else {
             return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
@@ -271,6 +276,5 @@
 /// Completes when the silent run must end.
 async fn cutover_due() {
     sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
-    // If this process was suspended meanwhile, the events that arrived are read first.
     sleep(Duration::from_millis(READ_GRACE_MS)).await;
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod memory;
 mod model_loading;
+mod paused_daemon;
 mod poison;
 mod shutdown;
 mod soak;
