daemon: a late plain request is kept while another endpoint is asked

Callers saw 502 for idempotent requests whose endpoint was sound and would have answered before the deadline. Cause: after the timeout of an attempt the exchange was dropped first, and only then was the retry asked for. No retry in the budget, no other endpoint, a rejection: each of them then ended the request. What is held was let go before what replaces it was certain. Change: another endpoint is placed and connected while the late one is still read. The retry is taken just before the send; what is missing is looked for again after 250 ms, until the deadline. The first usable response counts, and the other exchange is dropped. A failure of one endpoint waits for the other, and is the reply if that gives none. A late request that has become known as poison is refused as before. If no other endpoint was found by the deadline, the reply is 502 as before, but later.

--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -1,8 +1,13 @@
 //! Requests to plain services, which are answered by one complete response.
+//!
+//! A sound endpoint may answer late. An idempotent request whose endpoint is late is therefore sent to
+//! another one in addition, once that has accepted a connection and the retry budget has a retry left.
+//! The first usable response counts; the other exchanges are dropped then, which ends their runs.
 
 use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
-use crate::forwarding::Placed;
-use crate::placing::EndpointConnection;
+use crate::context::LoadGuard;
+use crate::forwarding::{Origin, Placed};
+use crate::placing::{EndpointConnection, LinkUse};
 use crate::reply::{Reply, ReplyBody, refusal_reason};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
@@ -14,19 +19,85 @@
 use http::Response;
 use log::info;
 use std::collections::BTreeSet;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Maximum size of a plain service's response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Number of attempts, whatever their outcome, after which a request is refused if the endpoint of
 /// the last attempt rejected the request.
 const MAX_REJECTIONS: u32 = 3;
-/// An idempotent request is retried at another endpoint after this many times the target latency of
-/// the route without a complete response.
+/// An idempotent request is sent to another endpoint as well after this many times the target latency
+/// of the route without a complete response.
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
 /// Lower bound of the timeout of one attempt, in milliseconds.
 const MIN_ATTEMPT_TIMEOUT_MS: u64 = 250;
+/// Time between two searches for an endpoint besides one that is late, in milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 250;
+
+/// Response with its body, or the failure of the connection.
+type ExchangeResult =
+    Result<(ResponseStream, ResponseKind, Result<Bytes, ExchangeError>), ExchangeError>;
+
+/// A request that was sent to an endpoint. Dropping it closes the connection, which ends the run.
+struct Exchange<'a> {
+    /// Endpoint that the request was sent to.
+    endpoint: EndpointId,
+    /// When the request was sent.
+    sent_ms: BootMs,
+    /// Whether the endpoint was late, which is held against it once.
+    is_late: bool,
+    /// Completes with the result.
+    response: Pin<Box<dyn Future<Output = ExchangeResult> + 'a>>,
+    /// Result, once the exchange has ended.
+    result: Option<ExchangeResult>,
+    /// Accounts for the load of the request at the endpoint.
+    _load_guard: LoadGuard,
+}
+
+impl Exchange<'_> {
+    /// Reports whether the exchange has ended, after reading what has arrived.
+    fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.result.is_none()
+            && let Poll::Ready(result) = self.response.as_mut().poll(cx)
+        {
+            self.result = Some(result);
+        }
+        self.result.is_some()
+    }
+}
+
+/// Waits until one of the exchanges has ended, and returns its index.
+async fn next_end(exchanges: &mut [Exchange<'_>]) -> usize {
+    poll_fn(|cx| {
+        let ended = exchanges.iter_mut().position(|exchange| exchange.has_ended(cx));
+        ended.map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
+
+/// What a search for another endpoint has found.
+enum Found {
+    /// An endpoint that has accepted a connection.
+    Endpoint(EndpointConnection),
+    /// The links to the endpoints are lost, and a peer may reach them.
+    LinksLost,
+    /// Nothing.
+    Nothing,
+}
+
+/// What ends a wait for the exchanges.
+enum Progress {
+    /// The exchange of this index has ended.
+    Ended(usize),
+    /// A search for another endpoint is due.
+    SearchDue,
+    /// The deadline of the request is over.
+    TimedOut,
+}
 
 /// Result of sending a request to one endpoint.
 enum SendOutcome {
@@ -47,8 +118,12 @@
         excluded: BTreeSet::new(),
         attempts: 0,
         last_endpoint: None,
-        in_flight: None,
         is_forwarded: false,
+        exchanges: Vec::new(),
+        search_at: None,
+        has_retry: false,
+        has_asked_peers: false,
+        is_timed_out: false,
         is_answered: false,
     };
     let reply = tokio::select! {
@@ -63,6 +138,7 @@
     let ended_by = match reason {
         _ if is_cut_short => EndedBy::Shutdown,
         _ if request.is_forwarded => EndedBy::Peer,
+        Some(_) if request.is_timed_out => EndedBy::Deadline,
         Some(RefusalReason::EndpointTimeout) => EndedBy::Deadline,
         Some(RefusalReason::EndpointLost | RefusalReason::EndpointProtocol) => EndedBy::Endpoint,
         Some(_) => EndedBy::Vm,
@@ -82,10 +158,18 @@
     attempts: u32,
     /// Endpoint that the request was last sent to.
     last_endpoint: Option<EndpointId>,
-    /// Endpoint that has not responded yet, and when the request was sent.
-    in_flight: Option<(EndpointId, BootMs)>,
     /// Whether a peer VM took the request.
     is_forwarded: bool,
+    /// Exchanges with endpoints that have not responded yet, oldest first.
+    exchanges: Vec<Exchange<'a>>,
+    /// When another endpoint is looked for besides those of the exchanges.
+    search_at: Option<Instant>,
+    /// Whether a retry was taken from the budget and not used yet.
+    has_retry: bool,
+    /// Whether peers were asked to serve the request while exchanges were under way.
+    has_asked_peers: bool,
+    /// Whether the deadline ended the exchanges.
+    is_timed_out: bool,
     /// Whether the request has its final reply.
     is_answered: bool,
 }
@@ -96,14 +180,12 @@
         if self.is_answered {
             return;
         }
-        if let Some((endpoint, sent_ms)) = &self.in_flight {
-            self.call.record_silent_run(endpoint, self.call.unanswered_run(), *sent_ms);
-        }
+        self.record_silent_runs();
         self.log_completion("caller_left", 0, EndedBy::Caller, None);
     }
 }
 
-impl PlainRequest<'_> {
+impl<'a> PlainRequest<'a> {
     /// Logs the outcome of the request.
     fn log_completion(
         &self,
@@ -120,7 +202,7 @@
             endpoint: self.last_endpoint.as_ref(),
             tries: self.attempts,
             events: 0,
-            silent_ms: self.in_flight.as_ref().map(|(_, sent_ms)| boot_now().since(*sent_ms)),
+            silent_ms: self.exchanges.first().map(|oldest| boot_now().since(oldest.sent_ms)),
         });
     }
 
@@ -145,15 +227,14 @@
                         return failure.unwrap_or_else(|| self.refuse_exhausted(refusal));
                     }
                 };
-            let endpoint = placed.endpoint.clone();
-            self.last_endpoint = Some(endpoint.clone());
-            let sent = self.send(placed).await;
-            // An endpoint that asked for a pause is passed over until its end.
-            if !self.call.context.has_pause(&endpoint) {
-                self.excluded.insert(endpoint);
-            }
+            self.begin(placed);
+            let sent = match self.first_usable(&mut failure).await {
+                Ok(sent) => sent,
+                Err(reply) => return reply,
+            };
             let retry_reason = match sent {
                 SendOutcome::Answered(reply) => {
+                    self.drop_exchanges();
                     self.call.record_completed();
                     return reply;
                 }
@@ -169,18 +250,87 @@
                     return failure.unwrap_or_else(|| self.refuse_exhausted(refusal));
                 }
                 SendOutcome::Lost(reason) if !self.may_retry() => {
-                    return self.refuse_may_have_run(reason);
+                    return failure.unwrap_or_else(|| self.refuse_may_have_run(reason));
                 }
                 SendOutcome::Lost(reason) => reason.into(),
             };
-            if !self.call.context.take_retry(&self.call.service.id, retry_reason) {
+            if !self.take_retry(retry_reason) {
                 let refusal = self.call.retryable_refusal(RefusalReason::NoRoom, 1_000);
                 return failure.unwrap_or_else(|| self.refuse_exhausted(refusal));
             }
-            info!(request = self.call.id(),
-                endpoint = self.last_endpoint.as_ref().map_or("-", EndpointId::as_str),
-                reason = retry_reason, left_ms = self.call.remaining_ms();
-                "retrying request at another endpoint");
+            self.has_retry = false;
+            self.log_retry(retry_reason);
+        }
+    }
+
+    /// Takes a retry from the budget, unless one was taken and not used.
+    fn take_retry(&mut self, reason: &'static str) -> bool {
+        self.has_retry =
+            self.has_retry || self.call.context.take_retry(&self.call.service.id, reason);
+        self.has_retry
+    }
+
+    /// Logs that the request is sent again.
+    fn log_retry(&self, reason: &'static str) {
+        info!(request = self.call.id(),
+            endpoint = self.last_endpoint.as_ref().map_or("-", EndpointId::as_str),
+            reason, left_ms = self.call.remaining_ms(), under_way = self.exchanges.len();
+            "retrying request at another endpoint");
+    }
+
+    /// Waits until an exchange brings a usable response or all of them have ended, and returns the
+    /// outcome of the last one that ended. Sends the request to another endpoint as well if one is
+    /// late.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final reply if a peer has served the request in the meantime, or if it has become
+    /// known as a poison request.
+    async fn first_usable(&mut self, failure: &mut Option<Reply>) -> Result<SendOutcome, Reply> {
+        loop {
+            match self.progress().await {
+                Progress::Ended(index) => {
+                    let is_newest = index + 1 == self.exchanges.len();
+                    let exchange = self.exchanges.remove(index);
+                    self.last_endpoint = Some(exchange.endpoint.clone());
+                    let sent = self.conclude(exchange);
+                    let is_rejected = matches!(sent, SendOutcome::NotRun);
+                    match sent {
+                        sent if self.exchanges.is_empty() => return Ok(sent),
+                        SendOutcome::Answered(reply) => return Ok(SendOutcome::Answered(reply)),
+                        SendOutcome::Failed(reply) => *failure = Some(reply),
+                        SendOutcome::NotRun | SendOutcome::Lost(_) => {}
+                    }
+                    if is_newest {
+                        let may_search = !is_rejected || self.attempts < MAX_REJECTIONS;
+                        self.search_at = may_search.then(Instant::now);
+                    }
+                }
+                Progress::SearchDue => {
+                    self.note_late_exchanges();
+                    match self.call.poison_refusal() {
+                        _ if !self.may_retry() => self.search_at = None,
+                        None => self.search(failure).await?,
+                        // The endpoint is late because the request has probably crashed it.
+                        Some(refusal) => {
+                            self.give_up_exchanges();
+                            return Err(failure
+                                .take()
+                                .unwrap_or_else(|| self.refuse_exhausted(refusal)));
+                        }
+                    }
+                }
+                Progress::TimedOut => {
+                    let was_late = self.exchanges.iter().any(|exchange| exchange.is_late);
+                    self.is_timed_out = true;
+                    self.give_up_exchanges();
+                    return Ok(SendOutcome::Lost(match self.search_at {
+                        // Another endpoint might have run the request, and none was found.
+                        Some(_) if was_late => RefusalReason::EndpointLost,
+                        Some(_) | None => RefusalReason::EndpointTimeout,
+                    }));
+                }
+            }
         }
     }
 
@@ -204,50 +354,191 @@
             && self.call.remaining_ms() > 0
     }
 
-    /// Returns the timeout of this attempt, in milliseconds: all of the remaining time if the
-    /// request may not run at another endpoint.
-    fn attempt_timeout_ms(&self) -> u64 {
-        let left_ms = self.call.remaining_ms();
+    /// Returns when another endpoint is looked for besides that of the exchange that begins now, or
+    /// `None` if the request may not run there.
+    fn first_search_at(&self) -> Option<Instant> {
         let may_try_another =
             self.call.possible_runs.endpoints() + 1 < self.call.route.max_endpoints;
-        match self.call.route.kind == RouteKind::Idempotent && may_try_another {
-            true => left_ms.min(
-                (self.call.route.latency_target_ms * ATTEMPT_TIMEOUT_FACTOR)
-                    .max(MIN_ATTEMPT_TIMEOUT_MS),
-            ),
-            false => left_ms,
-        }
+        let timeout_ms = (self.call.route.latency_target_ms * ATTEMPT_TIMEOUT_FACTOR)
+            .max(MIN_ATTEMPT_TIMEOUT_MS);
+        let is_idempotent = self.call.route.kind == RouteKind::Idempotent;
+        (is_idempotent && may_try_another)
+            .then(|| Instant::now() + Duration::from_millis(timeout_ms))
     }
 
-    /// Sends the request on an open connection and classifies the result.
-    async fn send(&mut self, placed: EndpointConnection) -> SendOutcome {
+    /// Begins an exchange on an open connection.
+    fn begin(&mut self, placed: EndpointConnection) {
         self.attempts += 1;
-        let limit = Duration::from_millis(self.attempt_timeout_ms());
+        self.search_at = self.first_search_at();
         let EndpointConnection { endpoint, connection, load_guard, .. } = placed;
-        let sent_ms = boot_now();
-        self.in_flight = Some((endpoint.clone(), sent_ms));
-        let exchange = async {
-            let sent = self.call.send(connection, &endpoint, SendOptions::default());
+        self.last_endpoint = Some(endpoint.clone());
+        let (call, sent_to) = (self.call, endpoint.clone());
+        let response = Box::pin(async move {
+            let sent = call.send(connection, &sent_to, SendOptions::default());
             let (mut response, kind) = sent.await?;
-            let budget = &self.call.context.response_buffers;
+            let budget = &call.context.response_buffers;
             let body = response.read_body(MAX_RESPONSE_BYTES, budget).await;
-            Ok::<_, ExchangeError>((response, kind, body))
+            Ok((response, kind, body))
+        });
+        let sent_ms = boot_now();
+        self.exchanges.push(Exchange {
+            endpoint,
+            sent_ms,
+            is_late: false,
+            response,
+            result: None,
+            _load_guard: load_guard,
+        });
+    }
+
+    /// Waits for the end of an exchange, the time of the next search or the deadline.
+    async fn progress(&mut self) -> Progress {
+        let left = Duration::from_millis(self.call.remaining_ms());
+        let search_at = self.search_at;
+        tokio::select! {
+            biased;
+            index = next_end(&mut self.exchanges) => Progress::Ended(index),
+            () = sleep(left) => Progress::TimedOut,
+            () = sleep_until(search_at.unwrap_or_else(Instant::now)), if search_at.is_some() => {
+                Progress::SearchDue
+            }
+        }
+    }
+
+    /// Holds against the endpoints of the exchanges that they are late.
+    fn note_late_exchanges(&mut self) {
+        for exchange in self.exchanges.iter_mut().filter(|exchange| !exchange.is_late) {
+            exchange.is_late = true;
+            self.call.context.record_outcome(&exchange.endpoint, RequestOutcome::Timeout);
+            info!(request = self.call.id(), endpoint = exchange.endpoint.as_str(),
+                left_ms = self.call.remaining_ms();
+                "endpoint is late; another one is looked for");
+        }
+    }
+
+    /// Looks for another endpoint while the exchanges go on, and sends the request there if a retry is
+    /// left. The end of an exchange ends the search.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply of a peer that has served the request in the meantime.
+    async fn search(&mut self, failure: &mut Option<Reply>) -> Result<(), Reply> {
+        self.search_at = Some(Instant::now() + Duration::from_millis(SEARCH_INTERVAL_MS));
+        // Without a retry, an endpoint's room would be taken in vain.
+        if !self.has_retry && !self.call.context.has_retry(&self.call.service.id) {
+            return Ok(());
+        }
+        let reason = RefusalReason::EndpointTimeout.into();
+        match self.find_endpoint().await {
+            Some(Found::Endpoint(placed)) if self.take_retry(reason) => {
+                self.has_retry = false;
+                self.log_retry(reason);
+                self.begin(placed);
+            }
+            Some(Found::LinksLost) if self.take_retry(reason) => {
+                return self.ask_peers(failure).await;
+            }
+            Some(_) | None => {}
+        }
+        Ok(())
+    }
+
+    /// Looks for an endpoint besides those of the exchanges. Returns `None` if an exchange or the time
+    /// of the request ended first.
+    async fn find_endpoint(&mut self) -> Option<Found> {
+        let call = self.call;
+        let links = match call.origin {
+            Origin::Caller if !self.has_asked_peers => LinkUse::UnlessLost,
+            Origin::Caller | Origin::Peer(_) => LinkUse::AfterOffers,
+        };
+        let mut excluded = self.excluded.clone();
+        excluded.extend(self.exchanges.iter().map(|exchange| exchange.endpoint.clone()));
+        let left = Duration::from_millis(call.remaining_ms());
+        let placed = tokio::select! {
+            biased;
+            _ = next_end(&mut self.exchanges) => return None,
+            placed = call.place_and_connect(&mut excluded, None, links) => placed,
+            () = sleep(left) => return None,
+        };
+        match placed {
+            Ok(placed) => Some(Found::Endpoint(placed)),
+            Err(unplaced) if unplaced.links_failed && links == LinkUse::UnlessLost => {
+                Some(Found::LinksLost)
+            }
+            Err(_) => Some(Found::Nothing),
+        }
+    }
+
+    /// Hands the request to a peer while the exchanges go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reply of the peer if it is usable.
+    async fn ask_peers(&mut self, failure: &mut Option<Reply>) -> Result<(), Reply> {
+        let call = self.call;
+        self.has_asked_peers = true;
+        let earlier_runs = call.possible_runs.endpoints();
+        let endpoints_left = call.route.max_endpoints.saturating_sub(earlier_runs);
+        let left = Duration::from_millis(call.remaining_ms());
+        let forwarded = tokio::select! {
+            biased;
+            _ = next_end(&mut self.exchanges) => None,
+            forwarded = call.forward(endpoints_left) => forwarded,
+            () = sleep(left) => None,
         };
-        let result = timeout(limit, exchange).await;
-        self.in_flight = None;
-        drop(load_guard);
+        let Some(Placed::Forwarded(reply)) = forwarded else { return Ok(()) };
+        self.has_retry = false;
+        let request_id = call.caller.request_id.as_ref();
+        match classify_response(reply.status(), reply.headers(), request_id) {
+            ResponseKind::Success => {
+                self.is_forwarded = true;
+                self.drop_exchanges();
+                Err(reply)
+            }
+            ResponseKind::Failure => {
+                *failure = Some(reply);
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Ends the exchanges as those of endpoints that gave no response.
+    fn give_up_exchanges(&mut self) {
+        for exchange in std::mem::take(&mut self.exchanges) {
+            self.conclude(exchange);
+        }
+    }
+
+    /// Ends the runs of the exchanges that are left, because the request has its reply.
+    fn drop_exchanges(&mut self) {
+        self.record_silent_runs();
+        self.exchanges.clear();
+    }
+
+    /// Records that the runs of the exchanges end without a response.
+    fn record_silent_runs(&self) {
+        for exchange in &self.exchanges {
+            let run = self.call.unanswered_run();
+            self.call.record_silent_run(&exchange.endpoint, run, exchange.sent_ms);
+        }
+    }
+
+    /// Classifies the result of an exchange that has ended or has no time left.
+    fn conclude(&mut self, exchange: Exchange<'a>) -> SendOutcome {
+        let Exchange { endpoint, sent_ms, is_late, result, .. } = exchange;
         let (sent, outcome, cause) = match &result {
-            Err(_) => (
+            None => (
                 SendOutcome::Lost(RefusalReason::EndpointTimeout),
                 RequestOutcome::Timeout,
                 "timeout".to_owned(),
             ),
-            Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) => (
+            Some(Err(err) | Ok((_, _, Err(err)))) => (
                 SendOutcome::Lost(RefusalReason::EndpointLost),
                 RequestOutcome::TransportError,
                 err.to_string(),
             ),
-            Ok(Ok((response, kind, Ok(body)))) => {
+            Some(Ok((response, kind, Ok(body)))) => {
                 let (sent, outcome) = classify(response, *kind, body);
                 (sent, outcome, format!("{kind:?}"))
             }
@@ -257,19 +548,25 @@
                 endpoint = endpoint.as_str(), cause = cause.as_str();
                 "endpoint gave no usable response");
         }
-        if let Ok(Err(err)) | Ok(Ok((_, _, Err(err)))) = &result
+        if let Some(Err(err) | Ok((_, _, Err(err)))) = &result
             && err.is_disconnect()
         {
             self.call.record_crash(&endpoint, self.call.unanswered_run(), &cause);
         }
-        if result.is_err() {
+        if result.is_none() {
             self.call.record_silent_run(&endpoint, self.call.unanswered_run(), sent_ms);
         }
         let asks_for_pause =
             matches!(sent, SendOutcome::NotRun) && self.call.context.has_pause(&endpoint);
-        if !asks_for_pause {
+        // That the endpoint is late was recorded when another one was looked for.
+        let is_recorded = result.is_none() && is_late;
+        if !asks_for_pause && !is_recorded {
             self.call.context.record_outcome(&endpoint, outcome);
         }
+        // An endpoint that asked for a pause is passed over until its end.
+        if !self.call.context.has_pause(&endpoint) {
+            self.excluded.insert(endpoint);
+        }
         sent
     }
 
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod shutdown;
 mod silent_engines;
 mod simulated_fleet;
+mod slow_endpoints;
 mod software_versions;
 mod spoiled_events;
 mod store_reader;
