daemon: a stream that has begun waits for room from now on, not from its arrival

Callers saw streams cut at the loss of an engine although another one took requests 150 ms later. Cause: the deadline of the admission queue counts from the arrival of the request. A stream that has begun arrived long ago, so that its wait was over before it began. Change: a request that is bound to a software version, because its stream has begun, waits from now on. Other requests wait as before.

--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -150,8 +150,9 @@
 impl Call {
     /// Chooses an endpoint with capacity and connects to it. If all endpoints are full, waits in
     /// the admission queue for at most [`max_queue_wait_ms`], which leaves the endpoint enough time
-    /// for the response. A request that is bound to a software `version` does not wait if no
-    /// endpoint of that version is in service.
+    /// for the response. The wait counts from the arrival of the request, or from now if the request
+    /// is bound to a software `version`: its stream has begun, so the arrival may be long ago. Such a
+    /// request does not wait if no endpoint of that version is in service.
     ///
     /// # Errors
     ///
@@ -227,7 +228,10 @@
     ) -> Result<ChosenEndpoint, Refusal> {
         let mut changes = self.context.changes();
         let max_wait_ms = max_queue_wait_ms(&self.route, self.remaining_ms());
-        let queue_deadline_ms = self.arrived_ms + max_wait_ms;
+        let queue_deadline_ms = match version {
+            Some(_) => boot_now() + max_wait_ms,
+            None => self.arrived_ms + max_wait_ms,
+        };
         let priority = self.priority();
         let tokens = self.load().reserved_tokens;
         let position = self.context.with(|state| state.admission_queue.enqueue(priority, tokens));
--- a/crates/daemon/tests/testsuite/slow_endpoints.rs
+++ b/crates/daemon/tests/testsuite/slow_endpoints.rs
@@ -1,7 +1,7 @@
 //! Idempotent requests whose endpoint answers later than the timeout of an attempt, as a sound one
-//! may.
+//! may, and streams that wait for an engine.
 
-use crate::support::{API_KEY, TestEnv, eventually};
+use crate::support::{API_KEY, TestEnv, complete_stream, eventually, generation_request};
 use gypsumchute_platform_standin::fixtures::configuration;
 use gypsumchute_platform_standin::{
     Behaviour, Brittleness, CallerRequest, CompleteResponse, Endpoint,
@@ -116,3 +116,38 @@
     assert_ne!(reply.body, format!("answer of {first}"));
     assert!(elapsed < Duration::from_millis(1_500), "{elapsed:?}");
 }
+
+/// Guards against streams being cut because the queue's deadline counts from their arrival, although
+/// an engine has room a moment later.
+#[test]
+fn a_stream_that_lost_its_engine_waits_for_another_one() {
+    let stream = Behaviour::Streams { events: 100, event_interval_ms: 20 };
+    let (env, mut engines) = TestEnv::start(|state| {
+        let start = |id| (Endpoint::start(state, id, stream), "engines", "a");
+        vec![start("engine-1"), start("engine-2")]
+    });
+    let address = env.daemon.address();
+    let short = |id: &str| generation_request("briefs", id).output_tokens(100, 80);
+    let rejection = || {
+        let arrivals = env.endpoint_state.received_requests();
+        arrivals.iter().find(|a| a.endpoint == "engine-2").map(|a| a.received_at)
+    };
+    engines[1].set_retry_after(Some("1"));
+    for n in 0..20 {
+        if rejection().is_some() {
+            break;
+        }
+        drop(short(&format!("w{n}")).send(address));
+    }
+    let paused_at = rejection().expect("engine-2 was asked");
+    engines[1].set_retry_after(None);
+    let mut open = short("r1").send(address);
+    let first = open.next_chunk().expect("open stream").expect("next event");
+    assert_eq!(env.last_run_endpoint("r1"), "engine-1");
+    let lost_at = paused_at + Duration::from_millis(850);
+    thread::sleep(lost_at.saturating_duration_since(Instant::now()));
+    engines[0].kill();
+    let reply = open.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(100)));
+    assert_eq!(env.last_run_endpoint("r1"), "engine-2");
+}
