daemon: the end of an answer is not lost when its connection closes

Callers got a part of the answer and a reset connection, while the engine was sound and 'request ended' said answered. Requests with their body in chunks, on kept connections, are the ones: their answers end with Connection: close. Cause: after such an answer, and after the last one of a shutdown, the socket was closed at once. If bytes of the caller are unread or arrive later, such as its next request, the kernel resets the connection and drops what it has not delivered. Change: after a whole answer the connection is shut down for writing, and what the caller still sends is discarded until it closes, for 2 s at most. Connections that failed or were idle are closed as before.

--- /dev/null
+++ b/crates/daemon/src/caller_stream.rs
@@ -0,0 +1,78 @@
+//! A caller's connection, which is closed without losing the end of the last answer.
+//!
+//! If a socket is closed while received bytes are unread, the kernel resets the connection and drops
+//! what it has not delivered yet.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Maximum time for which a connection stays open after its last answer, in milliseconds.
+const MAX_LINGER_MS: u64 = 2_000;
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 512;
+
+/// A connection that outlives the server that reads and writes it.
+#[derive(Debug, Clone)]
+pub struct CallerStream(Rc<RefCell<TcpStream>>);
+
+impl CallerStream {
+    /// Shares `stream`.
+    pub fn new(stream: TcpStream) -> Self {
+        CallerStream(Rc::new(RefCell::new(stream)))
+    }
+
+    /// Reads and discards what the caller still sends, until it closes the connection. The server must
+    /// have shut its side down.
+    pub async fn linger(mut self) {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        let reading = async { while self.read(&mut buffer).await.is_ok_and(|count| count > 0) {} };
+        drop(timeout(Duration::from_millis(MAX_LINGER_MS), reading).await);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+}
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Accepts caller connections and decides whether to admit a request before an endpoint is chosen.
 
 use crate::call::Call;
+use crate::caller_stream::CallerStream;
 use crate::context::Context;
 use crate::forwarding::Origin;
 use crate::possible_runs::PossibleRuns;
@@ -86,23 +87,33 @@
     });
     // hyper starts the header timer when the connection becomes idle, so this timeout limits both.
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
+    let stream = CallerStream::new(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
-    tokio::select! {
-        ended = connection.as_mut() => return log_connection_end(ended, &last_request),
-        _ = context.shutdown.begun() => {}
-    }
-    // Callers reuse connections for a while: the next request is answered with `Connection: close`.
-    tokio::select! {
-        ended = connection.as_mut() => return log_connection_end(ended, &last_request),
-        _ = sleep(Duration::from_millis(CLOSE_IDLE_AFTER_MS)) => {}
+        .serve_connection(TokioIo::new(stream.clone()), handler);
+    let ended = {
+        tokio::pin!(connection);
+        // Callers reuse connections for a while: the next request is answered with
+        // `Connection: close`.
+        let close_due = async {
+            context.shutdown.begun().await;
+            sleep(Duration::from_millis(CLOSE_IDLE_AFTER_MS)).await;
+        };
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = close_due => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
+    let is_whole = ended.is_ok();
+    log_connection_end(ended, &last_request);
+    if is_whole {
+        stream.linger().await;
     }
-    connection.as_mut().graceful_shutdown();
-    log_connection_end(connection.await, &last_request);
 }
 
 /// Logs the failure of a caller's connection that was not caused by the response itself. The caller
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 //!   ([`shutdown`]), and [`reload`] applies changed settings.
 
 pub mod call;
+mod caller_stream;
 pub mod context;
 pub mod crash_gossip;
 pub mod crashes;
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod brittle_endpoints;
 mod crash_spread;
 mod cut_off_vms;
+mod early_requests;
 mod endless_responses;
 mod events;
 mod faulty_answers;
