test: the soak lets sound engines and daemons pause and go on

Its checks let a stream be incomplete for whatever reason, its engines never fell silent and went on, and engines behind a proxy did not find backups of the KV cache, because they looked for them under the address behind the proxy. Change: two quiet phases of 3 s before the faults, with more callers than slots and configurations every 50 to 400 ms: daemons are suspended for 0.3 to 1.0 s, and engines fall silent for 0.6 to 1.3 s, one or all of them. Each stream that began there must be complete before its deadline. Among the faults, a cut stream needs a killed or suspended daemon, or a failed engine that ran it, at that time. Half of the bodies are sent in chunks. The stand-in finds backups under the address of its proxy.

--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -12,11 +12,25 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Time that each request has from when it is sent.
+const DEADLINE: Duration = Duration::from_secs(5);
 /// Number of different poison requests.
 const POISON_COUNT: u32 = 2;
 /// Fraction of the requests that are poison.
 const POISON_FRACTION: f64 = 0.08;
 
+/// Fraction of the requests with a body that send it in chunks.
+const CHUNKED_FRACTION: f64 = 0.5;
+
+/// What a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Load {
+    /// Requests on all routes, and poison.
+    Mixed,
+    /// Mostly short generations, which have no backup if they may run again.
+    Streams,
+}
+
 /// A caller's request and the response to it.
 pub struct RequestRecord {
     pub id: String,
@@ -33,8 +47,27 @@
     pub response: Option<CompleteResponse>,
 }
 
+impl RequestRecord {
+    /// Reports whether the request is a stream that has begun.
+    pub fn is_begun_stream(&self) -> bool {
+        let is_stream = ["surveys", "briefs"].contains(&self.route);
+        is_stream && self.response.as_ref().is_some_and(|response| response.status == 200)
+    }
+
+    /// Reports whether the response ended early, and before the deadline of the request.
+    pub fn is_cut_early(&self) -> bool {
+        let is_cut = self.response.as_ref().is_some_and(|response| !response.complete);
+        is_cut && self.lasted() < DEADLINE
+    }
+
+    /// Returns the time from the request to the end of the response.
+    pub fn lasted(&self) -> Duration {
+        self.ended_at - self.sent_at
+    }
+}
+
 /// Sends random requests until the soak stops, and returns a record of each.
-pub fn send_requests(shared: &SharedState, caller: u64) -> Vec<RequestRecord> {
+pub fn send_requests(shared: &SharedState, caller: u64, load: Load) -> Vec<RequestRecord> {
     let mut rng = StdRng::seed_from_u64(shared.seed * 1_000 + caller);
     let mut records = Vec::new();
     let mut kept: Option<(usize, KeptConnection)> = None;
@@ -51,8 +84,11 @@
             true => {
                 ("briefs", None, keyed_request(shared, &mut rng, generation_request("briefs", &id)))
             }
-            false => random_request(shared, &mut rng, &id),
+            false => random_request(shared, &mut rng, &id, load),
         };
+        if !request.body.is_empty() && rng.random_bool(CHUNKED_FRACTION) {
+            request = request.chunked(rng.random_range(1..8));
+        }
         let resumes = broken_off.map(|stream| {
             request = request.clone().header("Resumes", &stream.first_attempt);
             request = request.clone().header("Last-Event-Id", &stream.last_event.to_string());
@@ -112,16 +148,22 @@
     shared: &SharedState,
     rng: &mut StdRng,
     id: &str,
+    load: Load,
 ) -> (&'static str, Option<String>, CallerRequest) {
-    if rng.random_bool(POISON_FRACTION) {
+    if load == Load::Mixed && rng.random_bool(POISON_FRACTION) {
         let body = format!("{CRASHING_BODY} {}", rng.random_range(0..POISON_COUNT));
         let request = CallerRequest::new("POST /reads/poison", id, "").body(&body);
         return ("reads", Some(body), keyed_request(shared, rng, request));
     }
-    let route = *["orders", "reads", "surveys", "briefs"].choose(rng).expect("routes");
+    let routes = match load {
+        Load::Mixed => ["orders", "reads", "surveys", "briefs"],
+        Load::Streams => ["orders", "surveys", "briefs", "briefs"],
+    };
+    let route = *routes.choose(rng).expect("routes");
     let request = match route {
         "orders" => CallerRequest::new("POST /orders/new", id, "").body(id),
         "reads" => CallerRequest::new("GET /reads/x", id, ""),
+        route if load == Load::Streams => generation_request(route, id).output_tokens(100, 80),
         route => generation_request(route, id),
     };
     (route, None, keyed_request(shared, rng, request))
--- a/tests/testsuite/soak/checks.rs
+++ b/tests/testsuite/soak/checks.rs
@@ -2,7 +2,8 @@
 
 use super::STREAM_EVENTS;
 use super::callers::RequestRecord;
-use super::faults::Impairment;
+use super::faults::{EndpointFault, Impairment};
+use super::quiet::QuietPhase;
 use gypsumchute_platform_standin::ReceivedRequest;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -15,12 +16,31 @@
 /// Time that a daemon takes to start and to hear from another one.
 const JOIN_TIME: Duration = Duration::from_secs(1);
 
+/// Checks that each stream that began in a quiet phase is complete, unless its deadline passed.
+pub fn check_quiet_streams(seed: u64, phase: QuietPhase, records: &[RequestRecord]) {
+    let begun: Vec<_> = records.iter().filter(|record| record.is_begun_stream()).collect();
+    let cut: Vec<_> = begun.iter().filter(|record| record.is_cut_early()).collect();
+    let sent = records.len();
+    println!(
+        "seed {seed}, {phase:?}: {} of {} streams cut, {sent} requests",
+        cut.len(),
+        begun.len()
+    );
+    let list: Vec<_> = cut
+        .iter()
+        .map(|record| (&record.id, record.route, record.daemon, record.lasted()))
+        .collect();
+    assert!(cut.is_empty(), "seed {seed}, {phase:?}: cut without a reason: {list:?}");
+    assert!(!begun.is_empty(), "seed {seed}, {phase:?}: no stream began");
+}
+
 /// Everything that happened during a soak.
 pub struct History<'a> {
     pub seed: u64,
     pub records: &'a [RequestRecord],
     pub arrivals: Vec<ReceivedRequest>,
     pub impairments: Vec<Impairment>,
+    pub endpoint_faults: Vec<EndpointFault>,
     pub daemon_count: usize,
 }
 
@@ -77,6 +97,37 @@
         }
     }
 
+    /// Checks that each stream that was cut met a fault: its deadline passed, its daemon was killed or
+    /// suspended meanwhile, or an engine that ran it failed. Configurations, reloads, SIGTERM, draining
+    /// and faults of the store are no reason.
+    pub fn check_cut_streams(&self) {
+        let mut engines_by_id: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for arrival in &self.arrivals {
+            engines_by_id.entry(arrival.request_id()).or_default().push(&arrival.endpoint);
+        }
+        let is_cut = |record: &&RequestRecord| record.is_begun_stream() && record.is_cut_early();
+        let cut: Vec<_> = self.records.iter().filter(is_cut).collect();
+        let has_failed_engine = |record: &RequestRecord| {
+            let engines = engines_by_id.get(record.id.as_str()).map(Vec::as_slice);
+            self.endpoint_faults.iter().any(|fault| {
+                engines.unwrap_or_default().contains(&fault.endpoint.as_str())
+                    && fault.from <= record.ended_at
+                    && record.sent_at <= fault.until
+            })
+        };
+        let unexplained: Vec<_> = cut
+            .iter()
+            .filter(|record| !self.has_unplanned_impairment(record) && !has_failed_engine(record))
+            .map(|record| (&record.id, record.route, record.daemon, record.lasted()))
+            .collect();
+        println!("seed {}: {} streams cut by faults", self.seed, cut.len());
+        assert!(
+            unexplained.is_empty(),
+            "seed {}: cut without a reason: {unexplained:?}",
+            self.seed
+        );
+    }
+
     /// Checks that each run that continues a stream is at the version that brought the stream's first
     /// event: the version of the last run of the first attempt that began at the prompt.
     pub fn check_versions(&self, versions: &BTreeMap<&str, &str>) {
--- a/tests/testsuite/soak/faults.rs
+++ b/tests/testsuite/soak/faults.rs
@@ -16,6 +16,8 @@
 const EXIT_LIMIT: Duration = Duration::from_secs(4);
 /// Maximum number of changes that the store loses when it is restored.
 const MAX_LOST_CHANGES: u64 = 30;
+/// Kind of endpoint fault that lets an endpoint drain, which is no reason to cut a stream.
+const DRAINING: u32 = 4;
 /// Maximum number of daemons that one series of signals affects.
 const MAX_SERIES: usize = 4;
 
@@ -28,8 +30,15 @@
     pub is_unplanned: bool,
 }
 
+/// Time in which an endpoint or its connections failed.
+pub struct EndpointFault {
+    pub endpoint: String,
+    pub from: Instant,
+    pub until: Instant,
+}
+
 /// Returns a random time up to `max_ms`.
-fn random_time(rng: &mut StdRng, max_ms: u64) -> Duration {
+pub fn random_time(rng: &mut StdRng, max_ms: u64) -> Duration {
     Duration::from_millis(rng.random_range(0..max_ms))
 }
 
@@ -105,7 +114,9 @@
         while !shared.stop.load(Ordering::Relaxed) {
             let proxied = self.endpoints.choose(&mut rng).expect("endpoints");
             let duration = Duration::from_millis(rng.random_range(100..1_200));
-            match rng.random_range(0..5) {
+            let from = Instant::now();
+            let kind = rng.random_range(0..=DRAINING);
+            match kind {
                 0 => {
                     let behaviours = [
                         Behaviour::DropsConnection,
@@ -145,12 +156,17 @@
                     proxied.endpoint.start_again();
                     self.register(proxied, "ready");
                 }
-                _ => {
+                DRAINING.. => {
                     self.register(proxied, "draining");
                     thread::sleep(duration);
                     self.register(proxied, "ready");
                 }
             }
+            if kind != DRAINING {
+                let (endpoint, until) = (proxied.endpoint.id.clone(), Instant::now());
+                let fault = EndpointFault { endpoint, from, until };
+                shared.endpoint_faults.lock().expect("log").push(fault);
+            }
             thread::sleep(random_time(&mut rng, 500));
         }
     }
@@ -209,7 +225,7 @@
     }
 
     /// Publishes a configuration that accepts the keys of `version` and of the one before it.
-    fn publish(&self, version: u64) {
+    pub fn publish(&self, version: u64) {
         let keys = [api_key_of(version - 1), api_key_of(version)];
         let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
         self.store.configure(&configuration(version, &keys));
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -10,12 +10,17 @@
 //! - The store is restored from an older backup, and what it lost is written again.
 //! - A zone goes out of service and returns, and new configuration versions are published.
 //!
+//! Before these faults come quiet phases: daemons are suspended for a moment, and sound engines fall
+//! silent for a moment, alone or all at once. All of them go on, and nothing else fails.
+//!
 //! Callers keep using their connections until the daemon closes them, resume streams that broke off,
 //! and send poison requests that crash the endpoints. After the last fault, the test compares the responses with the requests
 //! that reached endpoints:
 //!
 //! - A complete stream has every event exactly once and in order, and an incomplete stream is a
 //!   prefix of it.
+//! - A stream that began in a quiet phase is complete, unless its deadline passed. At other times, one
+//!   that began is incomplete only if a daemon was killed or suspended, or one of its engines failed.
 //! - A request that must run at most once ran at most once, and a request reported as not run did
 //!   not run. A request that ran is answered, unless its daemon was killed or suspended.
 //! - A stream goes on only at the software version that began it, also when its caller resumes it.
@@ -28,10 +33,12 @@
 mod callers;
 mod checks;
 mod faults;
+mod quiet;
 
-use self::callers::{RequestRecord, send_requests};
-use self::checks::History;
-use self::faults::Impairment;
+use self::callers::{Load, RequestRecord, send_requests};
+use self::checks::{History, check_quiet_streams};
+use self::faults::{EndpointFault, Impairment};
+use self::quiet::QuietPhase;
 use crate::daemons::{DaemonFleet, DaemonProcess};
 use crate::support::wait_until;
 use gypsumchute::util::ports::free_address;
@@ -110,6 +117,7 @@
     version: AtomicU64,
     stop: AtomicBool,
     impairments: Mutex<Vec<Impairment>>,
+    endpoint_faults: Mutex<Vec<EndpointFault>>,
 }
 
 impl SharedState {
@@ -135,6 +143,7 @@
             let endpoint =
                 Endpoint::start(&endpoint_state, &id, healthy_behaviour).with_version(version);
             let proxy = Proxy::start(free_address().unwrap(), endpoint.address()).unwrap();
+            endpoint.set_proxy_address(proxy.address());
             let zone = ZONES[index % ZONES.len()];
             ProxiedEndpoint { endpoint, proxy, service, zone, healthy_behaviour }
         };
@@ -182,7 +191,7 @@
     fn run_with_faults(&self, shared: &SharedState) -> Vec<RequestRecord> {
         thread::scope(|scope| {
             let callers: Vec<_> = (0..CALLER_COUNT)
-                .map(|caller| scope.spawn(move || send_requests(shared, caller)))
+                .map(|caller| scope.spawn(move || send_requests(shared, caller, Load::Mixed)))
                 .collect();
             let signals = (0..SIGNAL_THREADS)
                 .map(|thread| scope.spawn(move || self.inject_signals(shared, thread)));
@@ -249,17 +258,26 @@
             version: AtomicU64::new(1),
             stop: AtomicBool::new(false),
             impairments: Mutex::default(),
+            endpoint_faults: Mutex::default(),
         };
-        let records = soak.run_with_faults(&shared);
+        let mut records = Vec::new();
+        for phase in [QuietPhase::SuspendedDaemons, QuietPhase::SilentEngines] {
+            let quiet_records = soak.run_quiet_phase(&shared, phase);
+            check_quiet_streams(seed, phase, &quiet_records);
+            records.extend(quiet_records);
+        }
+        records.extend(soak.run_with_faults(&shared));
         soak.check_recovery(&shared);
         let history = History {
             seed,
             records: &records,
             arrivals: soak.endpoint_state.received_requests(),
             impairments: shared.impairments.into_inner().expect("log"),
+            endpoint_faults: shared.endpoint_faults.into_inner().expect("log"),
             daemon_count,
         };
         history.check_responses();
+        history.check_cut_streams();
         history.check_poison();
         history.check_versions(&soak.endpoint_versions());
         let succeeded = records.iter().filter(|record| {
