daemon: a silent run is not given up for an engine that is as silent

Callers saw streams cut while all engines were silent for a second, as they are if a host or a network pauses: the engine that was to take the run over had accepted the connection, was as silent, and turned the run away once it went on, after the silent run had been ended. Cause: an accepted connection was taken for an engine that is at work. Change: the engine has to report its state, for which it needs no slot, within 200 ms before the retry is taken. An engine that does not is passed over, and the silent run stays. Measured: silent_engines::a_silent_stream_stays_if_the_other_engine_is_as_silent fails with the question switched off and passes with it.

--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -1,7 +1,7 @@
 //! Replaces a run whose engine has fallen silent.
 //!
 //! A sound engine may be silent for a while and then go on. The run is therefore kept until an engine
-//! with room has accepted a connection and the retry budget has granted a retry. Whatever is missing,
+//! with room has accepted a connection and responds, and the retry budget has granted a retry. Whatever is missing,
 //! the run stays and another engine is looked for later. An event of the silent run ends the search.
 //!
 //! Once the request was sent, two runs may be at work. The first answer of the other engine ends the
@@ -14,11 +14,13 @@
 use super::trace::RunTrace;
 use crate::call::EndedBy;
 use crate::placing::{EndpointConnection, LinkUse};
+use gypsumchute_platform::endpoints::{ReportError, read_report};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::EndpointId;
 use log::info;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -28,13 +30,17 @@
 const MAX_SEARCH_MS: u64 = 500;
 /// Time for reading what has arrived before a silent run is replaced or given up, in milliseconds.
 const READ_GRACE_MS: u64 = 10;
+/// Time within which an engine that is to take a run over reports its state, in milliseconds. Engines
+/// need no slot for that.
+const RESPONSE_TIMEOUT_MS: u64 = 200;
+
 /// Why a silent run stays at its engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 enum KeptBecause {
     /// Its stream went on or ended.
     SignOfLife,
-    /// No other engine has room, is reachable and may be sent to.
+    /// No other engine has room, is reachable, responds and may be sent to.
     NoEngine,
     /// No retry is left in the budget.
     RetryBudgetSpent,
@@ -119,14 +125,25 @@
         mut excluded: BTreeSet<EndpointId>,
         backup: Option<&Backup>,
     ) -> Option<EndpointConnection> {
-        match backup {
+        let placed = match backup {
             Some(backup) => self.connect_to_backup(backup).await.ok(),
             None => {
                 let placing =
                     self.call.place_and_connect(&mut excluded, self.version, LinkUse::Always);
                 placing.await.ok()
             }
+        }?;
+        self.is_responsive(placed.address).await.then_some(placed)
+    }
+
+    /// Reports whether the engine at `address` responds at present: it may accept connections although
+    /// it is as silent as the one that it is to relieve.
+    async fn is_responsive(&self, address: SocketAddr) -> bool {
+        if self.call.service.engine.is_none() {
+            return true;
         }
+        let report = read_report(address, RESPONSE_TIMEOUT_MS).await;
+        !matches!(report, Err(ReportError::Exchange(_)))
     }
 
     /// Starts a run at `placed`, which continues from `copy` or from the prompt. The silent `run` is
--- a/crates/daemon/tests/testsuite/links.rs
+++ b/crates/daemon/tests/testsuite/links.rs
@@ -104,7 +104,7 @@
 }
 
 /// Starts a proxy on a port that is free for both TCP and UDP.
-fn start_proxy(upstream: SocketAddr) -> Proxy {
+pub fn start_proxy(upstream: SocketAddr) -> Proxy {
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let mut attempts = (0..100).filter_map(|_| Proxy::start(listen, upstream).ok());
     attempts.next().expect("a port that is free for TCP and UDP")
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -1,7 +1,9 @@
 //! Streams whose engine falls silent for a while and then goes on, as a sound engine may.
 
+use crate::links::start_proxy;
 use crate::support::{TestEnv, complete_stream, eventually, generation_request};
 use gypsumchute_platform_standin::{Behaviour, CallerRequest, CompleteResponse, Endpoint};
+use gypsumchute_standins::proxy::Fault;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -165,3 +167,40 @@
     assert_ne!(env.last_run_endpoint("r1"), silent);
     assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
 }
+
+/// Guards against a silent run being given up for an engine that accepts connections, is as silent, and
+/// turns the run away once it goes on.
+#[test]
+fn a_silent_stream_stays_if_the_other_engine_is_as_silent() {
+    for route in ["briefs", "surveys"] {
+        let (env, _) = TestEnv::start(|_| Vec::new());
+        let behaviour = Behaviour::Streams { events: 20, event_interval_ms: 20 };
+        let engines = ["engine-1", "engine-2"].map(|id| {
+            let engine = Endpoint::start(&env.endpoint_state, id, behaviour);
+            let proxy = start_proxy(engine.address());
+            engine.set_proxy_address(proxy.address());
+            let mut entry = engine.registry_entry("engines", "a", "ready");
+            entry["address"] = proxy.address().to_string().into();
+            env.store.put(&format!("servers/{id}"), &entry);
+            (engine, proxy)
+        });
+        let mut stream = None;
+        eventually("the engines to be used", || {
+            let reply = short_request(route, "r1").send(env.daemon.address());
+            stream = (reply.status == 200).then_some(reply);
+            stream.is_some()
+        });
+        let mut stream = stream.expect("a stream");
+        let first = stream.next_chunk().expect("open stream").expect("next event");
+        let running = env.last_run_endpoint("r1");
+        env.endpoint_state.delete_kv_copies();
+        let others = engines.iter().filter(|(engine, _)| engine.id != running);
+        others.for_each(|(engine, _)| engine.set_behaviour(Behaviour::Rejects));
+        engines.iter().for_each(|(_, proxy)| proxy.set_fault(Fault::Stall));
+        thread::sleep(Duration::from_millis(SILENCE_MS));
+        engines.iter().for_each(|(_, proxy)| proxy.set_fault(Fault::NoFault));
+        let reply = stream.read_to_end();
+        assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(20)), "{route}");
+        assert_eq!(env.last_run_endpoint("r1"), running, "{route}");
+    }
+}
