--- a/crates/daemon/tests/testsuite/leaving_endpoints.rs
+++ b/crates/daemon/tests/testsuite/leaving_endpoints.rs
@@ -211,3 +211,26 @@
     let reply = stream.read_to_end();
     assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(60)));
 }
+
+/// Guards against a run that is given up for an engine that does not answer, while its own engine,
+/// which is leaving, would have ended it in time.
+#[test]
+fn a_stream_of_a_leaving_engine_is_kept_if_the_next_engine_does_not_answer() {
+    let stream = Behaviour::Streams { events: 60, event_interval_ms: 20 };
+    let (env, engines) = TestEnv::start(|state| {
+        let start = |id| (Endpoint::start(state, id, stream), "engines", "a");
+        vec![start("engine-1"), start("engine-2")]
+    });
+    let caller = generation_request("surveys", "r1").timeout_ms(5_000);
+    let mut open = caller.send(env.daemon.address());
+    let first = open.next_chunk().expect("open stream").expect("next event");
+    let leaving = env.last_run_endpoint("r1");
+    for engine in &engines {
+        match engine.id == leaving {
+            true => register_endpoint(&env.store, engine, "engines", "a", "draining"),
+            false => engine.set_behaviour(Behaviour::Hangs),
+        }
+    }
+    let reply = open.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(60)));
+}
