test: streams leave engines that are really gone as soon as before

Cause: streams are kept through silence; engines that hang, are dark or killed must still be left at once.

--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod folder;
 mod generations;
+mod gone_engines;
 mod leaving_endpoints;
 mod links;
 mod message_versions;
