daemon: the search for a silent run passes over engines that do not respond

Callers saw streams that stayed at a silent engine until they gave up, although a sound engine had room. An engine that accepts connections and does not report its state was chosen by each search anew, since nothing about it had changed. It is passed over by the next search now, until no other engine is left.

a_silent_stream_passes_over_an_engine_that_is_as_silent failed before: the stream was cut at its deadline after ten of twenty events.

--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -85,15 +85,22 @@
         }
         let mut excluded = self.excluded.clone();
         excluded.extend(run.silence.turned_away.iter().chain([&run.endpoint]).cloned());
+        let mut unresponsive = std::mem::take(&mut run.silence.unresponsive);
+        let known_unresponsive = unresponsive.len();
         let found = tokio::select! {
             biased;
             signal = run.next_signal() => {
                 run.unread = Some(signal);
                 return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
             }
-            found = self.connect_replacement(excluded, backup.as_ref()) => found,
+            found = self.connect_replacement(excluded, backup.as_ref(), &mut unresponsive) => found,
             () = sleep(Duration::from_millis(MAX_SEARCH_MS)) => None,
         };
+        // With no other engine left, those that did not respond are tried again.
+        if found.is_none() && unresponsive.len() == known_unresponsive {
+            unresponsive.clear();
+        }
+        run.silence.unresponsive = unresponsive;
         // If this process was suspended, what has arrived meanwhile is read first.
         if let Ok(signal) = timeout(Duration::from_millis(READ_GRACE_MS), run.next_signal()).await {
             run.unread = Some(signal);
@@ -119,21 +126,28 @@
     }
 
     /// Connects to an engine that can continue a silent run: that of `backup`, or any one that is not
-    /// excluded if there is no backup. Returns `None` if there is none.
+    /// excluded if there is no backup. Returns `None` if there is none, or if the engine that was found
+    /// does not respond: it is added to `unresponsive`, and the next search passes over it.
     async fn connect_replacement(
         &self,
         mut excluded: BTreeSet<EndpointId>,
         backup: Option<&Backup>,
+        unresponsive: &mut BTreeSet<EndpointId>,
     ) -> Option<EndpointConnection> {
         let placed = match backup {
             Some(backup) => self.connect_to_backup(backup).await.ok(),
             None => {
+                excluded.extend(unresponsive.iter().cloned());
                 let placing =
                     self.call.place_and_connect(&mut excluded, self.version, LinkUse::Always);
                 placing.await.ok()
             }
         }?;
-        self.is_responsive(placed.address).await.then_some(placed)
+        if !self.is_responsive(placed.address).await {
+            unresponsive.insert(placed.endpoint);
+            return None;
+        }
+        Some(placed)
     }
 
     /// Reports whether the engine at `address` responds at present: it may accept connections although
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -177,6 +177,8 @@
     pub(super) is_recorded: bool,
     /// Engines that did not start a run in place of this one.
     pub(super) turned_away: BTreeSet<EndpointId>,
+    /// Engines that accepted a connection and did not report their state.
+    pub(super) unresponsive: BTreeSet<EndpointId>,
 }
 
 /// Where a run takes its state from.
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -1,7 +1,7 @@
 //! Streams whose engine falls silent for a while and then goes on, as a sound engine may.
 
 use crate::links::start_proxy;
-use crate::support::{TestEnv, complete_stream, eventually, generation_request};
+use crate::support::{TestEnv, complete_stream, eventually, generation_request, register_endpoint};
 use gypsumchute_platform_standin::{Behaviour, CallerRequest, CompleteResponse, Endpoint};
 use gypsumchute_standins::proxy::Fault;
 use std::thread;
@@ -204,3 +204,30 @@
         assert_eq!(env.last_run_endpoint("r1"), running, "{route}");
     }
 }
+
+/// Guards against a silent stream that waits for an engine that is as silent, although a third one
+/// would take it over.
+#[test]
+fn a_silent_stream_passes_over_an_engine_that_is_as_silent() {
+    let pauses = Behaviour::StreamsWithPause { pause_ms: 60_000 };
+    let (env, _engines) =
+        TestEnv::start(|state| vec![(Endpoint::start(state, "engine-1", pauses), "engines", "a")]);
+    let mut stream = short_request("briefs", "r1").send(env.daemon.address());
+    let first = stream.next_chunk().expect("open stream").expect("next event");
+    let started = Instant::now();
+    // Engines of the VM's own zone are preferred.
+    let streams = Behaviour::Streams { events: 20, event_interval_ms: 10 };
+    let silent = Endpoint::start(&env.endpoint_state, "engine-2", streams);
+    let proxy = start_proxy(silent.address());
+    proxy.set_fault(Fault::Stall);
+    silent.set_proxy_address(proxy.address());
+    let mut entry = silent.registry_entry("engines", "a", "ready");
+    entry["address"] = proxy.address().to_string().into();
+    env.store.put("servers/engine-2", &entry);
+    let sound = Endpoint::start(&env.endpoint_state, "engine-3", streams);
+    register_endpoint(&env.store, &sound, "engines", "b", "ready");
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(20)));
+    assert_eq!(env.last_run_endpoint("r1"), "engine-3");
+    assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
+}
