--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -181,7 +181,8 @@
     fn relay_response(&self, response: ResponseStream) -> Reply {
         let (status, headers) = (response.head.status, &response.head.headers);
         let headers = endpoints::response_headers(headers);
-        let body = RelayedBody::new(response, self.id(), &self.context.metrics);
+        let limit = Duration::from_millis(self.remaining_ms() + REPLY_GRACE_MS);
+        let body = RelayedBody::new(response, limit, self.id(), &self.context.metrics);
         let mut reply = Response::new(ReplyBody::Relayed(Box::new(body)));
         *reply.status_mut() = status;
         *reply.headers_mut() = headers;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -13,7 +13,9 @@
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::time::{Sleep, sleep};
 
 /// Header of each refusal that names the reason, so that a VM which handed a request over can tell it.
 const REFUSAL_REASON: HeaderName = HeaderName::from_static("refusal-reason");
@@ -68,6 +70,8 @@
 /// Body of another VM's response. Its end is logged and counted.
 pub struct RelayedBody {
     response: ResponseStream,
+    /// Completes when the response must have ended.
+    deadline: Pin<Box<Sleep>>,
     request_id: String,
     metrics: Metrics,
     /// Whether the caller's connection has begun to read the body.
@@ -76,10 +80,16 @@
 }
 
 impl RelayedBody {
-    /// Relays the body of `response` to the request `request_id`.
-    pub fn new(response: ResponseStream, request_id: &str, metrics: &Metrics) -> Self {
+    /// Relays the body of `response` to the request `request_id`, for `limit` at most.
+    pub fn new(
+        response: ResponseStream,
+        limit: Duration,
+        request_id: &str,
+        metrics: &Metrics,
+    ) -> Self {
+        let deadline = Box::pin(sleep(limit));
         let (request_id, metrics) = (request_id.to_owned(), metrics.clone());
-        RelayedBody { response, request_id, metrics, is_read: false, is_ended: false }
+        RelayedBody { response, deadline, request_id, metrics, is_read: false, is_ended: false }
     }
 
     /// Logs and counts the end of the response.
@@ -96,7 +106,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         self.is_read = true;
-        let frame = ready!(self.response.poll_frame(cx));
+        let Poll::Ready(frame) = self.response.poll_frame(cx) else {
+            ready!(self.deadline.as_mut().poll(cx));
+            self.log_end("timed_out", EndedBy::Deadline, "-");
+            return Poll::Ready(Some(Err(StreamAborted)));
+        };
         Poll::Ready(match frame {
             Some(Ok(frame)) => Some(Ok(frame)),
             Some(Err(err)) => {
--- a/crates/daemon/tests/testsuite/faulty_peer.rs
+++ b/crates/daemon/tests/testsuite/faulty_peer.rs
@@ -27,6 +27,8 @@
     Replies(&'static str),
     /// Accepts offers, reads the requests and never replies, like a VM that has frozen.
     Freezes,
+    /// Accepts offers, and freezes after these bytes of a reply.
+    FreezesAfter(&'static str),
 }
 
 /// A peer VM in the zone of a daemon.
@@ -91,7 +93,7 @@
     let accepted = match behaviour {
         PeerBehaviour::ClosesUnanswered => return Ok(None),
         PeerBehaviour::Declines => false,
-        PeerBehaviour::Replies(_) | PeerBehaviour::Freezes => true,
+        PeerBehaviour::Replies(_) | PeerBehaviour::Freezes | PeerBehaviour::FreezesAfter(_) => true,
     };
     let answer = ForwardAnswer { accepted }.encode_to_vec();
     stream.write_all(&(answer.len() as u32).to_be_bytes())?;
@@ -107,6 +109,10 @@
             stream.write_all(reply.as_bytes())?;
             Ok(None)
         }
+        PeerBehaviour::FreezesAfter(reply) => {
+            stream.write_all(reply.as_bytes())?;
+            Ok(Some(stream))
+        }
         _ => Ok(Some(stream)),
     }
 }
--- a/crates/daemon/tests/testsuite/peer_verdicts.rs
+++ b/crates/daemon/tests/testsuite/peer_verdicts.rs
@@ -6,7 +6,7 @@
 use crate::zoned_fleet::ZonedFleet;
 use gypsumchute_platform_standin::{CallerRequest, CompleteResponse};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Starts a VM without links to endpoints, whose only peer treats requests as told.
 fn start_with_peer(behaviour: PeerBehaviour) -> (ZonedFleet, FaultyPeer) {
@@ -93,3 +93,19 @@
         assert_not_run(&request.send_and_read(fleet.daemons[0].address()));
     }
 }
+
+/// Guards against CONFIG: a caller that is held past its deadline by a peer VM that freezes after the
+/// beginning of its reply.
+#[test]
+fn a_reply_that_a_peer_does_not_finish_ends_at_the_deadline() {
+    const BEGINNING: &str = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\
+        Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+        9\r\nid: 1\ndat\r\n";
+    let (fleet, _peer) = start_with_peer(PeerBehaviour::FreezesAfter(BEGINNING));
+    for request in requests(1_000) {
+        let started = Instant::now();
+        let reply = request.send_and_read(fleet.daemons[0].address());
+        assert!(!reply.complete);
+        assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
+    }
+}
