daemon: a caller that sends without end is not read for long

At most 1 MiB is discarded now.

a_caller_that_sends_without_end_is_not_read_for_long failed before.

--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -17,6 +17,9 @@
 const MAX_LINGER_MS: u64 = 2_000;
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 512;
+/// Maximum number of bytes that are discarded. A caller that sends more than its next requests is not
+/// waited for.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
 /// A connection that outlives the server that reads and writes it.
 #[derive(Debug, Clone)]
@@ -32,7 +35,15 @@
     /// have shut its side down.
     pub async fn linger(mut self) {
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
-        let reading = async { while self.read(&mut buffer).await.is_ok_and(|count| count > 0) {} };
+        let mut left_bytes = MAX_DISCARDED_BYTES;
+        let reading = async {
+            while let Ok(count) = self.read(&mut buffer).await
+                && count > 0
+                && left_bytes > count
+            {
+                left_bytes -= count;
+            }
+        };
         drop(timeout(Duration::from_millis(MAX_LINGER_MS), reading).await);
     }
 }
--- a/crates/daemon/tests/testsuite/early_requests.rs
+++ b/crates/daemon/tests/testsuite/early_requests.rs
@@ -12,6 +12,9 @@
 const ANSWER_BYTES: usize = 1 << 20;
 /// Number of bytes that the caller reads in a millisecond, fewer than the daemon sends.
 const READ_BYTES: usize = 16 << 10;
+/// Number of bytes that a caller can send before it notices that the connection is closed. The buffers of
+/// both sides hold some of them.
+const MAX_SENT_BYTES: usize = 16 << 20;
 /// A request with its body in chunks, which is answered with `Connection: close`.
 const CHUNKED_BODY: &str = "Transfer-Encoding: chunked\r\n\r\n8\r\na prompt\r\n0\r\n\r\n";
 
@@ -55,3 +58,24 @@
     assert!(reply.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&reply));
     assert_eq!(body_bytes, ANSWER_BYTES, "{end:?}");
 }
+
+/// Guards against a caller that sends without end after the answer and thereby takes the processor from
+/// other requests.
+#[test]
+fn a_caller_that_sends_without_end_is_not_read_for_long() {
+    let store = configured_store();
+    let daemon = Daemon::start(store.address(), "vm-1", "a", &[]);
+    daemon.wait_ready(true);
+    let mut caller = TcpStream::connect(daemon.address()).expect("the daemon listens");
+    let request = format!(
+        "POST /reads/x HTTP/1.1\r\nHost: models.example\r\nX-Attempt-Id: r1\r\n\
+         Authorization: Bearer {API_KEY}\r\nContent-Length: 100000000000\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).expect("the request is sent");
+    let part = vec![b'x'; 64 << 10];
+    let mut sent_bytes = 0;
+    while let Ok(count) = caller.write(&part) {
+        sent_bytes += count;
+        assert!(sent_bytes < MAX_SENT_BYTES, "the daemon still reads");
+    }
+}
