daemon: a request that crosses the close of an idle connection is not read

A request that crossed the close was read and dropped. Its caller may not send it again if it isn't idempotent, unlike one that the daemon has not read. A connection is only read after its end if an answer was written on it within those 2 s.

--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -3,7 +3,7 @@
 //! If a socket is closed while received bytes are unread, the kernel resets the connection and drops
 //! what it has not delivered yet.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,9 +11,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
-/// Maximum time for which a connection stays open after its last answer, in milliseconds.
+/// Maximum time for which a connection stays open after the end of its last answer, in milliseconds.
 const MAX_LINGER_MS: u64 = 2_000;
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 512;
@@ -23,17 +23,27 @@
 
 /// A connection that outlives the server that reads and writes it.
 #[derive(Debug, Clone)]
-pub struct CallerStream(Rc<RefCell<TcpStream>>);
+pub struct CallerStream {
+    stream: Rc<RefCell<TcpStream>>,
+    /// When the server last wrote.
+    written_at: Rc<Cell<Instant>>,
+}
 
 impl CallerStream {
     /// Shares `stream`.
     pub fn new(stream: TcpStream) -> Self {
-        CallerStream(Rc::new(RefCell::new(stream)))
+        let stream = Rc::new(RefCell::new(stream));
+        CallerStream { stream, written_at: Rc::new(Cell::new(Instant::now())) }
     }
 
     /// Reads and discards what the caller still sends, until it closes the connection. The server must
-    /// have shut its side down.
+    /// have shut its side down. A connection that was idle is closed at once: a request that crosses the
+    /// close stays unread, so that its caller may send it again.
     pub async fn linger(mut self) {
+        let until = self.written_at.get() + Duration::from_millis(MAX_LINGER_MS);
+        if until <= Instant::now() {
+            return;
+        }
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         let mut left_bytes = MAX_DISCARDED_BYTES;
         let reading = async {
@@ -44,7 +54,7 @@
                 left_bytes -= count;
             }
         };
-        drop(timeout(Duration::from_millis(MAX_LINGER_MS), reading).await);
+        drop(timeout_at(until, reading).await);
     }
 }
 
@@ -54,7 +64,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
     }
 }
 
@@ -64,15 +74,16 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+        self.written_at.set(Instant::now());
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -80,10 +91,11 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bytes)
+        self.written_at.set(Instant::now());
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 }
--- a/crates/daemon/tests/testsuite/early_requests.rs
+++ b/crates/daemon/tests/testsuite/early_requests.rs
@@ -79,3 +79,26 @@
         assert!(sent_bytes < MAX_SENT_BYTES, "the daemon still reads");
     }
 }
+
+/// Guards against a request that is read and dropped because it crosses the close of an idle connection:
+/// its caller can't tell that it has not run.
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_not_read() {
+    let store = configured_store();
+    let book = RawEndpoint::start("book-1", RawResponse::default());
+    store.put(&format!("servers/{}", book.id), &book.registry_entry("books", "a"));
+    let mut daemon = Daemon::start(store.address(), "vm-1", "a", &[]);
+    daemon.wait_ready(true);
+    let mut caller = TcpStream::connect(daemon.address()).expect("the daemon listens");
+    let request = "GET /nowhere HTTP/1.1\r\nHost: models.example\r\nX-Attempt-Id: r1\r\n\r\n";
+    caller.write_all(request.as_bytes()).expect("the request is sent");
+    let mut part = [0; READ_BYTES];
+    assert!(caller.read(&mut part).expect("an answer") > 0);
+    daemon.stop();
+    assert_eq!(caller.read(&mut part).expect("the end of the connection"), 0);
+    caller.write_all(request.as_bytes()).expect("the daemon has closed its side only");
+    thread::sleep(Duration::from_millis(100));
+    // A connection that is closed with unread bytes is reset.
+    let end = caller.write_all(request.as_bytes());
+    assert!(end.is_err(), "the request was read");
+}
