daemon: rejections at the beginning of a stream do not end it after a loss

Callers saw streams cut by a single rejection after their engine was lost, while another engine had room: the rejections that a generation may meet, three, counted from its arrival.

a_stream_that_lost_its_engine_survives_a_rejection failed before.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -127,7 +127,7 @@
     attempts: u32,
     /// Number of runs that ended in a connection failure or an invalid response.
     failed_runs: u32,
-    /// Number of engines that rejected the request without running it.
+    /// Number of engines that rejected the request without running it since the last event.
     rejections: u32,
     /// The run that the request was last sent for.
     trace: RunTrace,
@@ -572,6 +572,7 @@
         run.last_event_at = Instant::now();
         run.silence = Silence::default();
         self.last_failure = None;
+        self.rejections = 0;
         self.record_progress(boot_now());
         run.load_guard.release_prefill_load();
         self.correct_version(run)?;
--- a/crates/daemon/tests/testsuite/slow_endpoints.rs
+++ b/crates/daemon/tests/testsuite/slow_endpoints.rs
@@ -1,10 +1,12 @@
 //! Idempotent requests whose endpoint answers later than the timeout of an attempt, as a sound one
 //! may, and streams that wait for an engine.
 
-use crate::support::{API_KEY, TestEnv, complete_stream, eventually, generation_request};
+use crate::support::{
+    API_KEY, TestEnv, complete_stream, eventually, generation_request, register_endpoint,
+};
 use gypsumchute_platform_standin::fixtures::configuration;
 use gypsumchute_platform_standin::{
-    Behaviour, Brittleness, CallerRequest, CompleteResponse, Endpoint,
+    Behaviour, Brittleness, CallerRequest, CompleteResponse, Endpoint, OpenResponse,
 };
 use serde_json::json;
 use std::thread;
@@ -151,3 +153,35 @@
     assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(100)));
     assert_eq!(env.last_run_endpoint("r1"), "engine-2");
 }
+
+/// Starts a stream at an engine of zone `b`, after those of zone `a` have turned it away, and returns it
+/// with its first event.
+fn stream_turned_away_by(count: usize) -> (TestEnv, Vec<Endpoint>, OpenResponse, String) {
+    let (env, engines) = TestEnv::start(|state| {
+        let full = |n| Endpoint::start(state, &format!("full-{n}"), Behaviour::Rejects);
+        let stream = Behaviour::Streams { events: 40, event_interval_ms: 20 };
+        let sound = (Endpoint::start(state, "sound", stream), "engines", "b");
+        (0..count).map(|n| (full(n), "engines", "a")).chain([sound]).collect()
+    });
+    let request = generation_request("briefs", "r1").output_tokens(100, 80);
+    let mut open = request.send(env.daemon.address());
+    let first = open.next_chunk().expect("open stream").expect("next event");
+    let arrivals = env.endpoint_state.received_requests();
+    assert_eq!(arrivals.iter().filter(|arrival| !arrival.executed).count(), count);
+    (env, engines, open, first)
+}
+
+/// Guards against a stream being cut by one rejection because others had turned it away at its beginning.
+#[test]
+fn a_stream_that_lost_its_engine_survives_a_rejection() {
+    let (env, mut engines, open, first) = stream_turned_away_by(2);
+    let full = Endpoint::start(&env.endpoint_state, "full", Behaviour::Rejects);
+    register_endpoint(&env.store, &full, "engines", "a", "ready");
+    let stream = Behaviour::Streams { events: 40, event_interval_ms: 20 };
+    let other = Endpoint::start(&env.endpoint_state, "other", stream);
+    register_endpoint(&env.store, &other, "engines", "b", "ready");
+    thread::sleep(Duration::from_millis(200));
+    engines[2].kill();
+    let reply = open.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(40)));
+}
