daemon: an engine without room at the beginning of a stream is used after a loss

Callers saw streams cut after their engine was lost although another engine had room: one that had rejected the request before the stream began was passed over for as long as the stream lasted.

a_stream_that_lost_its_engine_goes_on_at_one_that_had_no_room_before failed before.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -123,6 +123,8 @@
     delivered_events: u64,
     /// Endpoints that are not used again for this generation.
     excluded: BTreeSet<EndpointId>,
+    /// Those among them that have rejected the request since the last event, and may have room later.
+    turned_away: BTreeSet<EndpointId>,
     /// Number of times the request was sent to an engine.
     attempts: u32,
     /// Number of runs that ended in a connection failure or an invalid response.
@@ -151,6 +153,7 @@
             response_sender,
             delivered_events: 0,
             excluded: BTreeSet::new(),
+            turned_away: BTreeSet::new(),
             attempts: 0,
             failed_runs: 0,
             rejections: 0,
@@ -516,7 +519,10 @@
                 // An endpoint that asked for a pause is not at fault, and is passed over until its end.
                 if !self.call.context.has_pause(&endpoint) {
                     self.call.context.record_outcome(&endpoint, RequestOutcome::Rejected);
-                    self.excluded.insert(endpoint);
+                    let is_new = self.excluded.insert(endpoint.clone());
+                    if is_new && kind == ResponseKind::NotRun {
+                        self.turned_away.insert(endpoint);
+                    }
                 }
                 StartOutcome::NotRun
             }
@@ -559,6 +565,7 @@
         if at == EndedBy::Endpoint {
             self.call.context.record_outcome(endpoint, RequestOutcome::TransportError);
             self.excluded.insert(endpoint.clone());
+            self.turned_away.remove(endpoint);
         }
     }
 
@@ -573,6 +580,9 @@
         run.silence = Silence::default();
         self.last_failure = None;
         self.rejections = 0;
+        for endpoint in std::mem::take(&mut self.turned_away) {
+            self.excluded.remove(&endpoint);
+        }
         self.record_progress(boot_now());
         run.load_guard.release_prefill_load();
         self.correct_version(run)?;
--- a/crates/daemon/tests/testsuite/slow_endpoints.rs
+++ b/crates/daemon/tests/testsuite/slow_endpoints.rs
@@ -185,3 +185,14 @@
     let reply = open.read_to_end();
     assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(40)));
 }
+
+/// Guards against a stream being cut because the engines that had no room at its beginning are passed over
+/// for as long as it lasts.
+#[test]
+fn a_stream_that_lost_its_engine_goes_on_at_one_that_had_no_room_before() {
+    let (_env, mut engines, open, first) = stream_turned_away_by(1);
+    engines[0].set_behaviour(Behaviour::Streams { events: 40, event_interval_ms: 20 });
+    engines[1].kill();
+    let reply = open.read_to_end();
+    assert_eq!((reply.complete, first + &reply.body), (true, complete_stream(40)));
+}
