daemon: the search of a silent run or of a late request does not wait in the queue

Callers of other requests waited about 250 ms more although an engine had room for them: the search for an engine that takes a silent run over stood before them in the admission queue, and could not use the room at its own engine. Cause: the search waited for room as a new request does. Whatever waits behind it in the queue, for any service, may not be placed before it. Change: a search is placed at once or not at all. It is repeated every 250 ms anyway, and enters the queue at its end, so that it does not overtake those that wait.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -9,7 +9,7 @@
 use crate::context::Context;
 use crate::ingress;
 use crate::peer_sync::{FramedStream, codec, read_frame};
-use crate::placing::{EndpointConnection, LinkUse};
+use crate::placing::{EndpointConnection, LinkUse, QueueUse};
 use crate::reply::{RelayedBody, Reply, ReplyBody, is_not_run_refusal, refusal_reason};
 use bytes::Bytes;
 use futures_util::SinkExt;
@@ -129,7 +129,10 @@
         let may_forward = self.origin == Origin::Caller && max_endpoints > 0;
         let mut excluded = excluded.clone();
         if may_forward {
-            match self.place_and_connect(&mut excluded, version, LinkUse::UnlessLost).await {
+            match self
+                .place_and_connect(&mut excluded, version, LinkUse::UnlessLost, QueueUse::Wait)
+                .await
+            {
                 Ok(placed) => return Ok(Placed::Direct(placed)),
                 Err(unplaced) if !unplaced.links_failed => return Err(unplaced.refusal),
                 Err(_) => {}
@@ -142,7 +145,7 @@
             (Origin::Caller, 0) => LinkUse::Always,
             (Origin::Caller, _) | (Origin::Peer(_), _) => LinkUse::AfterOffers,
         };
-        let placed = self.place_and_connect(&mut excluded, version, links).await;
+        let placed = self.place_and_connect(&mut excluded, version, links, QueueUse::Wait).await;
         placed.map(Placed::Direct).map_err(|unplaced| unplaced.refusal)
     }
 
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -13,7 +13,7 @@
 use super::run::{Backup, RelayEnd, Run, RunFailure, RunSignal, StartOutcome};
 use super::trace::RunTrace;
 use crate::call::EndedBy;
-use crate::placing::{EndpointConnection, LinkUse};
+use crate::placing::{EndpointConnection, LinkUse, QueueUse};
 use gypsumchute_platform::endpoints::{ReportError, read_report};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
 use gypsumchute_routing::outcomes::RequestOutcome;
@@ -138,8 +138,12 @@
             Some(backup) => self.connect_to_backup(backup).await.ok(),
             None => {
                 excluded.extend(unresponsive.iter().cloned());
-                let placing =
-                    self.call.place_and_connect(&mut excluded, self.version, LinkUse::Always);
+                let placing = self.call.place_and_connect(
+                    &mut excluded,
+                    self.version,
+                    LinkUse::Always,
+                    QueueUse::TryOnce,
+                );
                 placing.await.ok()
             }
         }?;
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Whether a request waits in the admission queue if all endpoints are full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueUse {
+    /// It waits for room.
+    Wait,
+    /// It is placed at once or not at all. A run that goes on while another endpoint is looked for can't
+    /// use the room that those behind it in the queue could use.
+    TryOnce,
+}
+
 /// Why no connection to an endpoint was opened. Nothing was sent.
 pub struct Unplaced {
     /// Refusal for the caller.
@@ -149,8 +159,8 @@
 
 impl Call {
     /// Chooses an endpoint with capacity and connects to it. If all endpoints are full, waits in
-    /// the admission queue for at most [`max_queue_wait_ms`], which leaves the endpoint enough time
-    /// for the response. The wait counts from the arrival of the request, or from now if the request
+    /// the admission queue as `queue` says, for at most [`max_queue_wait_ms`], which leaves the endpoint
+    /// enough time for the response. The wait counts from the arrival of the request, or from now if the request
     /// is bound to a software `version`: its stream has begun, so the arrival may be long ago. Such a
     /// request does not wait if no endpoint of that version is in service.
     ///
@@ -163,13 +173,14 @@
         excluded: &mut BTreeSet<EndpointId>,
         version: Option<ServiceVersion>,
         links: LinkUse,
+        queue: QueueUse,
     ) -> Result<EndpointConnection, Unplaced> {
         let mut failures = 0;
         loop {
             if links == LinkUse::UnlessLost && self.context.is_cut_off(&self.service.id) {
                 return Err(self.unreachable());
             }
-            let chosen = match self.wait_for_capacity(excluded, version).await {
+            let chosen = match self.wait_for_capacity(excluded, version, queue).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(Unplaced { refusal, links_failed: failures > 0 }),
             };
@@ -225,12 +236,14 @@
         &self,
         excluded: &BTreeSet<EndpointId>,
         version: Option<ServiceVersion>,
+        queue: QueueUse,
     ) -> Result<ChosenEndpoint, Refusal> {
         let mut changes = self.context.changes();
         let max_wait_ms = max_queue_wait_ms(&self.route, self.remaining_ms());
-        let queue_deadline_ms = match version {
-            Some(_) => boot_now() + max_wait_ms,
-            None => self.arrived_ms + max_wait_ms,
+        let queue_deadline_ms = match (queue, version) {
+            (QueueUse::TryOnce, _) => boot_now(),
+            (QueueUse::Wait, Some(_)) => boot_now() + max_wait_ms,
+            (QueueUse::Wait, None) => self.arrived_ms + max_wait_ms,
         };
         let priority = self.priority();
         let tokens = self.load().reserved_tokens;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -7,7 +7,7 @@
 use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
 use crate::context::LoadGuard;
 use crate::forwarding::{Origin, Placed};
-use crate::placing::{EndpointConnection, LinkUse};
+use crate::placing::{EndpointConnection, LinkUse, QueueUse};
 use crate::reply::{Reply, ReplyBody, refusal_reason};
 use bytes::Bytes;
 use gypsumchute_exchange::{ExchangeError, ResponseStream};
@@ -457,7 +457,7 @@
         let placed = tokio::select! {
             biased;
             _ = next_end(&mut self.exchanges) => return None,
-            placed = call.place_and_connect(&mut excluded, None, links) => placed,
+            placed = call.place_and_connect(&mut excluded, None, links, QueueUse::TryOnce) => placed,
             () = sleep(left) => return None,
         };
         match placed {
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -231,3 +231,36 @@
     assert_eq!(env.last_run_endpoint("r1"), "engine-3");
     assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
 }
+/// Guards against requests that wait in the queue behind the search of a silent stream, which can't use
+/// the room that they could.
+#[test]
+fn the_search_of_a_silent_stream_delays_no_other_request() {
+    let pauses = Behaviour::StreamsWithPause { pause_ms: 60_000 };
+    let (env, engines) =
+        TestEnv::start(|state| vec![(Endpoint::start(state, "engine-1", pauses), "engines", "a")]);
+    let address = env.daemon.address();
+    let mut silent = short_request("briefs", "r1").timeout_ms(5_000).send(address);
+    drop(silent.next_chunk());
+    engines[0].set_behaviour(Behaviour::Streams { events: 20, event_interval_ms: 1 });
+    // Another engine, whose only slot is taken.
+    let slow = Behaviour::Streams { events: 200, event_interval_ms: 100 };
+    let full = Endpoint::start(&env.endpoint_state, "engine-2", slow);
+    let mut entry = full.registry_entry("engines", "a", "ready");
+    entry["slots"] = 1.into();
+    env.store.put("servers/engine-2", &entry);
+    let mut open = Vec::new();
+    eventually("the other engine to be full", || {
+        let id = format!("f{}", open.len());
+        open.push(short_request("briefs", &id).send(address));
+        env.last_run_endpoint(&id) == "engine-2"
+    });
+    let times_ms: Vec<_> = (0..40)
+        .map(|n| {
+            let started = Instant::now();
+            let reply = short_request("briefs", &format!("n{n}")).send_and_read(address);
+            (reply.status, started.elapsed().as_millis())
+        })
+        .collect();
+    let delayed = times_ms.iter().filter(|(status, ms)| *status != 200 || *ms > 150).count();
+    assert_eq!(delayed, 0, "{times_ms:?}");
+}
