daemon: a run at a leaving engine is kept until another engine has answered

Callers saw streams cut while their engine was leaving and would have ended them: the engine of the backup hung, or answered late. Cause: a move dropped the live run 250 ms after it began, counted from before the connection was opened, and only then waited for the answer. What is held was let go before what replaces it was certain. Change: the connection is opened while the events go on to the caller, as copies are made already. After 260 ms with neither, the other run is given up by closing its connection, unless the live run counts as stalled. Silent runs are replaced by the same code (switching.rs): they are stalled, so that the outcome is the same as before, except that what follows their first event is read as well and a break behind it is noticed. A copy that was not used is freed. Not measured: sound engines that take longer than 260 ms to answer, which are left for a copy at another engine now.

--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -11,16 +11,20 @@
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RequestId};
+use std::pin::Pin;
 
 /// Number of engines of each software version that are tried for the backup of a stream whose
 /// version is not known. The first of them may run the stream itself, and the second may have been
 /// full.
 const BACKUP_ENGINES_PER_VERSION: usize = 3;
 
-/// Timeout for connecting to the engine that holds a backup, in milliseconds. It is shorter than
-/// `CUTOVER_TIMEOUT_MS`, the time for which the old run is kept.
+/// Timeout for connecting to the engine that holds a backup, in milliseconds. TCP retransmits a lost
+/// packet only after 1 s, and engines are terminated within seconds of their notice.
 const BACKUP_CONNECT_TIMEOUT_MS: u64 = 200;
 
+/// A connection that is being opened, or `None` once that has failed.
+pub(super) type PendingConnection = Pin<Box<dyn Future<Output = Option<EndpointConnection>>>>;
+
 impl Generation {
     /// Returns the load that a backup of this generation adds to an engine.
     pub(super) fn backup_load(&self) -> Load {
@@ -74,25 +78,40 @@
         &self,
         backup: &Backup,
     ) -> Result<EndpointConnection, Option<Refusal>> {
+        self.start_connecting(backup)?.await.ok_or(None)
+    }
+
+    /// Returns a future that connects to the engine that holds `backup`, and does not depend on this
+    /// generation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine must not be reached, as [`Self::connect_to_backup`] does.
+    pub(super) fn start_connecting(
+        &self,
+        backup: &Backup,
+    ) -> Result<PendingConnection, Option<Refusal>> {
         if let Some(refusal) = self.call.poison_refusal() {
             return Err(Some(refusal));
         }
-        let context = &self.call.context;
+        let context = self.call.context.clone();
         if !self.is_usable(backup) || !context.may_send_to(&backup.endpoint) {
             return Err(None);
         }
-        let dialer = &*context.dialer;
-        let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
-        let opened = Connection::open(dialer, backup.address, limit_ms, timeouts).await;
-        let Ok(connection) = opened else {
-            context.record_connect_failed(&self.call.service.id, &backup.endpoint);
-            return Err(None);
-        };
-        context.record_connected(&self.call.service.id);
-        let load_guard = context.reserve_load(&backup.endpoint, self.call.load());
+        let (service, load) = (self.call.service.id.clone(), self.call.load());
         let (endpoint, address, version) =
             (backup.endpoint.clone(), backup.address, backup.version);
-        Ok(EndpointConnection { endpoint, address, version, connection, load_guard })
+        Ok(Box::pin(async move {
+            let dialer = &*context.dialer;
+            let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
+            let Ok(connection) = Connection::open(dialer, address, limit_ms, timeouts).await else {
+                context.record_connect_failed(&service, &endpoint);
+                return None;
+            };
+            context.record_connected(&service);
+            let load_guard = context.reserve_load(&endpoint, load);
+            Some(EndpointConnection { endpoint, address, version, connection, load_guard })
+        }))
     }
 
     /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -6,8 +6,10 @@
 //! events arrive late if the links come back.
 
 use super::Generation;
-use super::relay::{COPY_TIMEOUT_MS, STALL_PAUSE_FACTOR};
+use super::migration::COPY_TIMEOUT_MS;
+use super::relay::STALL_PAUSE_FACTOR;
 use super::run::{Backup, Run, Silence, StartFrom, StartOutcome};
+use super::unread::UnreadSignals;
 use crate::events::{EventReader, EventSequence};
 use crate::forwarding::{ContinuedRun, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
@@ -86,7 +88,7 @@
             events: EventReader::default(),
             backup: None,
             last_event_at: Instant::now(),
-            unread: None,
+            unread: UnreadSignals::default(),
             silence: Silence::default(),
             termination_handled: true,
             ..run
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -11,19 +11,22 @@
 
 mod backup;
 mod handover;
+mod migration;
 mod relay;
 mod replacement;
 mod resume;
 mod run;
+mod switching;
 mod trace;
+mod unread;
 
 use self::run::{
-    Backup, GenerationEnd, NoRecovery, RelayEnd, ResponseSender, Run, RunFailure, Silence,
-    StartFrom, StartOutcome,
+    Backup, GenerationEnd, NoRecovery, PreparedRun, RelayEnd, ResponseSender, Run, RunFailure,
+    Silence, StartFrom, StartOutcome,
 };
 use self::trace::{RunProgress, RunTrace};
-use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
-use crate::context::LoadGuard;
+use self::unread::UnreadSignals;
+use crate::call::{Call, EndedBy, RequestEnd};
 use crate::events::{Event, EventAction, EventReader, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
@@ -42,7 +45,6 @@
 use log::info;
 use std::collections::BTreeSet;
 use std::future::pending;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -77,40 +79,6 @@
     }
 }
 
-/// A run whose request is about to be sent.
-struct PreparedRun {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    version: ServiceVersion,
-    load_guard: LoadGuard,
-    /// Backup that the engine is asked to maintain.
-    backup: Option<Backup>,
-    /// Copy that the run continues from.
-    copy: Option<Backup>,
-    /// Id of the last event that the caller has received.
-    after_event: Option<u64>,
-}
-
-impl PreparedRun {
-    /// Sends the request and waits for the beginning of the response.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error as [`Call::send`] does.
-    async fn send(
-        &self,
-        call: &Call,
-        connection: Connection,
-    ) -> Result<(ResponseStream, ResponseKind), ExchangeError> {
-        let options = SendOptions {
-            backup_at: self.backup.as_ref().map(|backup| backup.address),
-            source: self.copy.as_ref().map(|copy| &copy.source),
-            last_event: self.after_event,
-        };
-        call.send(connection, &self.endpoint, options).await
-    }
-}
-
 /// State of one generation across all runs.
 struct Generation {
     /// Request that is served.
@@ -133,8 +101,8 @@
     rejections: u32,
     /// The run that the request was last sent for.
     trace: RunTrace,
-    /// A silent run that is kept while the request is sent for another one.
-    silent_trace: Option<RunTrace>,
+    /// A run that is kept while the request is sent for another one.
+    kept_trace: Option<RunTrace>,
     /// Last failure of a run since the last event, and whose failure it was, for log lines.
     last_failure: Option<(EndedBy, String)>,
     /// Why the last run that was lost was not followed by another one.
@@ -158,7 +126,7 @@
             failed_runs: 0,
             rejections: 0,
             trace: RunTrace::default(),
-            silent_trace: None,
+            kept_trace: None,
             last_failure: None,
             no_recovery: None,
             version: None,
@@ -176,13 +144,13 @@
             () = sleep(left) => GenerationEnd::TimedOut,
             () = context.shutdown.last_answers_due() => GenerationEnd::ShutDown,
         };
-        let mut silent_trace = self.silent_trace.take();
-        let silent_ms = silent_trace.as_ref().unwrap_or(&self.trace).silent_ms();
+        let mut kept_trace = self.kept_trace.take();
+        let silent_ms = kept_trace.as_ref().unwrap_or(&self.trace).silent_ms();
         if let GenerationEnd::CallerDisconnected
         | GenerationEnd::TimedOut
         | GenerationEnd::ShutDown = end
         {
-            let traces = silent_trace.iter_mut().chain([&mut self.trace]);
+            let traces = kept_trace.iter_mut().chain([&mut self.trace]);
             traces.for_each(|trace| trace.record_silent(&self.call));
         }
         self.finish(end, silent_ms).await;
@@ -507,7 +475,7 @@
                 events: EventReader::default(),
                 backup,
                 last_event_at: Instant::now(),
-                unread: None,
+                unread: UnreadSignals::default(),
                 silence: Silence::default(),
                 termination_handled: false,
                 load_guard,
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -3,16 +3,11 @@
 //! A sound engine may be silent for a while and then go on. The run is therefore kept until an engine
 //! with room has accepted a connection and responds, and the retry budget has granted a retry. Whatever is missing,
 //! the run stays and another engine is looked for later. An event of the silent run ends the search.
-//!
-//! Once the request was sent, two runs may be at work. The first answer of the other engine ends the
-//! silent run, and a rejection leaves it as it was. If there is neither in time, the run that goes on
-//! stays, or else the other one: a request that is not rejected at once has usually been accepted.
 
 use super::Generation;
-use super::relay::CUTOVER_TIMEOUT_MS;
-use super::run::{Backup, RelayEnd, Run, RunFailure, RunSignal, StartOutcome};
+use super::run::{Backup, RelayEnd, Run};
+use super::switching::{NotStarted, READ_GRACE_MS, Switch};
 use super::trace::RunTrace;
-use crate::call::EndedBy;
 use crate::placing::{EndpointConnection, LinkUse, QueueUse};
 use gypsumchute_platform::endpoints::{ReportError, read_report};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
@@ -28,8 +23,6 @@
 const SEARCH_INTERVAL_MS: u64 = 250;
 /// Maximum duration of one search, in milliseconds.
 const MAX_SEARCH_MS: u64 = 500;
-/// Time for reading what has arrived before a silent run is replaced or given up, in milliseconds.
-const READ_GRACE_MS: u64 = 10;
 /// Time within which an engine that is to take a run over reports its state, in milliseconds. Engines
 /// need no slot for that.
 const RESPONSE_TIMEOUT_MS: u64 = 200;
@@ -90,7 +83,7 @@
         let found = tokio::select! {
             biased;
             signal = run.next_signal() => {
-                run.unread = Some(signal);
+                run.unread.push(signal);
                 return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
             }
             found = self.connect_replacement(excluded, backup.as_ref(), &mut unresponsive) => found,
@@ -103,7 +96,7 @@
         run.silence.unresponsive = unresponsive;
         // If this process was suspended, what has arrived meanwhile is read first.
         if let Ok(signal) = timeout(Duration::from_millis(READ_GRACE_MS), run.next_signal()).await {
-            run.unread = Some(signal);
+            run.unread.push(signal);
             return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
         }
         self.record_silence(&mut run);
@@ -114,7 +107,7 @@
             return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
         }
         self.log_recovery(Interruption::Stalled, next);
-        self.switch_run(run, placed, backup).await
+        self.take_over_silent_run(run, placed, backup).await
     }
 
     /// Records once that the engine of `run` is silent.
@@ -164,102 +157,35 @@
         !matches!(report, Err(ReportError::Exchange(_)))
     }
 
-    /// Starts a run at `placed`, which continues from `copy` or from the prompt. The silent `run` is
-    /// kept until the other engine answers, but no longer than `CUTOVER_TIMEOUT_MS` unless it goes on:
-    /// the other engine may have begun although its answer is lost.
-    async fn switch_run(
+    /// Starts a run at `placed` in the place of the silent `run`, from `copy` or from the prompt.
+    async fn take_over_silent_run(
         &mut self,
-        mut run: Box<Run>,
+        run: Box<Run>,
         placed: EndpointConnection,
         copy: Option<Backup>,
     ) -> Result<Box<Run>, RelayEnd> {
-        let (silent, other) = (run.endpoint.clone(), placed.endpoint.clone());
+        let other = placed.endpoint.clone();
         let excluded_before = self.excluded.clone();
-        // The other run's backup must not be at the silent engine.
-        self.excluded.insert(silent.clone());
-        let mut trace = self.trace.clone();
-        let is_from_copy = copy.is_some();
-        let (connection, prepared) = self.prepare_run(placed, copy);
-        self.silent_trace = Some(trace.clone());
-        let (sent, end) = {
-            let sending = prepared.send(&self.call, connection);
-            let cutover = cutover_due();
-            tokio::pin!(sending, cutover);
-            loop {
-                tokio::select! {
-                    biased;
-                    signal = run.next_signal(), if run.unread.is_none() => {
-                        match run.checked(signal, &self.sequence, self.delivered_events) {
-                            RunSignal::Failed(failure) => {
-                                if !run.is_at_peer {
-                                    trace.record_failure(&self.call, &failure);
-                                }
-                                self.silent_trace = None;
-                                let end = SilentRunEnd::Failed(failure, run.is_at_peer);
-                                drop(run);
-                                break (Some(sending.await), end);
-                            }
-                            // What follows the event is read once it is clear which run goes on.
-                            signal @ RunSignal::Event(_) => run.unread = Some(signal),
-                            RunSignal::Ended => {
-                                run.unread = Some(RunSignal::Ended);
-                                break (None, SilentRunEnd::Kept(run));
-                            }
-                        }
-                    }
-                    sent = sending.as_mut() => break (Some(sent), SilentRunEnd::Kept(run)),
-                    () = cutover.as_mut() => {
-                        if run.unread.is_some() {
-                            break (None, SilentRunEnd::Kept(run));
-                        }
-                        trace.record_silent(&self.call);
-                        self.silent_trace = None;
-                        drop(run);
-                        break (Some(sending.await), SilentRunEnd::GivenUp);
-                    }
-                }
-            }
-        };
-        if let SilentRunEnd::Failed(failure, is_at_peer) = &end {
-            self.log_stream_failure(&silent, failure);
-            let at = if *is_at_peer { EndedBy::Peer } else { EndedBy::Endpoint };
-            self.count_failed_run(&silent, at, failure);
-        }
-        let outcome = match sent {
-            Some(sent) => Some(self.on_sent(prepared, sent).await),
-            None => None,
-        };
-        self.silent_trace = None;
-        match (outcome, end) {
-            (Some(StartOutcome::Running(next_run)), end) => {
-                if let SilentRunEnd::Kept(run) = end {
-                    self.end_replaced_run(*run, trace, &excluded_before);
+        match self.switch_run(run, placed, copy).await {
+            Switch::Done { run, earlier } => {
+                if let Some((silent, trace)) = earlier {
+                    self.end_replaced_run(*silent, trace, &excluded_before);
                 }
                 self.call.context.metrics.count_silent_run("replaced");
-                Ok(next_run)
+                Ok(run)
             }
-            (outcome, SilentRunEnd::Kept(mut run)) => {
-                self.trace = trace;
-                let because = match &outcome {
-                    None => KeptBecause::SignOfLife,
-                    Some(_) => KeptBecause::NotStarted,
-                };
+            Switch::Kept(mut run, not_started) => {
                 self.excluded = excluded_before;
-                match outcome {
-                    // An engine without the copy may still run the request from the prompt.
-                    None => {}
-                    Some(StartOutcome::NotRun) if is_from_copy => {}
-                    Some(_) => drop(run.silence.turned_away.insert(other)),
+                if not_started == NotStarted::TurnedAway {
+                    run.silence.turned_away.insert(other);
                 }
+                let because = match not_started {
+                    NotStarted::Unanswered => KeptBecause::SignOfLife,
+                    NotStarted::CopyMissing | NotStarted::TurnedAway => KeptBecause::NotStarted,
+                };
                 Ok(self.keep_silent_run(run, None, because))
             }
-            (Some(StartOutcome::Lost(backup)), _) => {
-                Err(RelayEnd::Lost(Interruption::Disconnected, backup))
-            }
-            (Some(StartOutcome::Failed(reply)), _) => Err(RelayEnd::Failed(reply)),
-            (_, SilentRunEnd::GivenUp | SilentRunEnd::Failed(..)) => {
-                Err(RelayEnd::Lost(Interruption::Stalled, None))
-            }
+            Switch::Lost(relay_end) => Err(relay_end),
         }
     }
 
@@ -270,12 +196,10 @@
         mut trace: RunTrace,
         excluded_before: &BTreeSet<EndpointId>,
     ) {
-        match run.unread {
-            Some(_) if !excluded_before.contains(&run.endpoint) => {
-                self.excluded.remove(&run.endpoint);
-            }
-            Some(_) => {}
-            None => trace.record_silent(&self.call),
+        match run.unread.is_empty() {
+            true => trace.record_silent(&self.call),
+            false if excluded_before.contains(&run.endpoint) => {}
+            false => drop(self.excluded.remove(&run.endpoint)),
         }
     }
 
@@ -297,19 +221,3 @@
         run
     }
 }
-
-/// What became of the silent run while the other engine was to start.
-enum SilentRunEnd {
-    /// It is still there.
-    Kept(Box<Run>),
-    /// Its stream failed: at a peer VM that relayed it, or at its engine.
-    Failed(RunFailure, bool),
-    /// It was given up because the other engine has accepted the request and not answered yet.
-    GivenUp,
-}
-
-/// Completes when the silent run must end.
-async fn cutover_due() {
-    sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
-    sleep(Duration::from_millis(READ_GRACE_MS)).await;
-}
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -1,24 +1,31 @@
 //! Types that describe the runs of a generation, their backups and their outcomes.
 
+use super::unread::UnreadSignals;
+use crate::call::{Call, EndedBy, SendOptions};
 use crate::context::LoadGuard;
 use crate::events::{Event, EventError, EventReader, EventSequence};
 use crate::reply::{QueuedChunk, Reply, StreamAborted};
 use bytes::Bytes;
-use gypsumchute_exchange::{ExchangeError, ResponseStream};
-use gypsumchute_platform::KvSource;
-use gypsumchute_platform::endpoints::{CopyError, KvCopy};
+use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_platform::endpoints::{CopyError, KvCopy, free_kv_copy};
+use gypsumchute_platform::{KvSource, ResponseKind};
 use gypsumchute_routing::continuity::Interruption;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::{EndpointId, Refusal};
 use http::response::Parts;
+use log::info;
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+/// Timeout for asking an engine to free a copy, in milliseconds.
+const FREE_COPY_TIMEOUT_MS: u64 = 1_000;
+
 /// Sends the response head and the events to the caller.
 pub(super) struct ResponseSender {
     /// Channel for the response head, or for a complete reply in place of a stream. `None` once
@@ -64,9 +71,57 @@
     /// Reports whether the copy was created by an explicit request. An explicit copy occupies
     /// memory until it is used or freed. Its source is the engine that it was made from, whereas a
     /// backup is read at the engine that stores it.
-    pub(super) fn is_explicit_copy(&self) -> bool {
+    fn is_explicit_copy(&self) -> bool {
         self.source.address != self.address
     }
+
+    /// Frees the copy, which was not used, if it was created by an explicit request.
+    pub(super) fn free(self) {
+        if !self.is_explicit_copy() {
+            return;
+        }
+        spawn_local(async move {
+            let copy = KvCopy { handle: self.source.name };
+            if let Err(err) = free_kv_copy(self.source.address, &copy, FREE_COPY_TIMEOUT_MS).await {
+                info!(endpoint = self.endpoint.as_str(), error:% = err;
+                    "KV copy could not be freed; the engine frees it after a timeout");
+            }
+        });
+    }
+}
+
+/// A run whose request is about to be sent.
+pub(super) struct PreparedRun {
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) version: ServiceVersion,
+    pub(super) load_guard: LoadGuard,
+    /// Backup that the engine is asked to maintain.
+    pub(super) backup: Option<Backup>,
+    /// Copy that the run continues from.
+    pub(super) copy: Option<Backup>,
+    /// Id of the last event that the caller has received.
+    pub(super) after_event: Option<u64>,
+}
+
+impl PreparedRun {
+    /// Sends the request and waits for the beginning of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Call::send`] does.
+    pub(super) async fn send(
+        &self,
+        call: &Call,
+        connection: Connection,
+    ) -> Result<(ResponseStream, ResponseKind), ExchangeError> {
+        let options = SendOptions {
+            backup_at: self.backup.as_ref().map(|backup| backup.address),
+            source: self.copy.as_ref().map(|copy| &copy.source),
+            last_event: self.after_event,
+        };
+        call.send(connection, &self.endpoint, options).await
+    }
 }
 
 /// An active run of a generation at an engine.
@@ -90,7 +145,7 @@
     /// When the last event arrived, or the response head if no event has arrived yet.
     pub(super) last_event_at: Instant,
     /// What the stream brought while another run was to take the place of this one.
-    pub(super) unread: Option<RunSignal>,
+    pub(super) unread: UnreadSignals,
     /// Attempts to replace the run since its last event.
     pub(super) silence: Silence,
     /// Whether the announced termination of the engine has already been acted on.
@@ -126,16 +181,21 @@
         }
     }
 
-    /// Returns `signal`, or a failure in place of the end of a stream that is not complete. See
-    /// [`Self::check_end`].
+    /// Returns `signal`, or a failure in place of the end of a stream that will not be complete once
+    /// what is unread was delivered. See [`Self::check_end`].
     pub(super) fn checked(
         &self,
         signal: RunSignal,
         sequence: &EventSequence,
         delivered_events: u64,
     ) -> RunSignal {
+        let check_end = || {
+            let mut sequence = EventSequence::resume_after(sequence.last_id());
+            let unread_events = self.unread.advance(&mut sequence)?;
+            self.check_end(&sequence, delivered_events + unread_events)
+        };
         match signal {
-            RunSignal::Ended => match self.check_end(sequence, delivered_events) {
+            RunSignal::Ended => match check_end() {
                 Ok(()) => RunSignal::Ended,
                 Err(failure) => RunSignal::Failed(failure),
             },
@@ -143,6 +203,11 @@
         }
     }
 
+    /// Returns who relays the stream to this VM.
+    pub(super) fn relayed_by(&self) -> EndedBy {
+        if self.is_at_peer { EndedBy::Peer } else { EndedBy::Endpoint }
+    }
+
     /// Checks whether the stream, which has ended, is complete. The caller has received the events of
     /// `sequence`, which are `delivered_events` since the request arrived.
     ///
--- /dev/null
+++ b/crates/daemon/src/generation/switching.rs
@@ -0,0 +1,185 @@
+//! Starts a run at another engine in the place of one that is still there.
+//!
+//! Once the request was sent, two runs may be at work. What the earlier one brings is kept unread, so that
+//! the caller receives the events of one run only. The first answer of the other engine ends the earlier
+//! run, and a rejection leaves it as it was. If there is neither in time, the other engine's run is given
+//! up, unless the earlier one counts as stalled: a request that is not rejected at once has usually been
+//! accepted.
+
+use super::Generation;
+use super::run::{Backup, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, StartOutcome};
+use super::trace::RunTrace;
+use crate::call::EndedBy;
+use crate::placing::EndpointConnection;
+use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_platform::ResponseKind;
+use gypsumchute_routing::continuity::Interruption;
+use log::info;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Maximum wait for the answer of the other engine while the earlier run is active, in milliseconds.
+/// Two runs of one generation must not be active at once for 400 ms, and this limit ends one of them
+/// well before that.
+const CUTOVER_TIMEOUT_MS: u64 = 250;
+/// Time for reading what has arrived before a run is replaced or given up, in milliseconds.
+pub(super) const READ_GRACE_MS: u64 = 10;
+
+/// How an attempt to start a run in the place of another one ended.
+pub(super) enum Switch {
+    /// The other engine has started `run`.
+    Done {
+        /// Run at the other engine.
+        run: Box<Run>,
+        /// The earlier run, if it was still there.
+        earlier: Option<(Box<Run>, RunTrace)>,
+    },
+    /// The earlier run goes on.
+    Kept(Box<Run>, NotStarted),
+    /// No run is left.
+    Lost(RelayEnd),
+}
+
+/// Why the other engine did not start a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotStarted {
+    /// It had not answered when one of the two runs had to end.
+    Unanswered,
+    /// It does not hold the copy, but may run the request from the prompt.
+    CopyMissing,
+    /// It turned the request away, or its run failed.
+    TurnedAway,
+}
+
+/// What became of the earlier run while the other engine was to start.
+enum EarlierRun {
+    /// It is still there.
+    Kept(Box<Run>),
+    /// Its stream failed: at a peer VM that relayed it, or at its engine.
+    Failed(RunFailure, EndedBy),
+    /// It was given up because it is stalled and the other engine has not answered yet.
+    GivenUp,
+}
+
+/// Beginning of a response, or why there is none.
+type SendResult = Result<(ResponseStream, ResponseKind), ExchangeError>;
+
+impl Generation {
+    /// Starts a run at `placed` in the place of `run`. It continues from `copy`, or from the prompt.
+    pub(super) async fn switch_run(
+        &mut self,
+        run: Box<Run>,
+        placed: EndpointConnection,
+        copy: Option<Backup>,
+    ) -> Switch {
+        let earlier_endpoint = run.endpoint.clone();
+        // The other run's backup must not be at the engine of the earlier one.
+        self.excluded.insert(earlier_endpoint.clone());
+        let is_from_copy = copy.is_some();
+        self.kept_trace = Some(self.trace.clone());
+        let (connection, prepared) = self.prepare_run(placed, copy);
+        let (sent, earlier) = self.send_beside(run, &prepared, connection).await;
+        if let EarlierRun::Failed(failure, at) = &earlier {
+            self.log_stream_failure(&earlier_endpoint, failure);
+            self.count_failed_run(&earlier_endpoint, *at, failure);
+        }
+        let outcome = match sent {
+            Some(sent) => Some(self.on_sent(prepared, sent).await),
+            None => {
+                self.give_up_unanswered(prepared);
+                None
+            }
+        };
+        let trace = self.kept_trace.take().unwrap_or_default();
+        match (outcome, earlier) {
+            (Some(StartOutcome::Running(run)), EarlierRun::Kept(earlier)) => {
+                Switch::Done { run, earlier: Some((earlier, trace)) }
+            }
+            (Some(StartOutcome::Running(run)), _) => Switch::Done { run, earlier: None },
+            (outcome, EarlierRun::Kept(run)) => {
+                self.trace = trace;
+                let not_started = match outcome {
+                    None => NotStarted::Unanswered,
+                    Some(StartOutcome::NotRun) if is_from_copy => NotStarted::CopyMissing,
+                    Some(_) => NotStarted::TurnedAway,
+                };
+                Switch::Kept(run, not_started)
+            }
+            (Some(StartOutcome::Lost(backup)), _) => {
+                Switch::Lost(RelayEnd::Lost(Interruption::Disconnected, backup))
+            }
+            (Some(StartOutcome::Failed(reply)), _) => Switch::Lost(RelayEnd::Failed(reply)),
+            (_, EarlierRun::GivenUp) => Switch::Lost(RelayEnd::Lost(Interruption::Stalled, None)),
+            (_, EarlierRun::Failed(..)) => {
+                Switch::Lost(RelayEnd::Lost(Interruption::Disconnected, None))
+            }
+        }
+    }
+
+    /// Sends the request of `prepared` while `run` is kept, and returns what became of both. There is no
+    /// result of the send if the other engine's run is given up.
+    async fn send_beside(
+        &mut self,
+        mut run: Box<Run>,
+        prepared: &PreparedRun,
+        connection: Connection,
+    ) -> (Option<SendResult>, EarlierRun) {
+        let stalled_at = self.stalled_at(&run);
+        let sending = prepared.send(&self.call, connection);
+        let cutover = cutover_due();
+        tokio::pin!(sending, cutover);
+        let earlier = loop {
+            tokio::select! {
+                biased;
+                signal = run.next_signal(), if run.unread.has_room() => {
+                    match run.checked(signal, &self.sequence, self.delivered_events) {
+                        RunSignal::Failed(failure) => {
+                            break EarlierRun::Failed(failure, run.relayed_by());
+                        }
+                        signal @ RunSignal::Event(_) => run.unread.push(signal),
+                        RunSignal::Ended => {
+                            run.unread.push(RunSignal::Ended);
+                            return (None, EarlierRun::Kept(run));
+                        }
+                    }
+                }
+                sent = sending.as_mut() => return (Some(sent), EarlierRun::Kept(run)),
+                () = cutover.as_mut() => {
+                    if !run.unread.is_empty() || Instant::now() < stalled_at {
+                        return (None, EarlierRun::Kept(run));
+                    }
+                    break EarlierRun::GivenUp;
+                }
+            }
+        };
+        drop(run);
+        if let Some(mut trace) = self.kept_trace.take() {
+            match &earlier {
+                EarlierRun::Failed(failure, EndedBy::Endpoint) => {
+                    trace.record_failure(&self.call, failure);
+                }
+                EarlierRun::GivenUp => trace.record_silent(&self.call),
+                EarlierRun::Failed(..) | EarlierRun::Kept(_) => {}
+            }
+        }
+        (Some(sending.await), earlier)
+    }
+
+    /// Records that the run of `prepared`, whose engine has not answered, is given up. Its connection is
+    /// closed, which ends it at the engine.
+    fn give_up_unanswered(&mut self, prepared: PreparedRun) {
+        info!(request = self.call.id(), endpoint = prepared.endpoint.as_str(),
+            silent_ms:? = self.trace.silent_ms(), events = self.delivered_events;
+            "engine has not answered; the earlier run is kept");
+        self.trace.record_silent(&self.call);
+        if let Some(copy) = prepared.copy {
+            copy.free();
+        }
+    }
+}
+
+/// Completes when one of two runs must end.
+async fn cutover_due() {
+    sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
+    sleep(Duration::from_millis(READ_GRACE_MS)).await;
+}
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod leaving_endpoints;
 mod links;
 mod message_versions;
+mod migrations;
 mod odd_entries;
 mod out_of_step;
 mod paused_endpoints;
