daemon: a run that stays at its leaving engine keeps its backup

Callers saw streams cut whose leaving engine ended a little sooner than they did, although another engine held their backup. Cause: a run with few tokens left stays at its engine, and the decision to stay dropped the backup. The loss of the engine then needed a retry from the budget, and an engine to read the whole prompt again. Change: the backup is dropped only if it can't be used. Measured: migrations::a_stream_that_stays_at_its_leaving_engine_keeps_its_backup failed in 3 of 3 runs before and passes in 3 of 3. Daemon's suite: 198 of 198 pass.

--- a/crates/daemon/src/generation/migration.rs
+++ b/crates/daemon/src/generation/migration.rs
@@ -86,16 +86,14 @@
     /// Begins to move `run`, whose engine is about to be terminated, if it is to move.
     pub(super) fn begin_migration(&self, run: &mut Run, migration: &mut Migration) {
         run.termination_handled = true;
-        let backup = run.backup.take().filter(|backup| self.is_usable(backup));
-        let next = choose_recovery(Interruption::Terminating, self.run_state(backup.is_some()));
+        run.backup = run.backup.take().filter(|backup| self.is_usable(backup));
+        let has_backup = run.backup.is_some();
+        let next = choose_recovery(Interruption::Terminating, self.run_state(has_backup));
         self.log_recovery(Interruption::Terminating, next);
-        migration.step = match (next, backup) {
+        migration.step = match (next, &run.backup) {
             (RecoveryAction::ResumeFromBackup, Some(backup)) => {
-                match self.start_connecting(&backup) {
-                    Ok(connection) => {
-                        run.backup = Some(backup);
-                        Step::Connecting(connection)
-                    }
+                match self.start_connecting(backup) {
+                    Ok(connection) => Step::Connecting(connection),
                     Err(_) => {
                         retry_without_backup(run);
                         Step::None
--- a/crates/daemon/tests/testsuite/migrations.rs
+++ b/crates/daemon/tests/testsuite/migrations.rs
@@ -185,3 +185,33 @@
     assert_eq!(body, complete_stream(EVENT_COUNT));
     assert!(longest_gap < Duration::from_millis(150), "{longest_gap:?}");
 }
+
+/// Guards against a run without a backup at an engine that ends sooner than the run.
+#[test]
+fn a_stream_that_stays_at_its_leaving_engine_keeps_its_backup() {
+    let (env, mut engines) = TestEnv::start_with_settings(
+        |settings| (settings.retry_ratio, settings.retry_fixed) = (0.0, 0.0),
+        |state| {
+            let start = |id| (Endpoint::start(state, id, STREAM), "engines", "a");
+            ["engine-1", "engine-2"].map(start).into()
+        },
+    );
+    let caller = generation_request("briefs", "r1").output_tokens(200, 200);
+    let mut stream = caller.send(env.daemon.address());
+    let mut body = String::new();
+    let mut read_until = |id: u64| {
+        while !body.contains(&format!("id: {id}\n")) {
+            body += &stream.next_chunk().expect("open stream").expect("next event");
+        }
+    };
+    // So few tokens are left that the run stays.
+    read_until(40);
+    let running = env.last_run_endpoint("r1");
+    let leaving = engines.iter_mut().find(|engine| engine.id == running).expect("running engine");
+    register_endpoint(&env.store, leaving, "engines", "a", "draining");
+    read_until(50);
+    assert_eq!(env.last_run_endpoint("r1"), running);
+    leaving.kill();
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, body + &reply.body), (true, complete_stream(EVENT_COUNT)));
+}
