daemon: a silent run ends with the first event of the other run, not with its head

Callers saw streams cut although their engine went on: the engine that was to take the run over sent the head of its answer and then no event. Cause: the head was taken for the start of the other run, and ended the silent one. What is held was let go before what replaces it was certain. A stream that fails before its first event has not started. Once the earlier run is gone, the head is enough, so that the pauses of the other run are watched as before. Moves off leaving engines use the same code.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -8,9 +8,9 @@
 use super::Generation;
 use super::migration::COPY_TIMEOUT_MS;
 use super::relay::STALL_PAUSE_FACTOR;
-use super::run::{Backup, Run, Silence, StartFrom, StartOutcome};
+use super::run::{Backup, EventStream, Run, Silence, StartFrom, StartOutcome};
 use super::unread::UnreadSignals;
-use crate::events::{EventReader, EventSequence};
+use crate::events::EventSequence;
 use crate::forwarding::{ContinuedRun, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
 use gypsumchute_exchange::{Connection, TcpTimeouts};
@@ -84,8 +84,7 @@
         };
         Run {
             is_at_peer: true,
-            response,
-            events: EventReader::default(),
+            stream: EventStream::new(response),
             backup: None,
             last_event_at: Instant::now(),
             unread: UnreadSignals::default(),
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -22,17 +22,17 @@
 
 use self::run::{
     Backup, GenerationEnd, NoRecovery, PreparedRun, RelayEnd, ResponseSender, Run, RunFailure,
-    Silence, StartFrom, StartOutcome,
+    SendResult, Silence, StartFrom, StartOutcome,
 };
 use self::trace::{RunProgress, RunTrace};
 use self::unread::UnreadSignals;
 use crate::call::{Call, EndedBy, RequestEnd};
-use crate::events::{Event, EventAction, EventReader, EventSequence};
+use crate::events::{Event, EventAction, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
 use crate::reply::{self, Reply, ReplyBody, StreamAborted};
-use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_exchange::Connection;
 use gypsumchute_platform::{ResponseKind, endpoints};
 use gypsumchute_routing::continuity::{
     GenerationState, Interruption, RecoveryAction, choose_recovery,
@@ -433,16 +433,12 @@
     }
 
     /// Handles the beginning of the response to the request of `prepared`.
-    async fn on_sent(
-        &mut self,
-        prepared: PreparedRun,
-        sent: Result<(ResponseStream, ResponseKind), ExchangeError>,
-    ) -> StartOutcome {
+    async fn on_sent(&mut self, prepared: PreparedRun, sent: SendResult) -> StartOutcome {
         let PreparedRun { endpoint, address, version, load_guard, backup, copy, .. } = prepared;
         // The load of the run counts instead of that of the copy from now on.
         let is_from_copy = copy.is_some();
         drop(copy);
-        let (mut response, kind) = match sent {
+        let (mut stream, kind) = match sent {
             Ok(sent) => sent,
             Err(err) => {
                 info!(request = self.call.id(), endpoint = endpoint.as_str(), error:% = err;
@@ -454,7 +450,7 @@
         info!(request = self.call.id(), endpoint = endpoint.as_str(),
             version = self.call.software_version(&endpoint),
             resumes = self.call.caller.resumed_request_id.as_ref().map_or("-", RequestId::as_str),
-            status = response.head.status.as_u16(),
+            status = stream.response.head.status.as_u16(),
             answer:? = kind, backup = backup.as_ref().map_or("-", |b| b.endpoint.as_str()),
             from_copy = is_from_copy, after_event:? = self.sequence.last_id(),
             tokens = self.call.load().reserved_tokens,
@@ -471,8 +467,7 @@
                 version,
                 continues_stream: self.version.is_some(),
                 is_at_peer: false,
-                response,
-                events: EventReader::default(),
+                stream,
                 backup,
                 last_event_at: Instant::now(),
                 unread: UnreadSignals::default(),
@@ -504,9 +499,9 @@
                     return StartOutcome::Lost(None);
                 }
                 let budget = &self.call.context.response_buffers;
-                let reading = response.read_body(MAX_ERROR_BODY_BYTES, budget);
+                let reading = stream.response.read_body(MAX_ERROR_BODY_BYTES, budget);
                 match timeout(Duration::from_millis(ERROR_BODY_TIMEOUT_MS), reading).await {
-                    Ok(Ok(body)) => StartOutcome::Failed(forward_response(&response, body)),
+                    Ok(Ok(body)) => StartOutcome::Failed(forward_response(&stream.response, body)),
                     Ok(Err(_)) | Err(_) => StartOutcome::Lost(None),
                 }
             }
@@ -581,8 +576,8 @@
         let elapsed_ms = boot_now().since(self.call.arrived_ms);
         self.call.context.metrics.record_first_token_latency(elapsed_ms as f64);
         let mut parts = Response::new(()).into_parts().0;
-        parts.status = run.response.head.status;
-        parts.headers = endpoints::response_headers(&run.response.head.headers);
+        parts.status = run.stream.response.head.status;
+        parts.headers = endpoints::response_headers(&run.stream.response.head.headers);
         // The send fails only if the caller has disconnected.
         drop(head.send(Ok(parts)));
     }
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -110,7 +110,7 @@
     fn on_completed(&mut self, run: &mut Run) {
         self.trace.alive_ms = None;
         self.call.record_completed();
-        if !run.response.ends_with_connection() {
+        if !run.stream.response.ends_with_connection() {
             self.call.record_sound_segments();
         }
         if !run.is_at_peer {
@@ -129,7 +129,12 @@
     }
 
     /// Records that the stream of a run at `endpoint` failed, which a peer VM relays if `is_at_peer`.
-    fn on_stream_failed(&mut self, endpoint: &EndpointId, is_at_peer: bool, failure: &RunFailure) {
+    pub(super) fn on_stream_failed(
+        &mut self,
+        endpoint: &EndpointId,
+        is_at_peer: bool,
+        failure: &RunFailure,
+    ) {
         self.log_stream_failure(endpoint, failure);
         match is_at_peer {
             true => self.count_failed_run(endpoint, EndedBy::Peer, failure),
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -90,6 +90,9 @@
     }
 }
 
+/// Beginning of a response, or why there is none.
+pub(super) type SendResult = Result<(EventStream, ResponseKind), ExchangeError>;
+
 /// A run whose request is about to be sent.
 pub(super) struct PreparedRun {
     pub(super) endpoint: EndpointId,
@@ -110,17 +113,14 @@
     /// # Errors
     ///
     /// Returns an error as [`Call::send`] does.
-    pub(super) async fn send(
-        &self,
-        call: &Call,
-        connection: Connection,
-    ) -> Result<(ResponseStream, ResponseKind), ExchangeError> {
+    pub(super) async fn send(&self, call: &Call, connection: Connection) -> SendResult {
         let options = SendOptions {
             backup_at: self.backup.as_ref().map(|backup| backup.address),
             source: self.copy.as_ref().map(|copy| &copy.source),
             last_event: self.after_event,
         };
-        call.send(connection, &self.endpoint, options).await
+        let (response, kind) = call.send(connection, &self.endpoint, options).await?;
+        Ok((EventStream::new(response), kind))
     }
 }
 
@@ -136,10 +136,8 @@
     pub(super) continues_stream: bool,
     /// Whether another VM relays the run, and has moved it away from `endpoint`.
     pub(super) is_at_peer: bool,
-    /// Response whose body is the event stream.
-    pub(super) response: ResponseStream,
-    /// Splits the response body into events.
-    pub(super) events: EventReader,
+    /// Event stream.
+    pub(super) stream: EventStream,
     /// Backup that the generation can resume from.
     pub(super) backup: Option<Backup>,
     /// When the last event arrived, or the response head if no event has arrived yet.
@@ -164,7 +162,20 @@
     Failed(RunFailure),
 }
 
-impl Run {
+/// The event stream of a run.
+pub(super) struct EventStream {
+    /// Response whose body is the event stream.
+    pub(super) response: ResponseStream,
+    /// Splits the response body into events.
+    events: EventReader,
+}
+
+impl EventStream {
+    /// Reads the body of `response`.
+    pub(super) fn new(response: ResponseStream) -> Self {
+        EventStream { response, events: EventReader::default() }
+    }
+
     /// Waits for the next event or the end of the stream. No bytes are lost if this is cancelled.
     pub(super) async fn next_signal(&mut self) -> RunSignal {
         loop {
@@ -180,6 +191,13 @@
             }
         }
     }
+}
+
+impl Run {
+    /// Waits for the next event or the end of the stream. No bytes are lost if this is cancelled.
+    pub(super) async fn next_signal(&mut self) -> RunSignal {
+        self.stream.next_signal().await
+    }
 
     /// Returns `signal`, or a failure in place of the end of a stream that will not be complete once
     /// what is unread was delivered. See [`Self::check_end`].
@@ -220,10 +238,10 @@
         delivered_events: u64,
     ) -> Result<(), RunFailure> {
         // A stream without framing ends so if the connection breaks.
-        if self.events.has_partial_event() {
+        if self.stream.events.has_partial_event() {
             return Err(RunFailure::Disconnected("stream ended within an event".to_owned()));
         }
-        if !sequence.is_reached_by(self.events.last_id()) {
+        if !sequence.is_reached_by(self.stream.events.last_id()) {
             return Err(RunFailure::InvalidResponse("stream ended too early".to_owned()));
         }
         if delivered_events == 0 {
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -1,24 +1,28 @@
 //! Starts a run at another engine in the place of one that is still there.
 //!
 //! Once the request was sent, two runs may be at work. What the earlier one brings is kept unread, so that
-//! the caller receives the events of one run only. The first answer of the other engine ends the earlier
-//! run, and a rejection leaves it as it was. If there is neither in time, the other engine's run is given
+//! the caller receives the events of one run only. The first event of the other run ends the earlier
+//! one, and a rejection or a failure leaves it as it was. If there is neither in time, the other engine's run is given
 //! up, unless the earlier one counts as stalled: a request that is not rejected at once has usually been
 //! accepted.
 
 use super::Generation;
-use super::run::{Backup, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, StartOutcome};
+use super::run::{
+    Backup, EventStream, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, SendResult,
+    StartOutcome,
+};
 use super::trace::RunTrace;
 use crate::call::EndedBy;
 use crate::placing::EndpointConnection;
-use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_exchange::Connection;
 use gypsumchute_platform::ResponseKind;
 use gypsumchute_routing::continuity::Interruption;
 use log::info;
+use std::future::pending;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Maximum wait for the answer of the other engine while the earlier run is active, in milliseconds.
+/// Maximum wait for the first event of the other run while the earlier run is active, in milliseconds.
 /// Two runs of one generation must not be active at once for 400 ms, and this limit ends one of them
 /// well before that.
 const CUTOVER_TIMEOUT_MS: u64 = 250;
@@ -61,8 +65,14 @@
     GivenUp,
 }
 
-/// Beginning of a response, or why there is none.
-type SendResult = Result<(ResponseStream, ResponseKind), ExchangeError>;
+/// What the request to the other engine has brought.
+#[derive(Default)]
+struct OtherAnswer {
+    /// Beginning of the response; `None` if the other run is given up.
+    sent: Option<SendResult>,
+    /// What its stream brought first, if that was waited for.
+    first: Option<RunSignal>,
+}
 
 impl Generation {
     /// Starts a run at `placed` in the place of `run`. It continues from `copy`, or from the prompt.
@@ -78,13 +88,16 @@
         let is_from_copy = copy.is_some();
         self.kept_trace = Some(self.trace.clone());
         let (connection, prepared) = self.prepare_run(placed, copy);
-        let (sent, earlier) = self.send_beside(run, &prepared, connection).await;
+        let (answer, earlier) = self.send_beside(run, &prepared, connection).await;
         if let EarlierRun::Failed(failure, at) = &earlier {
             self.log_stream_failure(&earlier_endpoint, failure);
             self.count_failed_run(&earlier_endpoint, *at, failure);
         }
-        let outcome = match sent {
-            Some(sent) => Some(self.on_sent(prepared, sent).await),
+        let outcome = match answer.sent {
+            Some(sent) => {
+                let outcome = self.on_sent(prepared, sent).await;
+                Some(self.on_first_signal(outcome, answer.first))
+            }
             None => {
                 self.give_up_unanswered(prepared);
                 None
@@ -116,18 +129,38 @@
         }
     }
 
-    /// Sends the request of `prepared` while `run` is kept, and returns what became of both. There is no
-    /// result of the send if the other engine's run is given up.
+    /// Adds what the stream of a run that has started at the other engine brought first. A stream that
+    /// fails before its first event has not started.
+    fn on_first_signal(&mut self, outcome: StartOutcome, first: Option<RunSignal>) -> StartOutcome {
+        let (mut run, first) = match (outcome, first) {
+            (StartOutcome::Running(run), Some(first)) => (run, first),
+            (outcome, _) => return outcome,
+        };
+        match run.checked(first, &self.sequence, self.delivered_events) {
+            RunSignal::Failed(failure) => {
+                self.on_stream_failed(&run.endpoint, false, &failure);
+                StartOutcome::Lost(None)
+            }
+            signal @ (RunSignal::Event(_) | RunSignal::Ended) => {
+                run.unread.push(signal);
+                StartOutcome::Running(run)
+            }
+        }
+    }
+
+    /// Sends the request of `prepared` while `run` is kept, and returns what became of both. While `run`
+    /// is there, the answer includes the first signal of the other run.
     async fn send_beside(
         &mut self,
         mut run: Box<Run>,
         prepared: &PreparedRun,
         connection: Connection,
-    ) -> (Option<SendResult>, EarlierRun) {
+    ) -> (OtherAnswer, EarlierRun) {
         let stalled_at = self.stalled_at(&run);
         let sending = prepared.send(&self.call, connection);
         let cutover = cutover_due();
         tokio::pin!(sending, cutover);
+        let mut other: Option<EventStream> = None;
         let earlier = loop {
             tokio::select! {
                 biased;
@@ -139,14 +172,24 @@
                         signal @ RunSignal::Event(_) => run.unread.push(signal),
                         RunSignal::Ended => {
                             run.unread.push(RunSignal::Ended);
-                            return (None, EarlierRun::Kept(run));
+                            return (OtherAnswer::default(), EarlierRun::Kept(run));
                         }
                     }
                 }
-                sent = sending.as_mut() => return (Some(sent), EarlierRun::Kept(run)),
+                sent = sending.as_mut(), if other.is_none() => match sent {
+                    Ok((stream, ResponseKind::Success)) => other = Some(stream),
+                    sent => {
+                        let answer = OtherAnswer { sent: Some(sent), first: None };
+                        return (answer, EarlierRun::Kept(run));
+                    }
+                },
+                first = first_signal(&mut other) => {
+                    let sent = other.map(|stream| Ok((stream, ResponseKind::Success)));
+                    return (OtherAnswer { sent, first: Some(first) }, EarlierRun::Kept(run));
+                }
                 () = cutover.as_mut() => {
                     if !run.unread.is_empty() || Instant::now() < stalled_at {
-                        return (None, EarlierRun::Kept(run));
+                        return (OtherAnswer::default(), EarlierRun::Kept(run));
                     }
                     break EarlierRun::GivenUp;
                 }
@@ -162,7 +205,11 @@
                 EarlierRun::Failed(..) | EarlierRun::Kept(_) => {}
             }
         }
-        (Some(sending.await), earlier)
+        let sent = match other {
+            Some(stream) => Ok((stream, ResponseKind::Success)),
+            None => sending.await,
+        };
+        (OtherAnswer { sent: Some(sent), first: None }, earlier)
     }
 
     /// Records that the run of `prepared`, whose engine has not answered, is given up. Its connection is
@@ -178,6 +225,14 @@
     }
 }
 
+/// Waits for what `stream` brings first; never returns if there is none.
+async fn first_signal(stream: &mut Option<EventStream>) -> RunSignal {
+    match stream {
+        Some(stream) => stream.next_signal().await,
+        None => pending().await,
+    }
+}
+
 /// Completes when one of two runs must end.
 async fn cutover_due() {
     sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -231,6 +231,7 @@
     assert_eq!(env.last_run_endpoint("r1"), "engine-3");
     assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
 }
+
 /// Guards against requests that wait in the queue behind the search of a silent stream, which can't use
 /// the room that they could.
 #[test]
@@ -264,3 +265,16 @@
     let delayed = times_ms.iter().filter(|(status, ms)| *status != 200 || *ms > 150).count();
     assert_eq!(delayed, 0, "{times_ms:?}");
 }
+
+/// Guards against a silent run being given up for an engine that accepts the request and then sends no
+/// event, while the run goes on a moment later.
+#[test]
+fn a_silent_stream_goes_on_at_its_engine_if_that_sends_the_first_event() {
+    for route in ["briefs", "surveys"] {
+        let other = Behaviour::Streams { events: 20, event_interval_ms: 60_000 };
+        let (env, _engines, _, reply) = stream_beside(route, 700, other);
+        assert_eq!((reply.complete, reply.body), (true, complete_stream(20)), "{route}");
+        eventually("the other run to end", || env.endpoint_state.active_executions("r1") == 0);
+        assert!(env.endpoint_state.longest_overlap_ms("r1") < MAX_OVERLAP_MS);
+    }
+}
