daemon: a backup whose engine turned a silent run away is kept

Callers saw streams that may not be repeated end with their engine, although another engine held their backup: that engine had turned the run away when the first one was only silent. Cause: the rejection dropped the backup, and so did a short lapse of its engine's registry entry. A silence that was no loss cost the stream what it needed later. Change: a copy that was not used goes back to the run. The engine that holds it is asked once for each silence, and again after a loss.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -112,7 +112,7 @@
         let Some(backup) = self.stop_and_copy(&run).await else { return lost() };
         match self.start_run(StartFrom::Backup(backup)).await {
             // The run was stopped and can't begin anew.
-            StartOutcome::NotRun => lost(),
+            StartOutcome::NotRun(_) => lost(),
             outcome => outcome,
         }
     }
--- a/crates/daemon/src/generation/migration.rs
+++ b/crates/daemon/src/generation/migration.rs
@@ -153,7 +153,7 @@
         let other = placed.endpoint.clone();
         match self.switch_run(run, placed, Some(backup)).await {
             Switch::Done { run, .. } => Ok(run),
-            Switch::Kept(mut run, not_started) => {
+            Switch::Kept { mut run, not_started, .. } => {
                 if not_started == NotStarted::Unanswered {
                     self.excluded.insert(other);
                 }
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -245,10 +245,10 @@
                     RelayEnd::Failed(reply) => return GenerationEnd::Failed(reply),
                 },
                 StartOutcome::Lost(backup) => self.after_loss(Interruption::Disconnected, backup),
-                StartOutcome::NotRun if from_backup => {
+                StartOutcome::NotRun(_) if from_backup => {
                     self.after_loss(Interruption::Disconnected, None)
                 }
-                StartOutcome::NotRun => self.after_rejection(),
+                StartOutcome::NotRun(_) => self.after_rejection(),
                 StartOutcome::Refused(refusal) => return GenerationEnd::Refused(refusal),
                 StartOutcome::Failed(reply) => return GenerationEnd::Failed(reply),
                 StartOutcome::Forwarded(reply) => return GenerationEnd::Forwarded(reply),
@@ -394,7 +394,7 @@
             },
             StartFrom::Backup(backup) => match self.connect_to_backup(&backup).await {
                 Ok(placed) => self.start_run_at(placed, Some(backup)).await,
-                Err(None) => StartOutcome::NotRun,
+                Err(None) => StartOutcome::NotRun(Some(backup)),
                 Err(Some(refusal)) => StartOutcome::Refused(refusal),
             },
         }
@@ -435,9 +435,7 @@
     /// Handles the beginning of the response to the request of `prepared`.
     async fn on_sent(&mut self, prepared: PreparedRun, sent: SendResult) -> StartOutcome {
         let PreparedRun { endpoint, address, version, load_guard, backup, copy, .. } = prepared;
-        // The load of the run counts instead of that of the copy from now on.
         let is_from_copy = copy.is_some();
-        drop(copy);
         let (mut stream, kind) = match sent {
             Ok(sent) => sent,
             Err(err) => {
@@ -460,6 +458,8 @@
             ResponseKind::Success => self.trace.progress = RunProgress::Began,
             _ => self.trace.alive_ms = None,
         }
+        // The load of the run counts instead of that of the copy, unless the copy is left.
+        let copy = copy.filter(|_| kind == ResponseKind::NotRun);
         match kind {
             ResponseKind::Success => StartOutcome::Running(Box::new(Run {
                 endpoint,
@@ -477,7 +477,7 @@
             })),
             // The engine does not hold this backup, but can still run the generation from the
             // prompt.
-            ResponseKind::NotRun if is_from_copy => StartOutcome::NotRun,
+            ResponseKind::NotRun if is_from_copy => StartOutcome::NotRun(copy),
             ResponseKind::NotRun | ResponseKind::WrongEndpoint => {
                 // An endpoint that asked for a pause is not at fault, and is passed over until its end.
                 if !self.call.context.has_pause(&endpoint) {
@@ -487,7 +487,7 @@
                         self.turned_away.insert(endpoint);
                     }
                 }
-                StartOutcome::NotRun
+                StartOutcome::NotRun(None)
             }
             ResponseKind::Failure => {
                 self.call.context.record_outcome(&endpoint, RequestOutcome::EngineError);
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -146,9 +146,7 @@
     /// generation could neither resume from a backup nor restart: the run is then kept however long it
     /// pauses.
     fn stall_deadline(&self, run: &Run) -> Option<Instant> {
-        let backup = run.backup.as_ref();
-        let has_backup = backup.is_some_and(|backup| self.is_usable(backup));
-        self.choose_replacement(has_backup)?;
+        self.choose_replacement(self.may_ask_backup(run))?;
         let stalled_at = self.stalled_at(run);
         Some(run.silence.next_search_at.map_or(stalled_at, |at| at.max(stalled_at)))
     }
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -66,27 +66,28 @@
         if run.silence.next_search_at.is_some() {
             self.record_silence(&mut run);
         }
-        let backup = run.backup.take().filter(|backup| self.is_usable(backup));
-        let Some(next) = self.choose_replacement(backup.is_some()) else {
-            return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
+        let may_ask_backup = self.may_ask_backup(&run);
+        let Some(next) = self.choose_replacement(may_ask_backup) else {
+            return Ok(self.keep_silent_run(run, KeptBecause::NoEngine));
         };
         let service = &self.call.service.id;
         let needs_retry = next == RecoveryAction::Restart;
         // Without a retry, an engine's room would be taken in vain.
         if needs_retry && !self.call.context.has_retry(service) {
-            return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
+            return Ok(self.keep_silent_run(run, KeptBecause::RetryBudgetSpent));
         }
         let mut excluded = self.excluded.clone();
         excluded.extend(run.silence.turned_away.iter().chain([&run.endpoint]).cloned());
         let mut unresponsive = std::mem::take(&mut run.silence.unresponsive);
         let known_unresponsive = unresponsive.len();
+        let backup = run.backup.as_ref().filter(|_| may_ask_backup);
         let found = tokio::select! {
             biased;
-            signal = run.next_signal() => {
+            signal = run.stream.next_signal() => {
                 run.unread.push(signal);
-                return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
+                return Ok(self.keep_silent_run(run, KeptBecause::SignOfLife));
             }
-            found = self.connect_replacement(excluded, backup.as_ref(), &mut unresponsive) => found,
+            found = self.connect_replacement(excluded, backup, &mut unresponsive) => found,
             () = sleep(Duration::from_millis(MAX_SEARCH_MS)) => None,
         };
         // With no other engine left, those that did not respond are tried again.
@@ -97,17 +98,25 @@
         // If this process was suspended, what has arrived meanwhile is read first.
         if let Ok(signal) = timeout(Duration::from_millis(READ_GRACE_MS), run.next_signal()).await {
             run.unread.push(signal);
-            return Ok(self.keep_silent_run(run, backup, KeptBecause::SignOfLife));
+            return Ok(self.keep_silent_run(run, KeptBecause::SignOfLife));
         }
         self.record_silence(&mut run);
         let Some(placed) = found else {
-            return Ok(self.keep_silent_run(run, backup, KeptBecause::NoEngine));
+            return Ok(self.keep_silent_run(run, KeptBecause::NoEngine));
         };
         if needs_retry && !self.call.context.take_retry(service, Interruption::Stalled.into()) {
-            return Ok(self.keep_silent_run(run, backup, KeptBecause::RetryBudgetSpent));
+            return Ok(self.keep_silent_run(run, KeptBecause::RetryBudgetSpent));
         }
         self.log_recovery(Interruption::Stalled, next);
-        self.take_over_silent_run(run, placed, backup).await
+        let copy = if may_ask_backup { run.backup.take() } else { None };
+        self.take_over_silent_run(run, placed, copy).await
+    }
+
+    /// Reports whether the engine that holds the backup of `run` is asked to take the run over: it is
+    /// asked once for each silence.
+    pub(super) fn may_ask_backup(&self, run: &Run) -> bool {
+        let backup = run.backup.as_ref();
+        !run.silence.is_backup_refused && backup.is_some_and(|backup| self.is_usable(backup))
     }
 
     /// Records once that the engine of `run` is silent.
@@ -174,8 +183,12 @@
                 self.call.context.metrics.count_silent_run("replaced");
                 Ok(run)
             }
-            Switch::Kept(mut run, not_started) => {
+            Switch::Kept { mut run, not_started, copy } => {
                 self.excluded = excluded_before;
+                if copy.is_some() {
+                    run.silence.is_backup_refused = true;
+                    run.backup = copy;
+                }
                 if not_started == NotStarted::TurnedAway {
                     run.silence.turned_away.insert(other);
                 }
@@ -183,7 +196,7 @@
                     NotStarted::Unanswered => KeptBecause::SignOfLife,
                     NotStarted::CopyMissing | NotStarted::TurnedAway => KeptBecause::NotStarted,
                 };
-                Ok(self.keep_silent_run(run, None, because))
+                Ok(self.keep_silent_run(run, because))
             }
             Switch::Lost(relay_end) => Err(relay_end),
         }
@@ -203,19 +216,13 @@
         }
     }
 
-    /// Returns the silent `run`, with its `backup`, as the run that the generation continues with.
-    fn keep_silent_run(
-        &self,
-        mut run: Box<Run>,
-        backup: Option<Backup>,
-        because: KeptBecause,
-    ) -> Box<Run> {
+    /// Returns the silent `run` as the run that the generation continues with.
+    fn keep_silent_run(&self, mut run: Box<Run>, because: KeptBecause) -> Box<Run> {
         info!(request = self.call.id(), endpoint = run.endpoint.as_str(), because:% = because,
             silent_ms = run.last_event_at.elapsed().as_millis() as u64,
             events = self.delivered_events, left_ms = self.call.remaining_ms();
             "silent run stays at its engine");
         self.call.context.metrics.count_silent_run(because.into());
-        run.backup = backup;
         run.silence.next_search_at =
             Some(Instant::now() + Duration::from_millis(SEARCH_INTERVAL_MS));
         run
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -204,7 +204,7 @@
             }
             let version = backup.version;
             match self.start_run(StartFrom::Backup(backup)).await {
-                StartOutcome::NotRun => {}
+                StartOutcome::NotRun(_) => {}
                 StartOutcome::Running(run) => {
                     let stream = self.stream_key(first_attempt);
                     self.bind_resumed_stream(Some(stream), version, VersionSource::Backup);
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -258,6 +258,8 @@
     pub(super) next_search_at: Option<Instant>,
     /// Whether the silence was recorded against the engine.
     pub(super) is_recorded: bool,
+    /// Whether the engine that holds the backup did not start a run.
+    pub(super) is_backup_refused: bool,
     /// Engines that did not start a run in place of this one.
     pub(super) turned_away: BTreeSet<EndpointId>,
     /// Engines that accepted a connection and did not report their state.
@@ -276,8 +278,9 @@
 pub(super) enum StartOutcome {
     /// The engine accepted the request and streams events.
     Running(Box<Run>),
-    /// The engine rejected the request without running it.
-    NotRun,
+    /// The engine rejected the request without running it. Contains the copy that the run was to
+    /// continue from, if there was one: the engine may still hold it, or receive it later.
+    NotRun(Option<Backup>),
     /// The engine may have started the run but sent no usable response; contains the backup, if the
     /// request asked for one.
     Lost(Option<Backup>),
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -39,7 +39,12 @@
         earlier: Option<(Box<Run>, RunTrace)>,
     },
     /// The earlier run goes on.
-    Kept(Box<Run>, NotStarted),
+    Kept {
+        run: Box<Run>,
+        not_started: NotStarted,
+        /// Copy that the other engine may still hold, or receive later.
+        copy: Option<Backup>,
+    },
     /// No run is left.
     Lost(RelayEnd),
 }
@@ -111,12 +116,14 @@
             (Some(StartOutcome::Running(run)), _) => Switch::Done { run, earlier: None },
             (outcome, EarlierRun::Kept(run)) => {
                 self.trace = trace;
-                let not_started = match outcome {
-                    None => NotStarted::Unanswered,
-                    Some(StartOutcome::NotRun) if is_from_copy => NotStarted::CopyMissing,
-                    Some(_) => NotStarted::TurnedAway,
+                let (not_started, copy) = match outcome {
+                    None => (NotStarted::Unanswered, None),
+                    Some(StartOutcome::NotRun(copy)) if is_from_copy => {
+                        (NotStarted::CopyMissing, copy)
+                    }
+                    Some(_) => (NotStarted::TurnedAway, None),
                 };
-                Switch::Kept(run, not_started)
+                Switch::Kept { run, not_started, copy }
             }
             (Some(StartOutcome::Lost(backup)), _) => {
                 Switch::Lost(RelayEnd::Lost(Interruption::Disconnected, backup))
--- a/crates/daemon/tests/testsuite/silent_engines.rs
+++ b/crates/daemon/tests/testsuite/silent_engines.rs
@@ -232,6 +232,26 @@
     assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
 }
 
+/// Guards against a silence that was no loss costing the stream its backup, whose engine had no room at
+/// that time.
+#[test]
+fn a_backup_that_was_turned_away_once_is_used_after_a_loss() {
+    let (env, mut engines) = pausing_engines(2);
+    let mut stream = generation_request("surveys", "r1").send(env.daemon.address());
+    let mut body = stream.next_chunk().expect("open stream").expect("next event");
+    let silent = env.last_run_endpoint("r1");
+    let (silent, other): (Vec<_>, Vec<_>) =
+        engines.iter_mut().partition(|engine| engine.id == silent);
+    other[0].set_behaviour(Behaviour::Rejects);
+    while !body.contains("id: 11\n") {
+        body += &stream.next_chunk().expect("open stream").expect("next event");
+    }
+    other[0].set_behaviour(Behaviour::Streams { events: 20, event_interval_ms: 10 });
+    silent.into_iter().for_each(Endpoint::kill);
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, body + &reply.body), (true, complete_stream(20)));
+}
+
 /// Guards against requests that wait in the queue behind the search of a silent stream, which can't use
 /// the room that they could.
 #[test]
