daemon: a stream is complete only if its generation says so

A generation and the body of its response share a channel. No line named the request.

The generation now marks the stream as complete, and a channel that closes without that aborts the response. The mark needs no room at a caller that reads slowly; the error that aborted a stream before did. The panic is caught, counted as gypsumchute_panics_total{task}, and logged with the id of the request; a request without a response head is refused as one that may have run, as before.

a_stream_whose_task_panics_is_aborted: two engines are lost under a stream, and the task panics as it connects anew.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -31,7 +31,8 @@
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
 use crate::plain::forward_response;
-use crate::reply::{self, Reply, ReplyBody, StreamAborted};
+use crate::reply::{Reply, ReplyBody, StreamBody, StreamCompletion};
+use crate::supervision::catch_panic;
 use gypsumchute_exchange::Connection;
 use gypsumchute_platform::{ResponseKind, endpoints};
 use gypsumchute_routing::continuity::{
@@ -70,12 +71,24 @@
     let (head, head_rx) = oneshot::channel();
     let (events, events_rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
     let buffer = Arc::new(Semaphore::new(MAX_BUFFERED_BYTES));
-    let response_sender = ResponseSender { head: Some(head), events, buffer };
-    spawn_local(Generation::new(call, response_sender).run());
+    let completion = StreamCompletion::default();
+    let body = StreamBody::new(events_rx, completion.clone());
+    let response_sender = ResponseSender { head: Some(head), events, completion, buffer };
+    let context = call.context.clone();
+    spawn_local(run_to_end(call, response_sender));
     match head_rx.await {
-        Ok(Ok(head)) => Response::from_parts(head, ReplyBody::Stream(events_rx)),
+        Ok(Ok(head)) => Response::from_parts(head, ReplyBody::Stream(body)),
         Ok(Err(reply)) => reply,
-        Err(_) => reply::refusal_reply(Refusal::may_have_run(RefusalReason::EndpointLost)),
+        Err(_) => context.panicked_reply(),
+    }
+}
+
+/// Runs a generation. A stream that has begun is aborted if the generation panics.
+async fn run_to_end(call: Call, response_sender: ResponseSender) {
+    let (context, request_id) = (call.context.clone(), call.id().to_owned());
+    let generation = Generation::new(call, response_sender).run();
+    if catch_panic(&context.metrics, "generation", generation).await.is_err() {
+        context.log_panicked_request(&request_id);
     }
 }
 
@@ -153,14 +166,16 @@
             let traces = kept_trace.iter_mut().chain([&mut self.trace]);
             traces.for_each(|trace| trace.record_silent(&self.call));
         }
-        self.finish(end, silent_ms).await;
+        self.finish(end, silent_ms);
     }
 
-    /// Logs the outcome and sends the final reply, or aborts a stream that has already started.
+    /// Logs the outcome, and sends the final reply or marks the stream as complete. A stream that has
+    /// already started is aborted otherwise.
     /// `silent_ms` is the time since the last sign of life of the run, if there is one.
-    async fn finish(&mut self, end: GenerationEnd, silent_ms: Option<u64>) {
+    fn finish(&mut self, end: GenerationEnd, silent_ms: Option<u64>) {
         let ended_by = self.ended_by(&end);
         let cause = self.end_cause(&end);
+        let is_complete = matches!(end, GenerationEnd::Complete);
         let (outcome, reply) = match end {
             GenerationEnd::Complete => ("answered", None),
             GenerationEnd::CallerDisconnected => ("caller_left", None),
@@ -188,11 +203,11 @@
             events: self.delivered_events,
             silent_ms,
         });
-        let Some(reply) = reply else { return };
-        match self.response_sender.head.take() {
-            // The send fails only if the caller has disconnected, and then no reply is needed.
-            Some(head) => drop(head.send(Err(reply))),
-            None => drop(self.response_sender.events.send(Err(StreamAborted)).await),
+        // The send fails only if the caller has disconnected, and then no reply is needed.
+        match (reply, self.response_sender.head.take()) {
+            (Some(reply), Some(head)) => drop(head.send(Err(reply))),
+            (None, _) if is_complete => self.response_sender.completion.set_complete(),
+            (None, _) | (Some(_), None) => {}
         }
     }
 
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -4,7 +4,7 @@
 use crate::call::{Call, EndedBy, SendOptions};
 use crate::context::LoadGuard;
 use crate::events::{Event, EventError, EventReader, EventSequence};
-use crate::reply::{QueuedChunk, Reply, StreamAborted};
+use crate::reply::{QueuedChunk, Reply, StreamCompletion};
 use bytes::Bytes;
 use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
 use gypsumchute_platform::endpoints::{CopyError, KvCopy, free_kv_copy};
@@ -31,8 +31,10 @@
     /// Channel for the response head, or for a complete reply in place of a stream. `None` once
     /// used.
     pub(super) head: Option<oneshot::Sender<Result<Parts, Reply>>>,
-    /// Channel for the body: complete events, or an error that aborts the stream.
-    pub(super) events: mpsc::Sender<Result<QueuedChunk, StreamAborted>>,
+    /// Channel for the complete events of the body.
+    pub(super) events: mpsc::Sender<QueuedChunk>,
+    /// Whether the stream is complete once its events are read. It is aborted otherwise.
+    pub(super) completion: StreamCompletion,
     /// Room for events that the caller has not read, in bytes.
     pub(super) buffer: Arc<Semaphore>,
 }
@@ -47,7 +49,7 @@
             () = self.events.closed() => return false,
         };
         let Ok(permit) = room else { return false };
-        self.events.send(Ok(QueuedChunk { bytes, permit })).await.is_ok()
+        self.events.send(QueuedChunk { bytes, permit }).await.is_ok()
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -48,3 +48,4 @@
 pub mod store_reader;
 pub mod store_updates;
 pub mod stream_gossip;
+pub mod supervision;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -9,9 +9,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 use log::info;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
@@ -62,11 +64,48 @@
     /// The complete body; `None` once it was sent.
     Full(Option<Bytes>),
     /// Chunks as they arrive. The sender is notified when the caller disconnects.
-    Stream(mpsc::Receiver<Result<QueuedChunk, StreamAborted>>),
+    Stream(StreamBody),
     /// The response of another VM, as it arrives.
     Relayed(Box<RelayedBody>),
 }
 
+/// Body of a stream. Its end is an abort unless the sender has marked it as complete before: a sender
+/// may also be gone because its task has panicked.
+pub struct StreamBody {
+    chunks: mpsc::Receiver<QueuedChunk>,
+    completion: StreamCompletion,
+}
+
+/// Whether all chunks of a stream have been queued, shared by its sender and its body.
+#[derive(Debug, Clone, Default)]
+pub struct StreamCompletion(Rc<Cell<bool>>);
+
+impl StreamCompletion {
+    /// Marks the stream as complete: nothing follows the chunks that have been queued.
+    pub fn set_complete(&self) {
+        self.0.set(true);
+    }
+}
+
+impl StreamBody {
+    /// Creates the body of the stream that the sender of `chunks` marks as complete at `completion`.
+    pub fn new(chunks: mpsc::Receiver<QueuedChunk>, completion: StreamCompletion) -> Self {
+        StreamBody { chunks, completion }
+    }
+
+    /// Polls the next frame of the body.
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
+        Poll::Ready(match ready!(self.chunks.poll_recv(cx)) {
+            Some(queued) => Some(Ok(Frame::data(queued.bytes))),
+            None if self.completion.0.get() => None,
+            None => Some(Err(StreamAborted)),
+        })
+    }
+}
+
 /// Body of another VM's response. Its end is logged and counted.
 pub struct RelayedBody {
     response: ResponseStream,
@@ -147,10 +186,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         match self.get_mut() {
             ReplyBody::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            ReplyBody::Stream(chunks) => {
-                let chunk = chunks.poll_recv(cx);
-                chunk.map(|chunk| chunk.map(|chunk| chunk.map(|queued| Frame::data(queued.bytes))))
-            }
+            ReplyBody::Stream(body) => body.poll_frame(cx),
             ReplyBody::Relayed(body) => body.poll_frame(cx),
         }
     }
--- a/crates/daemon/tests/testsuite/links.rs
+++ b/crates/daemon/tests/testsuite/links.rs
@@ -18,6 +18,8 @@
     Reset,
     /// New connections are refused, and open ones live on.
     RefusesNew,
+    /// The task that opens a connection panics, and open connections live on.
+    Panics,
 }
 
 /// The ways of cutting links.
@@ -63,7 +65,7 @@
         let fault = match cut {
             Cut::Silent => Fault::Stall,
             Cut::Reset => Fault::CloseConnections,
-            Cut::RefusesNew => Fault::NoFault,
+            Cut::RefusesNew | Cut::Panics => Fault::NoFault,
         };
         let affected = state.proxies.iter().filter(|(endpoint, _)| state.is_affected(endpoint));
         affected.for_each(|(_, proxy)| proxy.set_fault(fault));
@@ -96,6 +98,7 @@
         match cut {
             None => Box::pin(TcpStream::connect(self.address_of(address))),
             Some(Cut::Silent) => Box::pin(pending()),
+            Some(Cut::Panics) => Box::pin(async { panic!("the links of this test panic") }),
             Some(Cut::Reset | Cut::RefusesNew) => {
                 Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
             }
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod migrations;
 mod odd_entries;
 mod out_of_step;
+mod panics;
 mod paused_endpoints;
 mod peer_sync;
 mod peer_verdicts;
--- /dev/null
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -0,0 +1,66 @@
+//! Tasks of the daemon that panic.
+
+use crate::links::{Cut, Links};
+use crate::support::{Daemon, configured_store, eventually, generation_request, register_endpoint};
+use gypsumchute_config::ConfigSource;
+use gypsumchute_platform_standin::{
+    Behaviour, CallerRequest, Endpoint, SharedEndpointState, Store,
+};
+
+/// An engine that streams for 4 s.
+const STREAM: Behaviour = Behaviour::Streams { events: 200, event_interval_ms: 20 };
+
+/// A daemon whose tasks panic as they open connections, once `links` are cut accordingly.
+struct PanickyDaemon {
+    store: Store,
+    endpoint_state: SharedEndpointState,
+    links: Links,
+    daemon: Daemon,
+}
+
+impl PanickyDaemon {
+    fn start() -> Self {
+        let (store, links) = (configured_store(), Links::default());
+        let source = ConfigSource::Store(store.address());
+        let daemon = Daemon::start_behind(&links, source, "vm-1", "a", &[]);
+        daemon.wait_ready(true);
+        PanickyDaemon { store, endpoint_state: SharedEndpointState::default(), links, daemon }
+    }
+
+    /// Starts endpoints and waits until `request` is answered, by which time they are known.
+    fn start_endpoints(
+        &self,
+        ids: &[&str],
+        service: &str,
+        behaviour: Behaviour,
+        request: &CallerRequest,
+    ) -> Vec<Endpoint> {
+        let start = |id: &&str| Endpoint::start(&self.endpoint_state, id, behaviour);
+        let endpoints: Vec<_> = ids.iter().map(start).collect();
+        endpoints.iter().for_each(|e| register_endpoint(&self.store, e, service, "a", "ready"));
+        let address = self.daemon.address();
+        eventually("an answer", || request.try_send(address).is_ok_and(|r| r.status == 200));
+        endpoints
+    }
+
+    /// Waits until the metrics count this number of panics of `task`.
+    fn wait_for_panics(&self, task: &str, count: u64) {
+        let expected = format!("gypsumchute_panics_total{{task=\"{task}\"}} {count}");
+        eventually(&expected, || self.daemon.metrics().lines().any(|line| line == expected));
+    }
+}
+
+/// Guards against ORDER: a stream whose task panics ends as if it were complete.
+#[test]
+fn a_stream_whose_task_panics_is_aborted() {
+    let env = PanickyDaemon::start();
+    let probe = generation_request("briefs", "probe");
+    let mut engines = env.start_endpoints(&["engine-1", "engine-2"], "engines", STREAM, &probe);
+    let request = generation_request("briefs", "r1").output_tokens(100, 80);
+    let mut stream = request.send(env.daemon.address());
+    stream.next_chunk().expect("open stream").expect("next event");
+    env.links.cut(Cut::Panics);
+    engines.iter_mut().for_each(Endpoint::kill);
+    assert!(!stream.read_to_end().complete, "a stream that broke off looks complete");
+    env.wait_for_panics("generation", 1);
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -63,6 +63,7 @@
     forwarded: Counter<u64>,
     request_ends: Counter<u64>,
     silent_runs: Counter<u64>,
+    panics: Counter<u64>,
     admitted: Counter<u64>,
     charges: Counter<u64>,
     tokens: Counter<u64>,
@@ -95,6 +96,7 @@
             forwarded: meter.u64_counter("gypsumchute_forwarded_requests").build(),
             request_ends: meter.u64_counter("gypsumchute_request_ends").build(),
             silent_runs: meter.u64_counter("gypsumchute_silent_runs").build(),
+            panics: meter.u64_counter("gypsumchute_panics").build(),
             admitted: meter.u64_counter("gypsumchute_admitted").build(),
             charges: meter.u64_counter("gypsumchute_rate_charges").build(),
             tokens: meter.u64_counter("gypsumchute_tokens").build(),
@@ -151,6 +153,11 @@
         self.silent_runs.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a panic of a task, by what the task does.
+    pub fn count_panic(&self, task: &'static str) {
+        self.panics.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Counts a request that was admitted, by route.
     pub fn count_admitted_request(&self, route: &str) {
         self.admitted.add(1, &[KeyValue::new("route", route.to_owned())]);
