daemon: a request whose task panics is answered

A panic in a request's handler ended the task of the caller's connection. The connection was closed without an answer and without a line, also if the request had been passed on to a sound endpoint (LOST).

The panic is now caught around the handler, counted and logged with the id of the request. The caller gets a 502 that promises nothing, and the connection is closed after it, since the request body may not have been read. The same holds for requests that peers forward.

--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -6,6 +6,7 @@
 use crate::forwarding::Origin;
 use crate::possible_runs::PossibleRuns;
 use crate::reply::{self, Reply};
+use crate::supervision::{TaskPanicked, catch_panic};
 use crate::{generation, plain};
 use bytes::Bytes;
 use gypsumchute_exchange::{
@@ -15,7 +16,7 @@
 use gypsumchute_routing::{Customer, IngressLimits, Route, RouteKind, RoutingTable, Service};
 use gypsumchute_units::rendezvous::hash64;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, Fingerprint, Refusal, RefusalReason, SegmentId};
+use gypsumchute_units::{BootMs, Fingerprint, Refusal, RefusalReason, RequestId, SegmentId};
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request};
@@ -161,6 +162,22 @@
 /// Handles one request. If the caller disconnects, this future is dropped, which cancels the work
 /// at the endpoint.
 async fn handle_request(context: Rc<Context>, request: Request<Incoming>, origin: Origin) -> Reply {
+    let request_id = RequestHead::from_headers(request.headers()).request_id;
+    let answering = answer_request(context.clone(), request, origin);
+    match catch_panic(&context.metrics, "request", answering).await {
+        Ok(reply) => reply,
+        Err(TaskPanicked) => {
+            context.log_panicked_request(request_id.as_ref().map_or("-", RequestId::as_str));
+            let mut reply = context.panicked_reply();
+            // The request body may not have been read.
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            reply
+        }
+    }
+}
+
+/// Answers one request like [`handle_request`], which guards it against panics.
+async fn answer_request(context: Rc<Context>, request: Request<Incoming>, origin: Origin) -> Reply {
     let arrived_ms = boot_now();
     let (head, body) = request.into_parts();
     // hyper follows the chunked encoding and hides a Content-Length header next to it. The two can
--- a/crates/daemon/tests/testsuite/panics.rs
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -3,8 +3,9 @@
 use crate::links::{Cut, Links};
 use crate::support::{Daemon, configured_store, eventually, generation_request, register_endpoint};
 use gypsumchute_config::ConfigSource;
+use gypsumchute_platform_standin::fixtures::API_KEY;
 use gypsumchute_platform_standin::{
-    Behaviour, CallerRequest, Endpoint, SharedEndpointState, Store,
+    Behaviour, CallerRequest, Endpoint, KeptConnection, SharedEndpointState, Store,
 };
 
 /// An engine that streams for 4 s.
@@ -64,3 +65,19 @@
     assert!(!stream.read_to_end().complete, "a stream that broke off looks complete");
     env.wait_for_panics("generation", 1);
 }
+
+/// Guards against LOST: a connection that is closed without an answer since its task panics.
+#[test]
+fn a_request_whose_task_panics_is_answered() {
+    let env = PanickyDaemon::start();
+    let read = CallerRequest::new("GET /reads/x", "r1", API_KEY);
+    let _books = env.start_endpoints(&["book-1"], "books", Behaviour::Succeeds, &read);
+    env.links.cut(Cut::Panics);
+    let connection = KeptConnection::open(env.daemon.address()).expect("the daemon listens");
+    let (reply, _) = connection.send(&read).expect("an answer");
+    assert_eq!(reply.status, 502);
+    assert!(reply.body.contains("may_have_run"), "{}", reply.body);
+    env.wait_for_panics("request", 1);
+    env.links.restore();
+    assert_eq!(read.send_and_read(env.daemon.address()).status, 200);
+}
