daemon: background tasks start again after a panic

The store reader, gossip, heartbeats, maintenance, the accept loops and the other tasks that are to run until the process exits were spawned and let go. A panic ended one of them for good and without a line, while the readiness page went on saying that the VM is ready: it would have kept an old configuration, fallen silent to its peers or accepted nothing.

Such a task is now started again after 50 ms, and the panic is counted and logged. The tasks keep what they know in the shared context, so that a new run goes on from there; the listeners and the SIGHUP stream outlive the runs. A reader of the store or of a folder begins as one that has not read. Ending the process instead would cut every request in flight for the fault of one task.

a_task_that_panics_is_started_again tests the supervision by itself. No panic in these tasks is known that a test of a whole daemon could provoke.

--- a/crates/daemon/src/folder_reader.rs
+++ b/crates/daemon/src/folder_reader.rs
@@ -26,6 +26,8 @@
 pub async fn run(context: Rc<Context>, folder: PathBuf) {
     let mut last_files: Option<Files> = None;
     let mut last_error: Option<String> = None;
+    // An earlier run of this task may have panicked.
+    context.with(|state| state.reads_store = false);
     loop {
         match read(&folder) {
             Ok((files, _)) if last_files.as_ref() == Some(&files) => mark_store_current(&context),
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -58,7 +58,7 @@
 const DEFAULT_RETRY_AFTER_MS: u64 = 500;
 
 /// Accepts caller connections. Runs until the process exits.
-pub async fn serve(context: Rc<Context>, listener: TcpListener) {
+pub async fn serve(context: Rc<Context>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(spawn_local(serve_connection(context.clone(), stream))),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`stream_gossip`] tells peers at which software version a stream began, and asks them when a
 //!   caller resumes it, [`record_passing`] tells VMs that join later; [`registry_check`] reads what this VM may have missed before that;
 //! - [`status_server`] serves readiness and metrics, [`process`] starts and stops the daemon
-//!   ([`shutdown`]), and [`reload`] applies changed settings.
+//!   ([`shutdown`]), [`reload`] applies changed settings, and [`supervision`] catches panics.
 
 pub mod call;
 mod caller_stream;
--- a/crates/daemon/src/peer_sync.rs
+++ b/crates/daemon/src/peer_sync.rs
@@ -183,7 +183,7 @@
 
 /// Serves the changes that peers request and the requests that they forward. Runs until the process
 /// exits.
-pub async fn serve_peers(context: Rc<Context>, listener: TcpListener) {
+pub async fn serve_peers(context: Rc<Context>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts the tasks of the daemon and shuts them down gracefully.
 
 use crate::context::Context;
+use crate::supervision::keep_running;
 use crate::{
     engine_reports, folder_reader, gossip, ingress, maintenance, peer_sync, record_passing, reload,
     status_server, store_reader, stream_gossip,
@@ -16,12 +17,12 @@
 use quick_error::quick_error;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -65,7 +66,7 @@
     LocalSet::new().block_on(&runtime, async {
         let sigterm = sigterm()?;
         let context = Context::new(settings, Rc::new(TcpDialer));
-        spawn_local(reload::run(context.clone(), path.to_owned(), signal(SignalKind::hangup())?));
+        start_reloading(&context, path.to_owned(), signal(SignalKind::hangup())?);
         run_tasks(context, sigterm).await
     })
 }
@@ -105,14 +106,46 @@
     })
 }
 
+/// Starts a task that runs until the process exits. It is started again if it panics.
+fn start<F: Future<Output = ()>>(
+    context: &Rc<Context>,
+    task: &'static str,
+    run: impl Fn(Rc<Context>) -> F + 'static,
+) -> JoinHandle<()> {
+    let context = context.clone();
+    spawn_local(async move {
+        keep_running(&context.metrics, task, async || run(context.clone()).await).await;
+    })
+}
+
+/// Starts a task like [`start`] that exchanges datagrams with peers on `socket`.
+fn start_gossip<F: Future<Output = ()>>(
+    context: &Rc<Context>,
+    socket: &Rc<UdpSocket>,
+    task: &'static str,
+    run: impl Fn(Rc<Context>, Rc<UdpSocket>) -> F + 'static,
+) {
+    let socket = socket.clone();
+    start(context, task, move |context| run(context, socket.clone()));
+}
+
+/// Starts the task that reloads the settings file at `path`, also on each `hangup` signal.
+fn start_reloading(context: &Rc<Context>, path: PathBuf, mut hangup: Signal) {
+    let context = context.clone();
+    spawn_local(async move {
+        let reload = async || reload::run(context.clone(), &path, &mut hangup).await;
+        keep_running(&context.metrics, "reload", reload).await;
+    });
+}
+
 /// Binds all addresses, starts the tasks and shuts down once `stop` completes.
 async fn run_tasks(context: Rc<Context>, stop: impl Future<Output = ()>) -> Result<(), StartError> {
     let settings = &context.settings;
-    let callers = bind("callers", settings.callers_listen).await?;
-    let readiness = bind("readiness", settings.readiness_listen).await?;
-    let metrics = bind("metrics", settings.metrics_listen).await?;
+    let callers = Rc::new(bind("callers", settings.callers_listen).await?);
+    let readiness = Rc::new(bind("readiness", settings.readiness_listen).await?);
+    let metrics = Rc::new(bind("metrics", settings.metrics_listen).await?);
     let peers_address = SocketAddr::V4(settings.peers_listen);
-    let peers = bind("peers", peers_address).await?;
+    let peers = Rc::new(bind("peers", peers_address).await?);
     let socket = UdpSocket::bind(peers_address).await;
     let socket = socket.map_err(|err| StartError::Bind("peers", peers_address, err))?;
     let socket = Rc::new(socket);
@@ -123,28 +156,33 @@
     match &settings.configuration {
         ConfigSource::Store(address) => {
             let store = StoreClient::new(*address);
-            spawn_local(store_reader::run(context.clone(), store));
+            start(&context, "store_reader", move |context| store_reader::run(context, store));
         }
         ConfigSource::Folder(folder) => {
-            spawn_local(folder_reader::run(context.clone(), folder.clone()));
+            let folder = folder.clone();
+            let run = move |context| folder_reader::run(context, folder.clone());
+            start(&context, "folder_reader", run);
         }
     }
-    spawn_local(gossip::send_heartbeats(context.clone(), socket.clone()));
-    spawn_local(gossip::send_load_notes(context.clone(), socket.clone()));
-    spawn_local(stream_gossip::send_messages(context.clone(), socket.clone()));
-    spawn_local(record_passing::send_records_to_pass_on(context.clone(), socket.clone()));
-    spawn_local(gossip::receive_datagrams(context.clone(), socket.clone()));
-    spawn_local(peer_sync::pull_changes(context.clone()));
-    spawn_local(peer_sync::serve_peers(context.clone(), peers));
-    spawn_local(maintenance::run(context.clone()));
-    spawn_local(engine_reports::run(context.clone()));
-    let accepting = spawn_local(ingress::serve(context.clone(), callers));
-    let page_context = context.clone();
-    let page = Rc::new(move || readiness_page(&page_context));
-    spawn_local(status_server::serve(readiness, READINESS_PATH, page));
-    let page_context = context.clone();
-    let page = Rc::new(move || (StatusCode::OK, page_context.metrics.to_prometheus_text()));
-    spawn_local(status_server::serve(metrics, METRICS_PATH, page));
+    start_gossip(&context, &socket, "heartbeats", gossip::send_heartbeats);
+    start_gossip(&context, &socket, "load_notes", gossip::send_load_notes);
+    start_gossip(&context, &socket, "stream_messages", stream_gossip::send_messages);
+    start_gossip(&context, &socket, "record_passing", record_passing::send_records_to_pass_on);
+    start_gossip(&context, &socket, "datagrams", gossip::receive_datagrams);
+    start(&context, "peer_sync", peer_sync::pull_changes);
+    start(&context, "peers", move |context| peer_sync::serve_peers(context, peers.clone()));
+    start(&context, "maintenance", maintenance::run);
+    start(&context, "engine_reports", engine_reports::run);
+    let accepting =
+        start(&context, "callers", move |context| ingress::serve(context, callers.clone()));
+    start(&context, "readiness", move |context| {
+        let page = Rc::new(move || readiness_page(&context));
+        status_server::serve(readiness.clone(), READINESS_PATH, page)
+    });
+    start(&context, "metrics", move |context| {
+        let page = Rc::new(move || (StatusCode::OK, context.metrics.to_prometheus_text()));
+        status_server::serve(metrics.clone(), METRICS_PATH, page)
+    });
 
     stop.await;
     shut_down(&context, &socket, &accepting).await;
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -5,7 +5,7 @@
 use crate::context::Context;
 use gypsumchute_config::{DaemonSettings, read_settings};
 use log::{info, warn};
-use std::path::PathBuf;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -15,14 +15,14 @@
 const POLL_INTERVAL_MS: u64 = 5_000;
 
 /// Reloads the file on SIGHUP and at regular intervals. Runs until the process exits.
-pub async fn run(context: Rc<Context>, path: PathBuf, mut hangup: Signal) {
+pub async fn run(context: Rc<Context>, path: &Path, hangup: &mut Signal) {
     let mut current = context.settings.clone();
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
             () = sleep(Duration::from_millis(POLL_INTERVAL_MS)) => false,
         };
-        match read_settings::<DaemonSettings>(&path) {
+        match read_settings::<DaemonSettings>(path) {
             Ok(settings) if settings == current && !signalled => {}
             Ok(settings) => {
                 info!(signalled, changed = settings != current, seeds:? = settings.seeds;
--- a/crates/daemon/src/status_server.rs
+++ b/crates/daemon/src/status_server.rs
@@ -24,7 +24,7 @@
 pub type Page = Rc<dyn Fn() -> (StatusCode, String)>;
 
 /// Serves one page at `path`. Runs until the process exits.
-pub async fn serve(listener: TcpListener, path: &'static str, page: Page) {
+pub async fn serve(listener: Rc<TcpListener>, path: &'static str, page: Page) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/daemon/src/store_reader.rs
+++ b/crates/daemon/src/store_reader.rs
@@ -42,6 +42,8 @@
     let mut way = ReadWay::Watch;
     let mut rate_limiter = ReadRateLimiter::new(boot_now());
     let mut was_reader = false;
+    // An earlier run of this task may have panicked while it was a reader.
+    context.with(|state| state.reads_store = false);
     loop {
         let reads = context.with(|state| state.members.should_read_platform(boot_now()));
         if reads != was_reader {
--- a/crates/daemon/src/supervision.rs
+++ b/crates/daemon/src/supervision.rs
@@ -10,7 +10,11 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::pin;
 use std::task::Poll;
+use std::time::Duration;
+use tokio::time::sleep;
 
+/// Delay before a task that has panicked is started again, in milliseconds.
+const RESTART_DELAY_MS: u64 = 50;
 /// The task has panicked. The panic is logged and counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskPanicked;
@@ -38,6 +42,13 @@
     result
 }
 
+/// Runs a task that is to run until the process exits, and starts it again whenever it panics.
+pub async fn keep_running(metrics: &Metrics, task: &'static str, mut run: impl AsyncFnMut()) {
+    while catch_panic(metrics, task, run()).await.is_err() {
+        sleep(Duration::from_millis(RESTART_DELAY_MS)).await;
+    }
+}
+
 impl Context {
     /// Logs and counts the end of a request whose task has panicked.
     pub fn log_panicked_request(&self, request_id: &str) {
--- a/crates/daemon/tests/testsuite/panics.rs
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -3,10 +3,14 @@
 use crate::links::{Cut, Links};
 use crate::support::{Daemon, configured_store, eventually, generation_request, register_endpoint};
 use gypsumchute_config::ConfigSource;
+use gypsumchute_daemon::supervision::keep_running;
 use gypsumchute_platform_standin::fixtures::API_KEY;
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, Endpoint, KeptConnection, SharedEndpointState, Store,
 };
+use gypsumchute_telemetry::Metrics;
+use std::cell::Cell;
+use tokio::runtime::Builder;
 
 /// An engine that streams for 4 s.
 const STREAM: Behaviour = Behaviour::Streams { events: 200, event_interval_ms: 20 };
@@ -51,6 +55,11 @@
     }
 }
 
+/// Runs `work` to its end.
+fn block_on<T>(work: impl Future<Output = T>) -> T {
+    Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
+}
+
 /// Guards against ORDER: a stream whose task panics ends as if it were complete.
 #[test]
 fn a_stream_whose_task_panics_is_aborted() {
@@ -81,3 +90,16 @@
     env.links.restore();
     assert_eq!(read.send_and_read(env.daemon.address()).status, 200);
 }
+
+/// Guards against tasks that end for good at a panic, while the process counts as ready.
+#[test]
+fn a_task_that_panics_is_started_again() {
+    let (metrics, runs) = (Metrics::new(), Cell::new(0));
+    block_on(keep_running(&metrics, "test", async || {
+        runs.set(runs.get() + 1);
+        assert!(runs.get() > 2, "the first two runs fail");
+    }));
+    assert_eq!(runs.get(), 3);
+    let text = metrics.to_prometheus_text();
+    assert!(text.contains("gypsumchute_panics_total{task=\"test\"} 2"), "{text}");
+}
