daemon: panics are logged

A panic was printed to standard error alone, where it is no line of the log, and with its whole message, which may quote a part of a request. A record of the log therefore could not show that a task had panicked.

The process now logs each panic as one line with its location and its message up to the first value in it, at most 100 bytes.

a_panic_is_a_line_in_the_log runs a process that panics and the_message_of_a_panic_has_no_values checks messages that quote a value. Both use functions that did not exist before.

--- a/crates/daemon/src/supervision.rs
+++ b/crates/daemon/src/supervision.rs
@@ -6,8 +6,10 @@
 use gypsumchute_telemetry::Metrics;
 use gypsumchute_units::{Refusal, RefusalReason};
 use log::error;
+use std::any::Any;
 use std::future::poll_fn;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::io::{self, Write};
+use std::panic::{self, AssertUnwindSafe, PanicHookInfo, catch_unwind};
 use std::pin::pin;
 use std::task::Poll;
 use std::time::Duration;
@@ -15,10 +17,35 @@
 
 /// Delay before a task that has panicked is started again, in milliseconds.
 const RESTART_DELAY_MS: u64 = 50;
+/// Maximum size of the message of a panic in the log, in bytes.
+const MAX_MESSAGE_BYTES: usize = 100;
+
 /// The task has panicked. The panic is logged and counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TaskPanicked;
 
+/// Logs each panic of the process, and prints it without what its message may quote.
+pub fn log_panics() {
+    panic::set_hook(Box::new(log_panic));
+}
+
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let location = info.location().map_or("-".to_owned(), ToString::to_string);
+    let cause = panic_message(info.payload());
+    error!(location = location.as_str(), cause; "panicked");
+    // The log may not be written any more.
+    let _ = writeln!(io::stderr(), "panicked at {location}: {cause}");
+}
+
+/// Returns the message of a panic up to the first value in it, since that may be a part of a request.
+pub fn panic_message(payload: &(dyn Any + Send)) -> &str {
+    let formatted = payload.downcast_ref::<String>().map(String::as_str);
+    let message = payload.downcast_ref::<&str>().copied().or(formatted).unwrap_or("-");
+    let literal = message.split([':', '`', '\'', '"', '\n']).next().unwrap_or_default();
+    let end = literal.floor_char_boundary(MAX_MESSAGE_BYTES);
+    literal[..end].trim_end()
+}
+
 /// Runs `work`, which is dropped if it panics. `task` names it in the metrics.
 ///
 /// # Errors
--- a/crates/daemon/tests/testsuite/panics.rs
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -3,15 +3,22 @@
 use crate::links::{Cut, Links};
 use crate::support::{Daemon, configured_store, eventually, generation_request, register_endpoint};
 use gypsumchute_config::ConfigSource;
-use gypsumchute_daemon::supervision::keep_running;
+use gypsumchute_daemon::supervision::{
+    TaskPanicked, catch_panic, keep_running, log_panics, panic_message,
+};
 use gypsumchute_platform_standin::fixtures::API_KEY;
 use gypsumchute_platform_standin::{
     Behaviour, CallerRequest, Endpoint, KeptConnection, SharedEndpointState, Store,
 };
 use gypsumchute_telemetry::Metrics;
+use gypsumchute_telemetry::logs::init_bounded_stdout;
 use std::cell::Cell;
+use std::env;
+use std::process::{self, Command};
 use tokio::runtime::Builder;
 
+/// Environment variable of a process that this test program starts to panic.
+const PANICKING_PROCESS: &str = "GYPSUMCHUTE_TEST_PANICS";
 /// An engine that streams for 4 s.
 const STREAM: Behaviour = Behaviour::Streams { events: 200, event_interval_ms: 20 };
 
@@ -103,3 +110,67 @@
     let text = metrics.to_prometheus_text();
     assert!(text.contains("gypsumchute_panics_total{task=\"test\"} 2"), "{text}");
 }
+
+/// Guards against panics that leave no line in the log of a process.
+#[test]
+fn a_panic_is_a_line_in_the_log() {
+    if env::var_os(PANICKING_PROCESS).is_some() {
+        init_bounded_stdout().expect("a log thread");
+        log_panics();
+        let panicking = async { panic!("a plain reason: {}", "secret") };
+        assert_eq!(
+            block_on(catch_panic(&Metrics::new(), "test", panicking)),
+            Err::<(), _>(TaskPanicked)
+        );
+        log::logger().flush();
+        // The log thread keeps standard output locked.
+        process::exit(0);
+    }
+    let program = env::current_exe().expect("the path of this program");
+    let test = "panics::a_panic_is_a_line_in_the_log";
+    let mut command = Command::new(program);
+    command.args(["--exact", test, "--nocapture"]).env(PANICKING_PROCESS, "1");
+    let output = command.output().expect("the process runs");
+    let log = String::from_utf8_lossy(&output.stdout);
+    let line = log.lines().find(|line| line.contains("message=panicked"));
+    let line = line.unwrap_or_else(|| panic!("no line of the panic: {log}"));
+    assert!(line.contains("panics.rs") && line.contains("a plain reason"), "{line}");
+    assert!(log.lines().any(|line| line.contains("task panicked")), "{log}");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(errors.contains("panicked"), "{errors}");
+    assert!(!log.contains("secret") && !errors.contains("secret"), "{log}{errors}");
+}
+
+/// Guards against parts of requests in the log: messages of panics may quote values.
+#[test]
+fn the_message_of_a_panic_has_no_values() {
+    let text = String::from("a prompt that is secret é");
+    let quotes: [Box<dyn Fn() + Send + std::panic::UnwindSafe>; 4] = [
+        Box::new({
+            let text = text.clone();
+            move || drop(text[..text.len() - 1].to_owned())
+        }),
+        Box::new({
+            let text = text.clone();
+            move || assert_eq!(text.parse::<u8>().expect("a number"), 1)
+        }),
+        Box::new({
+            let text = text.clone();
+            move || Err::<(), _>(text.clone()).unwrap()
+        }),
+        Box::new({
+            let text = text.clone();
+            move || assert_eq!(text, "another")
+        }),
+    ];
+    for quote in quotes {
+        let payload = std::panic::catch_unwind(quote).expect_err("a panic");
+        let message = panic_message(&*payload);
+        assert!(!message.contains("secret"), "{message}");
+    }
+    let payload = std::panic::catch_unwind(|| panic!("a plain reason")).expect_err("a panic");
+    assert_eq!(panic_message(&*payload), "a plain reason");
+    let metrics = Metrics::new();
+    let caught = block_on(catch_panic(&metrics, "test", async { panic!("a plain reason") }));
+    assert_eq!(caught, Err::<(), _>(TaskPanicked));
+}
--- a/src/bin/gypsumchute-daemon/main.rs
+++ b/src/bin/gypsumchute-daemon/main.rs
@@ -19,8 +19,11 @@
 
 fn main() -> ExitCode {
     let path = options().run();
-    if let Err(err) = gypsumchute_telemetry::logs::init_bounded_stdout() {
-        eprintln!("error: failed to initialize logging: {err}; continuing without log output");
+    match gypsumchute_telemetry::logs::init_bounded_stdout() {
+        Ok(()) => gypsumchute_daemon::supervision::log_panics(),
+        Err(err) => {
+            eprintln!("error: failed to initialize logging: {err}; continuing without log output");
+        }
     }
     let started = read_settings::<DaemonSettings>(&path).map_err(|err| err.to_string()).and_then(
         |settings| gypsumchute_daemon::process::run(&path, settings).map_err(|err| err.to_string()),
