--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod early_requests;
 mod endless_responses;
 mod events;
+mod extreme_values;
 mod faulty_answers;
 mod faulty_peer;
 mod fleet;
