daemon: targets of routes may be as large as they like

Multiples of the targets of a route overflowed if an operator set them to what means no bound: a debug build panicked in the task of each request, and a release build took each engine for late after 699 ms. They saturate now.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -58,7 +58,7 @@
             && self.delivered_events > 0
             && handovers.attempts < MAX_HANDOVERS
             && self.call.service.engine.is_some_and(|engine| engine.supports_kv_copy);
-        let limit_ms = self.call.route.inter_event_target_ms * STALL_PAUSE_FACTOR;
+        let limit_ms = self.call.route.inter_event_target_ms.saturating_mul(STALL_PAUSE_FACTOR);
         let silent_at = run.last_event_at + Duration::from_millis(limit_ms);
         let deadline = handovers.next_check_at.map_or(silent_at, |at| at.max(silent_at));
         may_hand_over.then_some(deadline)
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -154,8 +154,8 @@
     /// Returns when the run counts as stalled if it brings no event by then.
     pub(super) fn stalled_at(&self, run: &Run) -> Instant {
         let limit_ms = match self.delivered_events {
-            0 => self.call.route.latency_target_ms + FIRST_EVENT_GRACE_MS,
-            _ => self.call.route.inter_event_target_ms * STALL_PAUSE_FACTOR,
+            0 => self.call.route.latency_target_ms.saturating_add(FIRST_EVENT_GRACE_MS),
+            _ => self.call.route.inter_event_target_ms.saturating_mul(STALL_PAUSE_FACTOR),
         };
         run.last_event_at + Duration::from_millis(limit_ms)
     }
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -359,8 +359,8 @@
     fn first_search_at(&self) -> Option<Instant> {
         let may_try_another =
             self.call.possible_runs.endpoints() + 1 < self.call.route.max_endpoints;
-        let timeout_ms = (self.call.route.latency_target_ms * ATTEMPT_TIMEOUT_FACTOR)
-            .max(MIN_ATTEMPT_TIMEOUT_MS);
+        let timeout_ms = self.call.route.latency_target_ms.saturating_mul(ATTEMPT_TIMEOUT_FACTOR);
+        let timeout_ms = timeout_ms.max(MIN_ATTEMPT_TIMEOUT_MS);
         let is_idempotent = self.call.route.kind == RouteKind::Idempotent;
         (is_idempotent && may_try_another)
             .then(|| Instant::now() + Duration::from_millis(timeout_ms))
