daemon: requests are forwarded without a bound on heads

A VM that serves a request for another one adds room to the maximum size of a head. With the largest number as the configured maximum, the sum overflowed. A debug build panicked; in a release build the result is below the minimum of the HTTP server, which panics as well. Each request that a VM without links to the endpoints handed over was lost. The sum saturates now.

--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -147,7 +147,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
-        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) + PEER_HEAD_BYTES)
+        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES).saturating_add(PEER_HEAD_BYTES))
         .keep_alive(false)
         .serve_connection(TokioIo::new(stream), handler);
     // If the connection fails, the peer is gone and the error cannot be reported to it.
--- a/crates/daemon/tests/testsuite/extreme_values.rs
+++ b/crates/daemon/tests/testsuite/extreme_values.rs
@@ -1,6 +1,8 @@
 //! Numbers from callers and operators that are larger than any real one.
 
+use crate::links::Cut;
 use crate::support::{API_KEY, TestEnv, configuration, eventually, generation_request};
+use crate::zoned_fleet::ZonedFleet;
 use gypsumchute_platform_standin::{Behaviour, CallerRequest, Endpoint};
 use serde_json::json;
 
@@ -45,3 +47,23 @@
     let reply = generation_request("new-briefs", "r2").send_and_read(address);
     assert_eq!((reply.status, reply.complete), (200, true));
 }
+
+/// Guards against a limit on heads that overflows once the room for what a VM adds is counted, by which
+/// no VM could serve requests for another one.
+#[test]
+fn requests_are_forwarded_without_a_bound_on_heads() {
+    let fleet = ZonedFleet::start(&["a", "b"]);
+    let mut unbounded = configuration(8, &[API_KEY]);
+    unbounded["limits"]["maxHeaderBytes"] = json!(usize::MAX);
+    unbounded["routes"][2]["pathPrefix"] = json!("/new-orders/");
+    fleet.store.configure(&unbounded);
+    let order = |vm: usize, id: &str| {
+        let request = CallerRequest::new("POST /new-orders/x", id, API_KEY).body("order");
+        request.send_and_read(fleet.daemons[vm].address()).status
+    };
+    eventually("the configuration", || [0, 1].iter().all(|vm| order(*vm, "probe") == 200));
+    fleet.links[0].cut(Cut::RefusesNew);
+    for n in 0..4 {
+        assert_eq!(order(0, &format!("order-{n}")), 200, "order {n}");
+    }
+}
