daemon: the last lines of the log are written before a planned stop

Lines are written by a thread of their own from a queue. After a planned stop the process exited while lines were queued, so that those of the last seconds were lost if standard output was read late: as a rule those of the requests that the stop had cut, and 'daemon stopped' itself. Only a failed start flushed the log.

The process now flushes the log however it ends, also when a panic unwinds. A flush waits 250 ms at most, since the reader may have stopped; before, it would have waited for good.

--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -12,10 +12,15 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// Maximum number of queued lines, which a busy VM produces in a few seconds.
 const MAX_QUEUED_LINES: usize = 4_096;
 
+/// Maximum duration of a flush. A process that stops has 400 ms left for all that follows its last
+/// answers.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A log appender that formats lines and queues them for the log thread.
 #[derive(Debug)]
 pub struct BoundedStdout {
@@ -65,10 +70,14 @@
         }
     }
 
+    /// Waits until all earlier lines are written, or until [`FLUSH_TIMEOUT`] is over: the reader of
+    /// standard output may have stopped.
     fn flush(&self) -> Result<(), Error> {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
         let (done, written) = flume::bounded(1);
-        let sent = self.queue.send(QueueEntry::Flush(done)).is_ok() && written.recv().is_ok();
-        sent.then_some(()).ok_or_else(|| Error::new("the log thread terminated"))
+        let queued = self.queue.send_deadline(QueueEntry::Flush(done), deadline).is_ok();
+        let is_written = queued && written.recv_deadline(deadline).is_ok();
+        is_written.then_some(()).ok_or_else(|| Error::new("the log could not be written in time"))
     }
 }
 
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -21,6 +21,16 @@
     }
 }
 
+/// Flushes the log on drop, also while a panic unwinds.
+#[derive(Debug)]
+pub struct FlushOnDrop;
+
+impl Drop for FlushOnDrop {
+    fn drop(&mut self) {
+        log::logger().flush();
+    }
+}
+
 /// Starts logging to standard output through a bounded queue, so that logging never blocks a
 /// daemon.
 ///
--- a/src/bin/gypsumchute-daemon/main.rs
+++ b/src/bin/gypsumchute-daemon/main.rs
@@ -2,6 +2,7 @@
 
 use bpaf::{OptionParser, Parser, positional};
 use gypsumchute_config::{DaemonSettings, read_settings};
+use gypsumchute_telemetry::logs::{FlushOnDrop, init_bounded_stdout};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -19,12 +20,13 @@
 
 fn main() -> ExitCode {
     let path = options().run();
-    match gypsumchute_telemetry::logs::init_bounded_stdout() {
+    match init_bounded_stdout() {
         Ok(()) => gypsumchute_daemon::supervision::log_panics(),
         Err(err) => {
             eprintln!("error: failed to initialize logging: {err}; continuing without log output");
         }
     }
+    let _flush = FlushOnDrop;
     let started = read_settings::<DaemonSettings>(&path).map_err(|err| err.to_string()).and_then(
         |settings| gypsumchute_daemon::process::run(&path, settings).map_err(|err| err.to_string()),
     );
@@ -32,7 +34,6 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!(error = err.as_str(); "daemon failed");
-            log::logger().flush();
             ExitCode::FAILURE
         }
     }
--- a/tests/testsuite/daemons.rs
+++ b/tests/testsuite/daemons.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::process::ChildStdout;
 use tempfile::TempDir;
 
 /// Number of seed VMs in the settings of each daemon.
@@ -91,6 +92,16 @@
         self.address("callers_listen")
     }
 
+    /// Starts a new process with the same settings, and returns its standard output, which is a pipe.
+    /// Kills the old process if it still runs.
+    pub fn restart_piped(&mut self) -> ChildStdout {
+        self.process.kill();
+        let binary = env!("CARGO_BIN_EXE_gypsumchute-daemon");
+        let (process, stdout) = Process::start_piped(binary, &[&self.path]);
+        self.process = process;
+        stdout
+    }
+
     /// Starts a new process with the same settings, and kills the old one if it still runs.
     pub fn restart(&mut self) {
         self.process = Process::start(env!("CARGO_BIN_EXE_gypsumchute-daemon"), &[&self.path]);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod idempotency;
 mod keys;
 mod limits;
+mod log_output;
 mod memory;
 mod model_loading;
 mod paused_daemon;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -11,7 +11,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tempfile::{NamedTempFile, TempDir};
@@ -37,18 +37,30 @@
 impl Process {
     /// Starts `binary` with `args`.
     pub fn start(binary: &str, args: &[&str]) -> Self {
+        Process::start_with_stdout(binary, args, stdout_of(args))
+    }
+
+    /// Starts `binary` with `args` and this standard output.
+    fn start_with_stdout(binary: &str, args: &[&str], stdout: Stdio) -> Self {
         let log = NamedTempFile::new().expect("a log file can be created");
         let stderr = log.reopen().expect("the log file can be opened again");
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(stdout_of(args))
+            .stdout(stdout)
             .stderr(stderr)
             .spawn()
             .expect("the binary can be started");
         Process { child, log }
     }
 
+    /// Starts `binary` with `args`. The second value is its standard output, which is a pipe.
+    pub fn start_piped(binary: &str, args: &[&str]) -> (Self, ChildStdout) {
+        let mut process = Process::start_with_stdout(binary, args, Stdio::piped());
+        let stdout = process.child.stdout.take().expect("the standard output is a pipe");
+        (process, stdout)
+    }
+
     /// Sends a signal, given as an option of `kill`, for example `-STOP`.
     fn send_signal(&self, option: &str) {
         let pid = self.pid().to_string();
