telemetry: the metrics count the lines that the log drops

How many lines were dropped stood at the end of the next line only, where it is lost if a record of the log is cut short, or if no other line follows. gypsumchute_log_lines_dropped_total has their number.

--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -2,7 +2,7 @@
 //!
 //! A dedicated thread writes the lines from a bounded queue. If the queue is full because the
 //! reader of standard output is too slow, lines are dropped. The next line that is queued reports
-//! how many were dropped, as `lines_dropped_before`.
+//! how many were dropped, as `lines_dropped_before`, and the metrics have their total.
 
 use flume::{Receiver, Sender, TrySendError};
 use logforth::append::Append;
@@ -21,6 +21,14 @@
 /// answers.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of lines that this process has dropped.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of lines that this process has dropped.
+pub(crate) fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
 /// A log appender that formats lines and queues them for the log thread.
 #[derive(Debug)]
 pub struct BoundedStdout {
@@ -64,6 +72,7 @@
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_)) => {
                 self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
                 Ok(())
             }
             Err(TrySendError::Disconnected(_)) => Err(Error::new("the log thread terminated")),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -3,6 +3,7 @@
 //! The text is in the Prometheus exposition format. It is written here from the SDK's data, because
 //! no Prometheus exporter keeps up with the versions of the SDK.
 
+use crate::bounded::dropped_lines;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkResult;
@@ -86,6 +87,9 @@
         let reader = SharedReader(Arc::new(ManualReader::builder().build()));
         let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
         let meter = provider.meter(METER_NAME);
+        let counter = meter.u64_observable_counter("gypsumchute_log_lines_dropped");
+        let _lines_dropped =
+            counter.with_callback(|counter| counter.observe(dropped_lines(), &[])).build();
         Metrics {
             reader,
             refusals: meter.u64_counter("gypsumchute_refusals").build(),
