test: streams outlive versions in quick succession, a zone taken out with one, and reloads of broken settings

Cause: none of these was tried while streams run. Change: two tests with a daemon in the process and one with a real one, about 1 s of streams each. No product code is changed.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod cold;
 mod configuration;
+mod daemon_signals;
 mod daemons;
 mod end_to_end;
 mod idempotency;
