--- a/crates/daemon/src/supervision.rs
+++ b/crates/daemon/src/supervision.rs
@@ -84,7 +84,8 @@
         error!(request = request_id, outcome = "panicked", ended_by:% = ended_by; "request ended");
     }
 
-    /// Builds the reply to a request whose task has panicked. The request may have been sent.
+    /// Builds the reply to a request whose task has ended without one, as after a panic. The request may
+    /// have been sent.
     pub fn panicked_reply(&self) -> Reply {
         let refusal = Refusal::may_have_run(RefusalReason::EndpointLost);
         self.metrics.count_refusal(refusal.reason.into(), refusal.verdict.into());
--- a/crates/daemon/tests/testsuite/panics.rs
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -156,7 +156,7 @@
         }),
         Box::new({
             let text = text.clone();
-            move || Err::<(), _>(text.clone()).unwrap()
+            move || assert_eq!(text.parse::<u8>().map_err(|_| text.clone()).unwrap(), 1)
         }),
         Box::new({
             let text = text.clone();
