daemon: a panic is not logged as a caller that left

A plain request that is dropped without a reply is logged as ended by its caller. That held for one that a panic drops as well, beside the line on the panic, so that the metrics blamed the caller. Such a request is left to the line of the panic now.

--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -22,6 +22,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::thread;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -174,10 +175,11 @@
     is_answered: bool,
 }
 
-/// A request that is dropped without a reply was cancelled because the caller disconnected.
+/// A request that is dropped without a reply was cancelled because the caller disconnected, unless a
+/// panic drops it.
 impl Drop for PlainRequest<'_> {
     fn drop(&mut self) {
-        if self.is_answered {
+        if self.is_answered || thread::panicking() {
             return;
         }
         self.record_silent_runs();
--- a/crates/daemon/tests/testsuite/panics.rs
+++ b/crates/daemon/tests/testsuite/panics.rs
@@ -94,6 +94,9 @@
     assert_eq!(reply.status, 502);
     assert!(reply.body.contains("may_have_run"), "{}", reply.body);
     env.wait_for_panics("request", 1);
+    let metrics = env.daemon.metrics();
+    assert!(metrics.contains("{ended_by=\"vm\",outcome=\"panicked\"} 1"), "{metrics}");
+    assert!(!metrics.contains("caller_left"), "{metrics}");
     env.links.restore();
     assert_eq!(read.send_and_read(env.daemon.address()).status, 200);
 }
