daemon: the ends and recoveries of generations, and exchanges of plain requests, have modules of their own

Change: generation/end.rs and recovery.rs, plain/exchange.rs and search.rs; code is moved and not changed.

--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -10,8 +10,10 @@
 //! the generation needs.
 
 mod backup;
+mod end;
 mod handover;
 mod migration;
+mod recovery;
 mod relay;
 mod replacement;
 mod resume;
@@ -26,7 +28,7 @@
 };
 use self::trace::{RunProgress, RunTrace};
 use self::unread::UnreadSignals;
-use crate::call::{Call, EndedBy, RequestEnd};
+use crate::call::{Call, EndedBy};
 use crate::events::{Event, EventAction, EventSequence};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::EndpointConnection;
@@ -35,9 +37,7 @@
 use crate::supervision::catch_panic;
 use gypsumchute_exchange::Connection;
 use gypsumchute_platform::{ResponseKind, endpoints};
-use gypsumchute_routing::continuity::{
-    GenerationState, Interruption, RecoveryAction, choose_recovery,
-};
+use gypsumchute_routing::continuity::Interruption;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
@@ -62,8 +62,6 @@
 /// Time within which an engine's error body must arrive after its head, in milliseconds. TCP
 /// retransmits a lost packet after 1 s.
 const ERROR_BODY_TIMEOUT_MS: u64 = 1_200;
-/// Number of engine rejections after which a generation is refused.
-const MAX_REJECTIONS: u32 = 3;
 
 /// Starts a generation task for `call` and returns the response once the head is known. The body is
 /// streamed afterwards.
@@ -169,77 +167,6 @@
         self.finish(end, silent_ms);
     }
 
-    /// Logs the outcome, and sends the final reply or marks the stream as complete. A stream that has
-    /// already started is aborted otherwise.
-    /// `silent_ms` is the time since the last sign of life of the run, if there is one.
-    fn finish(&mut self, end: GenerationEnd, silent_ms: Option<u64>) {
-        let ended_by = self.ended_by(&end);
-        let cause = self.end_cause(&end);
-        let is_complete = matches!(end, GenerationEnd::Complete);
-        let (outcome, reply) = match end {
-            GenerationEnd::Complete => ("answered", None),
-            GenerationEnd::CallerDisconnected => ("caller_left", None),
-            GenerationEnd::TimedOut | GenerationEnd::ShutDown => {
-                let refusal = match self.call.possible_runs.endpoints() {
-                    0 => self.call.retryable_refusal(RefusalReason::NoRoom, 0),
-                    _ => Refusal::may_have_run(RefusalReason::EndpointTimeout),
-                };
-                ("timed_out", Some(self.call.refuse(refusal)))
-            }
-            GenerationEnd::Refused(refusal) => {
-                (refusal.reason.into(), Some(self.call.refuse(refusal)))
-            }
-            GenerationEnd::Failed(reply) => ("endpoint_error", Some(reply)),
-            GenerationEnd::Forwarded(reply) => ("forwarded", Some(reply)),
-        };
-        let status = reply.as_ref().map_or(200, |reply| reply.status().as_u16());
-        self.call.log_completion(RequestEnd {
-            outcome,
-            status,
-            ended_by,
-            cause: &cause,
-            endpoint: self.trace.endpoint.as_ref(),
-            tries: self.attempts,
-            events: self.delivered_events,
-            silent_ms,
-        });
-        // The send fails only if the caller has disconnected, and then no reply is needed.
-        match (reply, self.response_sender.head.take()) {
-            (Some(reply), Some(head)) => drop(head.send(Err(reply))),
-            (None, _) if is_complete => self.response_sender.completion.set_complete(),
-            (None, _) | (Some(_), None) => {}
-        }
-    }
-
-    /// Returns who ended the generation.
-    fn ended_by(&self, end: &GenerationEnd) -> EndedBy {
-        match end {
-            GenerationEnd::CallerDisconnected => EndedBy::Caller,
-            GenerationEnd::TimedOut => EndedBy::Deadline,
-            GenerationEnd::ShutDown => EndedBy::Shutdown,
-            GenerationEnd::Refused(_) => {
-                self.last_failure.as_ref().map_or(EndedBy::Vm, |(ended_by, _)| *ended_by)
-            }
-            GenerationEnd::Forwarded(_) => EndedBy::Peer,
-            GenerationEnd::Complete | GenerationEnd::Failed(_) => EndedBy::Endpoint,
-        }
-    }
-
-    /// Describes why the generation ended without its complete stream, or returns `-`: the last
-    /// failure of a run, and why no other run followed.
-    fn end_cause(&self, end: &GenerationEnd) -> String {
-        let refusal = match end {
-            GenerationEnd::Complete | GenerationEnd::CallerDisconnected => return "-".to_owned(),
-            GenerationEnd::Refused(refusal) => Some(<&str>::from(refusal.reason)),
-            _ => None,
-        };
-        let no_recovery = self.no_recovery.map(|reason| reason.to_string());
-        let failure = self.last_failure.as_ref().map(|(_, cause)| cause.clone());
-        let parts = [failure, no_recovery, refusal.map(str::to_owned)];
-        let known: Vec<_> = parts.into_iter().flatten().collect();
-        if known.is_empty() { "-".to_owned() } else { known.join("; ") }
-    }
-
     /// Starts runs until one completes or no recovery is possible.
     async fn run_to_completion(&mut self) -> GenerationEnd {
         let mut from_backup = false;
@@ -283,93 +210,6 @@
         }
     }
 
-    /// Returns how to retry after an engine rejected the request without running it, or the refusal
-    /// if no retry is left.
-    fn after_rejection(&mut self) -> Result<StartFrom, Refusal> {
-        self.rejections += 1;
-        let service = &self.call.service.id;
-        let may_retry =
-            self.rejections < MAX_REJECTIONS && self.call.context.take_retry(service, "not_run");
-        match (may_retry, self.call.possible_runs.endpoints()) {
-            (true, _) => Ok(StartFrom::Prompt),
-            (false, 0) => Err(self
-                .call
-                .retryable_refusal(RefusalReason::NoRoom, self.call.route.latency_target_ms)),
-            (false, _) => Err(Refusal::may_have_run(RefusalReason::EndpointLost)),
-        }
-    }
-
-    /// Returns how to recover a lost run, or the refusal if no recovery is possible.
-    fn after_loss(
-        &mut self,
-        interruption: Interruption,
-        backup: Option<Backup>,
-    ) -> Result<StartFrom, Refusal> {
-        let backup = backup.filter(|backup| self.is_usable(backup));
-        let next = match self.has_certain_version() {
-            true => choose_recovery(interruption, self.run_state(backup.is_some())),
-            false => RecoveryAction::Fail,
-        };
-        self.log_recovery(interruption, next);
-        let no_recovery = match (next, backup) {
-            (RecoveryAction::ResumeFromBackup, Some(backup)) => {
-                return Ok(StartFrom::Backup(backup));
-            }
-            (RecoveryAction::Restart, _) => {
-                if self.call.context.take_retry(&self.call.service.id, interruption.into()) {
-                    return Ok(StartFrom::Prompt);
-                }
-                NoRecovery::RetryBudgetSpent
-            }
-            _ if !self.has_certain_version() => NoRecovery::VersionUncertain,
-            _ if self.call.is_repeatable() => NoRecovery::EndpointsUsed,
-            _ => NoRecovery::NotRepeatable,
-        };
-        self.no_recovery = Some(no_recovery);
-        Err(Refusal::may_have_run(RefusalReason::EndpointLost))
-    }
-
-    /// Returns the state that [`choose_recovery`] bases the decision on.
-    fn run_state(&self, has_backup: bool) -> GenerationState {
-        GenerationState {
-            kind: self.call.route.kind,
-            event_delivered: self.delivered_events > 0,
-            answer_began: self.trace.progress != RunProgress::Waiting,
-            remaining_tokens: self.remaining_tokens(),
-            has_backup,
-            supports_kv_copy: self
-                .call
-                .service
-                .engine
-                .is_some_and(|engine| engine.supports_kv_copy),
-            endpoints_used: self.call.possible_runs.endpoints(),
-            max_endpoints: self.call.route.max_endpoints,
-            failed_endpoints: self.failed_runs,
-        }
-    }
-
-    /// Returns the number of tokens that are expected but not yet delivered.
-    fn remaining_tokens(&self) -> u64 {
-        let tokens_per_event = self.call.service.engine.map_or(1, |engine| engine.tokens_per_event);
-        let generated = self.delivered_events * u64::from(tokens_per_event);
-        self.call.expected_output_tokens().saturating_sub(generated)
-    }
-
-    /// Logs how the generation recovers from `interruption`.
-    fn log_recovery(&self, interruption: Interruption, next: RecoveryAction) {
-        info!(
-            request = self.call.id(),
-            endpoint = self.trace.endpoint.as_ref().map_or("-", EndpointId::as_str),
-            loss:% = interruption,
-            next:% = next,
-            events = self.delivered_events,
-            breaks = self.failed_runs,
-            silent_ms:? = self.trace.silent_ms(),
-            left_ms = self.call.remaining_ms();
-            "run was lost or must move; recovery chosen"
-        );
-    }
-
     /// Reports whether `endpoint` has a termination notice or is no longer registered.
     fn is_terminating(&self, endpoint: &EndpointId) -> bool {
         self.call.context.with(|state| state.endpoints.is_terminating_or_gone(endpoint))
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain/mod.rs
@@ -4,24 +4,24 @@
 //! another one in addition, once that has accepted a connection and the retry budget has a retry left.
 //! The first usable response counts; the other exchanges are dropped then, which ends their runs.
 
+mod exchange;
+mod search;
+
+use self::exchange::{Exchange, SendOutcome, classify, next_end};
 use crate::call::{Call, EndedBy, RequestEnd, SendOptions};
-use crate::context::LoadGuard;
-use crate::forwarding::{Origin, Placed};
-use crate::placing::{EndpointConnection, LinkUse, QueueUse};
+use crate::forwarding::Placed;
+use crate::placing::EndpointConnection;
 use crate::reply::{Reply, ReplyBody, refusal_reason};
 use bytes::Bytes;
-use gypsumchute_exchange::{ExchangeError, ResponseStream};
+use gypsumchute_exchange::ResponseStream;
 use gypsumchute_platform::{ResponseKind, classify_response, endpoints};
 use gypsumchute_routing::RouteKind;
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, Refusal, RefusalReason};
+use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use http::Response;
 use log::info;
 use std::collections::BTreeSet;
-use std::future::poll_fn;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::thread;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -36,59 +36,6 @@
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
 /// Lower bound of the timeout of one attempt, in milliseconds.
 const MIN_ATTEMPT_TIMEOUT_MS: u64 = 250;
-/// Time between two searches for an endpoint besides one that is late, in milliseconds.
-const SEARCH_INTERVAL_MS: u64 = 250;
-
-/// Response with its body, or the failure of the connection.
-type ExchangeResult =
-    Result<(ResponseStream, ResponseKind, Result<Bytes, ExchangeError>), ExchangeError>;
-
-/// A request that was sent to an endpoint. Dropping it closes the connection, which ends the run.
-struct Exchange<'a> {
-    /// Endpoint that the request was sent to.
-    endpoint: EndpointId,
-    /// When the request was sent.
-    sent_ms: BootMs,
-    /// Whether the endpoint was late, which is held against it once.
-    is_late: bool,
-    /// Completes with the result.
-    response: Pin<Box<dyn Future<Output = ExchangeResult> + 'a>>,
-    /// Result, once the exchange has ended.
-    result: Option<ExchangeResult>,
-    /// Accounts for the load of the request at the endpoint.
-    _load_guard: LoadGuard,
-}
-
-impl Exchange<'_> {
-    /// Reports whether the exchange has ended, after reading what has arrived.
-    fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.result.is_none()
-            && let Poll::Ready(result) = self.response.as_mut().poll(cx)
-        {
-            self.result = Some(result);
-        }
-        self.result.is_some()
-    }
-}
-
-/// Waits until one of the exchanges has ended, and returns its index.
-async fn next_end(exchanges: &mut [Exchange<'_>]) -> usize {
-    poll_fn(|cx| {
-        let ended = exchanges.iter_mut().position(|exchange| exchange.has_ended(cx));
-        ended.map_or(Poll::Pending, Poll::Ready)
-    })
-    .await
-}
-
-/// What a search for another endpoint has found.
-enum Found {
-    /// An endpoint that has accepted a connection.
-    Endpoint(EndpointConnection),
-    /// The links to the endpoints are lost, and a peer may reach them.
-    LinksLost,
-    /// Nothing.
-    Nothing,
-}
 
 /// What ends a wait for the exchanges.
 enum Progress {
@@ -100,18 +47,6 @@
     TimedOut,
 }
 
-/// Result of sending a request to one endpoint.
-enum SendOutcome {
-    /// The endpoint returned a complete response that can be forwarded to the caller.
-    Answered(Reply),
-    /// The endpoint returned an error. An idempotent request may succeed at another endpoint.
-    Failed(Reply),
-    /// The endpoint did not run the request.
-    NotRun,
-    /// The endpoint may have run the request, but returned no usable response.
-    Lost(RefusalReason),
-}
-
 /// Sends `call` to an endpoint, with retries where allowed, and returns the reply for the caller.
 pub async fn handle(call: &Call) -> Reply {
     let mut request = PlainRequest {
@@ -407,104 +342,6 @@
         }
     }
 
-    /// Holds against the endpoints of the exchanges that they are late.
-    fn note_late_exchanges(&mut self) {
-        for exchange in self.exchanges.iter_mut().filter(|exchange| !exchange.is_late) {
-            exchange.is_late = true;
-            self.call.context.record_outcome(&exchange.endpoint, RequestOutcome::Timeout);
-            info!(request = self.call.id(), endpoint = exchange.endpoint.as_str(),
-                left_ms = self.call.remaining_ms();
-                "endpoint is late; another one is looked for");
-        }
-    }
-
-    /// Looks for another endpoint while the exchanges go on, and sends the request there if a retry is
-    /// left. The end of an exchange ends the search.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reply of a peer that has served the request in the meantime.
-    async fn search(&mut self, failure: &mut Option<Reply>) -> Result<(), Reply> {
-        self.search_at = Some(Instant::now() + Duration::from_millis(SEARCH_INTERVAL_MS));
-        // Without a retry, an endpoint's room would be taken in vain.
-        if !self.has_retry && !self.call.context.has_retry(&self.call.service.id) {
-            return Ok(());
-        }
-        let reason = RefusalReason::EndpointTimeout.into();
-        match self.find_endpoint().await {
-            Some(Found::Endpoint(placed)) if self.take_retry(reason) => {
-                self.has_retry = false;
-                self.log_retry(reason);
-                self.begin(placed);
-            }
-            Some(Found::LinksLost) if self.take_retry(reason) => {
-                return self.ask_peers(failure).await;
-            }
-            Some(_) | None => {}
-        }
-        Ok(())
-    }
-
-    /// Looks for an endpoint besides those of the exchanges. Returns `None` if an exchange or the time
-    /// of the request ended first.
-    async fn find_endpoint(&mut self) -> Option<Found> {
-        let call = self.call;
-        let links = match call.origin {
-            Origin::Caller if !self.has_asked_peers => LinkUse::UnlessLost,
-            Origin::Caller | Origin::Peer(_) => LinkUse::AfterOffers,
-        };
-        let mut excluded = self.excluded.clone();
-        excluded.extend(self.exchanges.iter().map(|exchange| exchange.endpoint.clone()));
-        let left = Duration::from_millis(call.remaining_ms());
-        let placed = tokio::select! {
-            biased;
-            _ = next_end(&mut self.exchanges) => return None,
-            placed = call.place_and_connect(&mut excluded, None, links, QueueUse::TryOnce) => placed,
-            () = sleep(left) => return None,
-        };
-        match placed {
-            Ok(placed) => Some(Found::Endpoint(placed)),
-            Err(unplaced) if unplaced.links_failed && links == LinkUse::UnlessLost => {
-                Some(Found::LinksLost)
-            }
-            Err(_) => Some(Found::Nothing),
-        }
-    }
-
-    /// Hands the request to a peer while the exchanges go on.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reply of the peer if it is usable.
-    async fn ask_peers(&mut self, failure: &mut Option<Reply>) -> Result<(), Reply> {
-        let call = self.call;
-        self.has_asked_peers = true;
-        let earlier_runs = call.possible_runs.endpoints();
-        let endpoints_left = call.route.max_endpoints.saturating_sub(earlier_runs);
-        let left = Duration::from_millis(call.remaining_ms());
-        let forwarded = tokio::select! {
-            biased;
-            _ = next_end(&mut self.exchanges) => None,
-            forwarded = call.forward(endpoints_left) => forwarded,
-            () = sleep(left) => None,
-        };
-        let Some(Placed::Forwarded(reply)) = forwarded else { return Ok(()) };
-        self.has_retry = false;
-        let request_id = call.caller.request_id.as_ref();
-        match classify_response(reply.status(), reply.headers(), request_id) {
-            ResponseKind::Success => {
-                self.is_forwarded = true;
-                self.drop_exchanges();
-                Err(reply)
-            }
-            ResponseKind::Failure => {
-                *failure = Some(reply);
-                Ok(())
-            }
-            _ => Ok(()),
-        }
-    }
-
     /// Ends the exchanges as those of endpoints that gave no response.
     fn give_up_exchanges(&mut self) {
         for exchange in std::mem::take(&mut self.exchanges) {
@@ -596,30 +433,6 @@
     }
 }
 
-/// Converts an endpoint's response into the result for the request and the outcome for the
-/// endpoint.
-fn classify(
-    response: &ResponseStream,
-    kind: ResponseKind,
-    body: &Bytes,
-) -> (SendOutcome, RequestOutcome) {
-    match kind {
-        ResponseKind::Success => (
-            SendOutcome::Answered(forward_response(response, body.clone())),
-            RequestOutcome::Success,
-        ),
-        ResponseKind::Failure => (
-            SendOutcome::Failed(forward_response(response, body.clone())),
-            RequestOutcome::ServiceError,
-        ),
-        ResponseKind::NotRun => (SendOutcome::NotRun, RequestOutcome::Rejected),
-        ResponseKind::WrongEndpoint => (SendOutcome::NotRun, RequestOutcome::TransportError),
-        ResponseKind::Foreign => {
-            (SendOutcome::Lost(RefusalReason::EndpointProtocol), RequestOutcome::TransportError)
-        }
-    }
-}
-
 /// Returns the endpoint's response with the original status, end-to-end headers and body.
 pub fn forward_response(response: &ResponseStream, body: Bytes) -> Reply {
     let mut reply = Response::new(ReplyBody::Full(Some(body)));
