daemon: a late endpoint is kept until the reply of a peer is whole

Callers got a part of an answer although their endpoint was sound and would have answered: it was late, the VM had lost its links, and the peer VM that served the request as well broke off its reply. Cause: the head of the peer's reply ended the exchange with the endpoint. What is held was let go before what replaces it was certain. In the same way, an exchange that failed ended the wait for the peer. Change: the peer's reply is read to its end while the exchanges go on. A whole reply or a success of an exchange counts, whichever is first. A reply that breaks off leaves the exchanges as they are.

--- a/crates/daemon/src/plain/exchange.rs
+++ b/crates/daemon/src/plain/exchange.rs
@@ -42,6 +42,23 @@
         }
         self.result.is_some()
     }
+
+    /// Reports whether the endpoint has answered with a success.
+    fn has_succeeded(&self) -> bool {
+        matches!(self.result, Some(Ok((_, ResponseKind::Success, Ok(_)))))
+    }
+}
+
+/// Waits until one of the exchanges has brought a success.
+pub(super) async fn any_success(exchanges: &mut [Exchange<'_>]) {
+    poll_fn(|cx| {
+        let mut has_success = false;
+        for exchange in exchanges.iter_mut() {
+            has_success |= exchange.has_ended(cx) && exchange.has_succeeded();
+        }
+        if has_success { Poll::Ready(()) } else { Poll::Pending }
+    })
+    .await;
 }
 
 /// Waits until one of the exchanges has ended, and returns its index.
--- a/crates/daemon/src/plain/search.rs
+++ b/crates/daemon/src/plain/search.rs
@@ -1,13 +1,16 @@
 //! Looks for another endpoint, or a peer VM, while an endpoint is late.
 
-use super::PlainRequest;
-use super::exchange::next_end;
+use super::exchange::{any_success, next_end};
+use super::{MAX_RESPONSE_BYTES, PlainRequest};
 use crate::forwarding::{Origin, Placed};
 use crate::placing::{EndpointConnection, LinkUse, QueueUse};
-use crate::reply::Reply;
+use crate::reply::{Reply, ReplyBody};
+use gypsumchute_exchange::BodyBuffer;
 use gypsumchute_platform::{ResponseKind, classify_response};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::RefusalReason;
+use http::Response;
+use http_body_util::BodyExt;
 use log::info;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -103,7 +106,7 @@
         let left = Duration::from_millis(call.remaining_ms());
         let forwarded = tokio::select! {
             biased;
-            _ = next_end(&mut self.exchanges) => None,
+            () = any_success(&mut self.exchanges) => None,
             forwarded = call.forward(endpoints_left) => forwarded,
             () = sleep(left) => None,
         };
@@ -112,6 +115,7 @@
         let request_id = call.caller.request_id.as_ref();
         match classify_response(reply.status(), reply.headers(), request_id) {
             ResponseKind::Success => {
+                let Some(reply) = self.read_whole(reply).await else { return Ok(()) };
                 self.is_forwarded = true;
                 self.drop_exchanges();
                 Err(reply)
@@ -123,4 +127,27 @@
             _ => Ok(()),
         }
     }
+
+    /// Reads the body of a peer's reply while the exchanges go on. Returns the whole reply, or `None` if
+    /// it broke off or one of the exchanges has brought a success first.
+    async fn read_whole(&mut self, reply: Reply) -> Option<Reply> {
+        let (head, mut body) = reply.into_parts();
+        let mut received = BodyBuffer::new(&self.call.context.response_buffers);
+        let reading = async {
+            while let Some(frame) = body.frame().await {
+                let chunk = frame.ok()?.into_data().unwrap_or_default();
+                if received.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                    return None;
+                }
+                received.push(&chunk).ok()?;
+            }
+            Some(())
+        };
+        tokio::select! {
+            biased;
+            () = any_success(&mut self.exchanges) => return None,
+            whole = reading => whole?,
+        }
+        Some(Response::from_parts(head, ReplyBody::Full(Some(received.freeze()))))
+    }
 }
--- a/crates/daemon/tests/testsuite/peer_verdicts.rs
+++ b/crates/daemon/tests/testsuite/peer_verdicts.rs
@@ -4,7 +4,7 @@
 use crate::links::Cut;
 use crate::support::{API_KEY, configuration, eventually, generation_request};
 use crate::zoned_fleet::ZonedFleet;
-use gypsumchute_platform_standin::{CallerRequest, CompleteResponse};
+use gypsumchute_platform_standin::{Brittleness, CallerRequest, CompleteResponse};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,16 @@
     [order, read, survey, brief].map(|request| request.timeout_ms(timeout_ms))
 }
 
+/// Raises the time limits of all routes.
+fn allow_long_requests(fleet: &ZonedFleet) {
+    let mut configuration = configuration(8, &[API_KEY]);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = 20_000.into();
+    }
+    fleet.store.configure(&configuration);
+    thread::sleep(Duration::from_millis(500));
+}
+
 fn assert_may_have_run(reply: &CompleteResponse) {
     assert!([502, 504].contains(&reply.status), "{}: {}", reply.status, reply.body);
     assert!(reply.body.contains("may_have_run"), "{}", reply.body);
@@ -55,12 +65,7 @@
 #[test]
 fn a_request_without_a_response_from_a_peer_before_the_exit_may_have_run() {
     let (mut fleet, peer) = start_with_peer(PeerBehaviour::Freezes);
-    let mut configuration = configuration(8, &[API_KEY]);
-    for route in configuration["routes"].as_array_mut().expect("routes") {
-        route["timeoutMs"] = 20_000.into();
-    }
-    fleet.store.configure(&configuration);
-    thread::sleep(Duration::from_millis(500));
+    allow_long_requests(&fleet);
     let address = fleet.daemons[0].address();
     let callers =
         requests(20_000).map(|request| thread::spawn(move || request.send_and_read(address)));
@@ -109,3 +114,24 @@
         assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
     }
 }
+
+/// Guards against LOST: an endpoint that is only late is given up for a peer VM whose response breaks off.
+#[test]
+fn a_late_endpoint_answers_if_the_response_of_a_peer_breaks_off() {
+    const BEGINNING: &str = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\
+        Content-Length: 100\r\n\r\nthe beginning";
+    let fleet = ZonedFleet::start(&["a"]);
+    let peer = FaultyPeer::start(&fleet.daemons[0], "a", PeerBehaviour::Replies(BEGINNING));
+    allow_long_requests(&fleet);
+    let slow = Brittleness { max_rejections_per_s: 1_000, room: 100, work_ms: 1_500 };
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_brittle(Some(slow)));
+    let address = fleet.daemons[0].address();
+    let request = CallerRequest::new("GET /reads/x", "r1", API_KEY).timeout_ms(4_000);
+    let caller = thread::spawn(move || request.send_and_read(address));
+    eventually("the request at an endpoint", || fleet.runs("r1") == 1);
+    fleet.links[0].cut(Cut::RefusesNew);
+    let reply = caller.join().expect("caller");
+    assert_eq!(peer.received_requests(), 1);
+    assert_eq!((reply.status, reply.complete), (200, true), "{}", reply.body);
+    assert!(reply.body.starts_with("answer of book-"), "{}", reply.body);
+}
