daemon: a request that a peer may have sent uses its retry

Cause: the retry for asking peers was kept for the next send unless a reply came. A peer that took the request and sent no reply, or whose reply was not waited for, may have sent it: three arrivals for one retry of the budget. Change: the retry is used as soon as the peer may have sent the request. Measured: found by reading, no test shows it.

--- a/crates/daemon/src/plain/search.rs
+++ b/crates/daemon/src/plain/search.rs
@@ -110,8 +110,11 @@
             forwarded = call.forward(endpoints_left) => forwarded,
             () = sleep(left) => None,
         };
+        // The retry is used once the peer may have sent the request to an endpoint.
+        if forwarded.is_some() || call.possible_runs.endpoints() > earlier_runs {
+            self.has_retry = false;
+        }
         let Some(Placed::Forwarded(reply)) = forwarded else { return Ok(()) };
-        self.has_retry = false;
         let request_id = call.caller.request_id.as_ref();
         match classify_response(reply.status(), reply.headers(), request_id) {
             ResponseKind::Success => {
