Review: a run that is kept when its move goes unanswered may run twice

The request for the other engine was sent, and closing its connection does not end the run there if the links have broken.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Builds the stand-ins of the second review and the scripts of its cases, with the compiler alone.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2024 -O --crate-type rlib --crate-name standins \
+    -o target/review-2/libstandins.rlib review/standins-2/lib.rs
+for case in review/*/case.rs; do
+    number=$(basename "$(dirname "$case")")
+    rustc --edition 2024 -O --crate-name "case_$number" \
+        --extern standins=target/review-2/libstandins.rlib \
+        -o "target/review-2/case-$number" "$case"
+done
