--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -1296,14 +1296,7 @@
         }
     }
 
-    pub fn stop(&self) {
-        self.signal("STOP");
-    }
-
-    pub fn cont(&self) {
-        self.signal("CONT");
-    }
-
+    /// Stops the process as planned.
     pub fn term(&self) {
         self.signal("TERM");
     }
@@ -1318,12 +1311,6 @@
         }
     }
 
-    /// Reports whether the process has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        let mut child = lock(&self.child);
-        child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::new(IpAddr::V4(self.ip), self.ports.readiness);
         let request = format!("GET /api/readyz HTTP/1.1\r\nHost: {address}\r\n\r\n");
