--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
-# Builds the stand-ins of the second review and the scripts of its cases, with the compiler alone.
+# Builds the stand-ins of the second review (review/6/standins.rs) and the scripts of its cases, with the
+# compiler alone.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2024 -O --crate-type rlib --crate-name standins \
-    -o target/review-2/libstandins.rlib review/standins-2/lib.rs
+    -o target/review-2/libstandins.rlib review/6/standins.rs
 for case in review/*/case.rs; do
     number=$(basename "$(dirname "$case")")
     rustc --edition 2024 -O --crate-name "case_$number" \
