daemon: of two runs the one ends that the VM can reach

It moved off a leaving engine, the links to the next one broke before its first event, and after 260 ms the VM closed that connection and kept the first run.

Cause: a close ends a run only if it arrives. Nothing had come from the other engine since the request was sent, and its run was the one taken for ended.

Change: the other engine is asked for its state on a connection of its own. If it answers it is only slow, and the earlier run is kept as before. If not, the earlier run is stopped, its KV cache is copied to a third engine, and the other engine is waited for; the stream resumes from the copy if the request fails, is rejected, or brings nothing until the stream counts as stalled. The same code replaces silent runs. Reports and copies use the VM's own links in tests, and the proxy of the tests holds back a close while it is stalled.

Messages between VMs are unchanged.

--- a/crates/daemon/src/engine_reports.rs
+++ b/crates/daemon/src/engine_reports.rs
@@ -55,7 +55,7 @@
 /// Polls one engine and records its termination notice, if there is one.
 async fn poll_engine(context: Rc<Context>, endpoint: EndpointId, address: SocketAddr) {
     let known_start = context.endpoint_start_ms(&endpoint);
-    match read_report(address, REPORT_TIMEOUT_MS).await {
+    match read_report(&*context.dialer, address, REPORT_TIMEOUT_MS).await {
         Ok(EndpointReport { ends_in_ms, started_wall_ms, signs }) => {
             let started_wall_ms = started_wall_ms.or(known_start);
             context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -55,7 +55,8 @@
         })?;
         let source = KvSource { address, name: request_id.to_string() };
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        Some(Backup { endpoint, address, version, source, _load_guard: load_guard })
+        let dialer = context.dialer.clone();
+        Some(Backup { endpoint, address, version, source, load_guard, dialer })
     }
 
     /// Reports whether the engine that holds `backup` accepts requests and still runs the software
@@ -137,7 +138,8 @@
         });
         possible.sort_by_key(|(rank, ..)| *rank);
         let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
-            _load_guard: context.reserve_load(&endpoint, Load::default()),
+            load_guard: context.reserve_load(&endpoint, Load::default()),
+            dialer: context.dialer.clone(),
             endpoint,
             address,
             version,
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -6,21 +6,16 @@
 //! events arrive late if the links come back.
 
 use super::Generation;
-use super::migration::COPY_TIMEOUT_MS;
 use super::relay::STALL_PAUSE_FACTOR;
-use super::run::{Backup, EventStream, Run, Silence, StartFrom, StartOutcome};
+use super::run::{EventStream, Run, Silence, StartFrom, StartOutcome};
+use super::stopping::RunAtEngine;
 use super::unread::UnreadSignals;
 use crate::events::EventSequence;
 use crate::forwarding::{ContinuedRun, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
 use gypsumchute_exchange::{Connection, TcpTimeouts};
-use gypsumchute_platform::KvSource;
-use gypsumchute_platform::endpoints::{CopyError, copy_kv_cache};
-use gypsumchute_routing::placement::{Placement, choose_migration_target};
-use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use log::info;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -109,7 +104,12 @@
             return refuse(RefusalReason::NoReachableEndpoint);
         }
         let lost = || refuse(RefusalReason::EndpointLost);
-        let Some(backup) = self.stop_and_copy(&run).await else { return lost() };
+        let Some(address) = self.address_at_version(&run.endpoint, run.version) else {
+            return lost();
+        };
+        let stopping = RunAtEngine { endpoint: &run.endpoint, address, version: run.version };
+        let Some(stopping) = self.stop_and_copy(stopping, None) else { return lost() };
+        let Some(backup) = stopping.await else { return lost() };
         match self.start_run(StartFrom::Backup(backup)).await {
             // The run was stopped and can't begin anew.
             StartOutcome::NotRun(_) => lost(),
@@ -137,59 +137,4 @@
             }
         }
     }
-
-    /// Stops `run` and copies its memory. Returns the copy, at another engine or, if that has no room,
-    /// at the engine of the run.
-    async fn stop_and_copy(&self, run: &ContinuedRun) -> Option<Backup> {
-        let context = &self.call.context;
-        let request_id = self.call.caller.request_id.as_ref()?;
-        let source = self.address_at_version(&run.endpoint, run)?;
-        let placement = context.with(|state| {
-            let fleet = state.fleet(&context.settings);
-            let demand = self.call.placement_request(&self.excluded, Some(run.version));
-            choose_migration_target(boot_now(), fleet, demand, &run.endpoint)
-        });
-        let Placement::Endpoint(target) = placement else { return None };
-        let address = self.address_at_version(&target, run)?;
-        if !context.may_send_to(&run.endpoint) {
-            return None;
-        }
-        let load_guard = context.reserve_load(&target, self.backup_load());
-        let started_wall_ms = context.endpoint_start_ms(&run.endpoint);
-        let (result, signs) =
-            copy_kv_cache(source, address, request_id, true, COPY_TIMEOUT_MS).await;
-        context.record_endpoint_signs(&run.endpoint, started_wall_ms, signs);
-        info!(request = self.call.id(), endpoint = run.endpoint.as_str(), to = target.as_str(),
-            after_event = run.last_event_id,
-            error = result.as_ref().err().map_or("-".to_owned(), ToString::to_string);
-            "run of another VM stopped and copied");
-        let version = run.version;
-        match result {
-            Ok(copy) => {
-                let source = KvSource { address: source, name: copy.handle };
-                Some(Backup { endpoint: target, address, version, source, _load_guard: load_guard })
-            }
-            Err(CopyError::TargetUnavailable(Some(retained))) => {
-                let endpoint = run.endpoint.clone();
-                let load_guard = context.reserve_load(&endpoint, self.backup_load());
-                let kept = KvSource { address: source, name: retained.handle };
-                Some(Backup {
-                    endpoint,
-                    address: source,
-                    version,
-                    source: kept,
-                    _load_guard: load_guard,
-                })
-            }
-            Err(_) => None,
-        }
-    }
-
-    /// Returns the address of `endpoint`, if it has the software version of `run`.
-    fn address_at_version(&self, endpoint: &EndpointId, run: &ContinuedRun) -> Option<SocketAddr> {
-        self.call.context.with(|state| {
-            let found = state.endpoints.get(endpoint)?;
-            (found.service_version == run.version).then_some(found.entry.address)
-        })
-    }
 }
--- a/crates/daemon/src/generation/migration.rs
+++ b/crates/daemon/src/generation/migration.rs
@@ -176,8 +176,9 @@
             Ok(copy) => {
                 let source = KvSource { address: run.address, name: copy.handle };
                 let CopyTarget { endpoint, address, version, load_guard } = target;
+                let dialer = self.call.context.dialer.clone();
                 run.backup =
-                    Some(Backup { endpoint, address, version, source, _load_guard: load_guard });
+                    Some(Backup { endpoint, address, version, source, load_guard, dialer });
                 run.termination_handled = false;
             }
             Err(error) => {
@@ -212,9 +213,10 @@
         let context = context.clone();
         Some(Box::pin(async move {
             let source_start = context.endpoint_start_ms(&source);
-            let (result, signs) =
-                copy_kv_cache(source_address, target.address, &request_id, false, COPY_TIMEOUT_MS)
-                    .await;
+            let (dialer, to) = (&*context.dialer, target.address);
+            let copying =
+                copy_kv_cache(dialer, source_address, to, &request_id, false, COPY_TIMEOUT_MS);
+            let (result, signs) = copying.await;
             context.record_endpoint_signs(&source, source_start, signs);
             (target, result)
         }))
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -18,6 +18,7 @@
 mod replacement;
 mod resume;
 mod run;
+mod stopping;
 mod switching;
 mod trace;
 mod unread;
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -8,6 +8,7 @@
 use super::run::{Backup, RelayEnd, Run};
 use super::switching::{NotStarted, READ_GRACE_MS, Switch};
 use super::trace::RunTrace;
+use crate::context::Context;
 use crate::placing::{EndpointConnection, LinkUse, QueueUse};
 use gypsumchute_platform::endpoints::{ReportError, read_report};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
@@ -162,8 +163,7 @@
         if self.call.service.engine.is_none() {
             return true;
         }
-        let report = read_report(address, RESPONSE_TIMEOUT_MS).await;
-        !matches!(report, Err(ReportError::Exchange(_)))
+        responds(&self.call.context, address, RESPONSE_TIMEOUT_MS).await
     }
 
     /// Starts a run at `placed` in the place of the silent `run`, from `copy` or from the prompt.
@@ -228,3 +228,10 @@
         run
     }
 }
+
+/// Reports whether the engine at `address` answers a request for its state within `timeout_ms`, on a
+/// connection of its own.
+pub(super) async fn responds(context: &Context, address: SocketAddr, timeout_ms: u64) -> bool {
+    let report = read_report(&*context.dialer, address, timeout_ms).await;
+    !matches!(report, Err(ReportError::Exchange(_)))
+}
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -7,7 +7,7 @@
 use crate::events::{Event, EventError, EventReader, EventSequence};
 use crate::reply::{QueuedChunk, Reply, StreamCompletion};
 use bytes::Bytes;
-use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_exchange::{Connection, Dial, ExchangeError, ResponseStream};
 use gypsumchute_platform::endpoints::{CopyError, KvCopy, free_kv_copy};
 use gypsumchute_platform::{KvSource, ResponseKind};
 use gypsumchute_routing::continuity::Interruption;
@@ -19,6 +19,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::spawn_local;
@@ -89,7 +90,9 @@
     /// Where the engine reads the copy from when it resumes the generation.
     pub(super) source: KvSource,
     /// Accounts for the memory that the copy occupies.
-    pub(super) _load_guard: LoadGuard,
+    pub(super) load_guard: LoadGuard,
+    /// Opens the connection over which the copy is freed.
+    pub(super) dialer: Rc<dyn Dial>,
 }
 
 impl Backup {
@@ -106,8 +109,10 @@
             return;
         }
         spawn_local(async move {
+            let _load_guard = self.load_guard;
             let copy = KvCopy { handle: self.source.name };
-            if let Err(err) = free_kv_copy(self.source.address, &copy, FREE_COPY_TIMEOUT_MS).await {
+            let (dialer, source) = (&*self.dialer, self.source.address);
+            if let Err(err) = free_kv_copy(dialer, source, &copy, FREE_COPY_TIMEOUT_MS).await {
                 info!(endpoint = self.endpoint.as_str(), error:% = err;
                     "KV copy could not be freed; the engine frees it after a timeout");
             }
--- /dev/null
+++ b/crates/daemon/src/generation/stopping.rs
@@ -0,0 +1,171 @@
+//! Stops a run at its engine and keeps its KV cache, from which the generation can resume.
+
+use super::Generation;
+use super::migration::COPY_TIMEOUT_MS;
+use super::run::Backup;
+use gypsumchute_platform::KvSource;
+use gypsumchute_platform::endpoints::{CopyError, copy_kv_cache};
+use gypsumchute_routing::placement::{Placement, choose_migration_target};
+use gypsumchute_routing::stream_versions::ServiceVersion;
+use gypsumchute_units::EndpointId;
+use gypsumchute_units::time::boot_now;
+use log::info;
+use std::collections::BTreeSet;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use tokio::task::spawn_local;
+
+/// A run at an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunAtEngine<'a> {
+    /// Engine of the run.
+    pub(super) endpoint: &'a EndpointId,
+    /// Address of `endpoint`.
+    pub(super) address: SocketAddr,
+    /// Service and software version of the run.
+    pub(super) version: ServiceVersion,
+}
+
+/// A run that its engine is stopping. The result is the copy of its KV cache, or `None` if there is none.
+pub(super) type PendingStop = Pin<Box<dyn Future<Output = Option<Backup>>>>;
+
+/// The KV cache of a run that was stopped, once it is copied.
+#[derive(Default)]
+pub(super) struct KeptCopy {
+    copying: Option<PendingStop>,
+    copy: Option<Backup>,
+}
+
+impl KeptCopy {
+    /// Returns the copy that `copying` makes.
+    pub(super) fn pending(copying: PendingStop) -> Self {
+        KeptCopy { copying: Some(copying), copy: None }
+    }
+
+    /// Reports whether the generation can resume from the copy.
+    pub(super) fn is_made(&self) -> bool {
+        self.copy.is_some()
+    }
+
+    /// Waits until the copy is made or has failed; never returns if that is known already.
+    pub(super) async fn settled(&mut self) {
+        match &mut self.copying {
+            Some(copying) => self.copy = copying.await,
+            None => pending().await,
+        }
+        self.copying = None;
+    }
+
+    /// Waits for the copy, if it is being made, and returns it.
+    pub(super) async fn into_copy(mut self) -> Option<Backup> {
+        if self.copying.is_some() {
+            self.settled().await;
+        }
+        self.copy
+    }
+
+    /// Frees the copy, which is not needed, once it is made.
+    pub(super) fn free(self) {
+        spawn_local(async move {
+            if let Some(copy) = self.into_copy().await {
+                copy.free();
+            }
+        });
+    }
+}
+
+impl Generation {
+    /// Has the engine of `run` stop it and copy its KV cache to another engine, or keep it if that one
+    /// has no room. Engines in the zone of `unreachable` are chosen last, and that engine itself never.
+    /// Returns `None` if the engine was not asked: no other one has room, it must not be sent to, or the
+    /// caller sent no request id (which names the run).
+    pub(super) fn stop_and_copy(
+        &self,
+        run: RunAtEngine<'_>,
+        unreachable: Option<&EndpointId>,
+    ) -> Option<PendingStop> {
+        let context = self.call.context.clone();
+        let request_id = self.call.caller.request_id.clone()?;
+        let RunAtEngine { address: source, version, .. } = run;
+        let target = self.choose_copy_target(run, unreachable)?;
+        let address = self.address_at_version(&target, version)?;
+        if !context.may_send_to(run.endpoint) {
+            return None;
+        }
+        let load_guard = context.reserve_load(&target, self.backup_load());
+        let (endpoint, load) = (run.endpoint.clone(), self.backup_load());
+        let after_event = self.sequence.last_id();
+        Some(Box::pin(async move {
+            let started_wall_ms = context.endpoint_start_ms(&endpoint);
+            let dialer = &*context.dialer;
+            let copying =
+                copy_kv_cache(dialer, source, address, &request_id, true, COPY_TIMEOUT_MS);
+            let (result, signs) = copying.await;
+            context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
+            info!(request = request_id.as_str(), endpoint = endpoint.as_str(),
+                to = target.as_str(), after_event:?,
+                error = result.as_ref().err().map_or("-".to_owned(), ToString::to_string);
+                "run stopped and copied");
+            let dialer = context.dialer.clone();
+            match result {
+                Ok(copy) => {
+                    let source = KvSource { address: source, name: copy.handle };
+                    let endpoint = target;
+                    Some(Backup { endpoint, address, version, source, load_guard, dialer })
+                }
+                Err(CopyError::TargetUnavailable(Some(retained))) => {
+                    let load_guard = context.reserve_load(&endpoint, load);
+                    let kept = KvSource { address: source, name: retained.handle };
+                    let address = source;
+                    Some(Backup { endpoint, address, version, source: kept, load_guard, dialer })
+                }
+                Err(_) => None,
+            }
+        }))
+    }
+
+    /// Chooses the engine that receives the copy of `run`, as [`Self::stop_and_copy`] says.
+    fn choose_copy_target(
+        &self,
+        run: RunAtEngine<'_>,
+        unreachable: Option<&EndpointId>,
+    ) -> Option<EndpointId> {
+        let context = &self.call.context;
+        let mut excluded = self.excluded.clone();
+        excluded.extend(unreachable.cloned());
+        let mut preferred = excluded.clone();
+        let choose = |excluded: &BTreeSet<EndpointId>| {
+            let placement = context.with(|state| {
+                let fleet = state.fleet(&context.settings);
+                let demand = self.call.placement_request(excluded, Some(run.version));
+                choose_migration_target(boot_now(), fleet, demand, run.endpoint)
+            });
+            match placement {
+                Placement::Endpoint(endpoint) => Some(endpoint),
+                Placement::AtCapacity | Placement::NoEndpoint => None,
+            }
+        };
+        if let Some(unreachable) = unreachable {
+            context.with(|state| {
+                let zone = state.endpoints.get(unreachable).map(|found| &found.entry.zone);
+                let engines = state.endpoints.iter_in_service(&self.call.service.id);
+                let in_zone = engines.filter(|engine| Some(&engine.entry.zone) == zone);
+                preferred.extend(in_zone.map(|engine| engine.entry.id.clone()));
+            });
+        }
+        choose(&preferred).or_else(|| choose(&excluded))
+    }
+
+    /// Returns the address of `endpoint`, if it has the software version `version`.
+    pub(super) fn address_at_version(
+        &self,
+        endpoint: &EndpointId,
+        version: ServiceVersion,
+    ) -> Option<SocketAddr> {
+        self.call.context.with(|state| {
+            let found = state.endpoints.get(endpoint)?;
+            (found.service_version == version).then_some(found.entry.address)
+        })
+    }
+}
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -2,30 +2,50 @@
 //!
 //! Once the request was sent, two runs may be at work. What the earlier one brings is kept unread, so that
 //! the caller receives the events of one run only. The first event of the other run ends the earlier
-//! one, and a rejection or a failure leaves it as it was. If there is neither in time, the other engine's run is given
-//! up, unless the earlier one counts as stalled: a request that is not rejected at once has usually been
-//! accepted.
+//! one, and a rejection or a failure leaves it as it was. If there is neither in time, one of the two has to
+//! end, and closing a connection ends a run only if the close arrives. So the other engine is asked for a
+//! sign of life:
+//!
+//! - If it answers, it is only slow. Its run is given up, unless the earlier one counts as stalled: a
+//!   request that is not rejected at once has usually been accepted.
+//! - If it does not, nothing can end its run. The earlier run, which brought events until now, is stopped
+//!   in its place, and the other engine is waited for. The KV cache of the stopped run is kept at a third
+//!   engine if one has room: the generation resumes there if the other engine rejects the request, breaks
+//!   the connection or stays out of reach until the stream counts as stalled.
 
 use super::Generation;
+use super::replacement::responds;
 use super::run::{
     Backup, EventStream, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, SendResult,
     StartOutcome,
 };
+use super::stopping::{KeptCopy, RunAtEngine};
 use super::trace::RunTrace;
 use crate::call::EndedBy;
+use crate::context::Context;
 use crate::placing::EndpointConnection;
-use gypsumchute_exchange::Connection;
+use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_platform::ResponseKind;
 use gypsumchute_routing::continuity::Interruption;
+use gypsumchute_units::EndpointId;
 use log::info;
 use std::future::pending;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
-/// Maximum wait for the first event of the other run while the earlier run is active, in milliseconds.
-/// Two runs of one generation must not be active at once for 400 ms, and this limit ends one of them
-/// well before that.
+/// Maximum wait for the first event of the other run before its engine is asked for a sign of life, in
+/// milliseconds. Two runs of one generation must not be active at once for 400 ms: this, the time for
+/// the answer and the time to stop the earlier run end one of them before that.
 const CUTOVER_TIMEOUT_MS: u64 = 250;
+/// Time within which the other engine must give a sign of life, in milliseconds: a connection and a
+/// short answer.
+const REACH_TIMEOUT_MS: u64 = 70;
+/// Time within which the engine of the earlier run must stop it before its connection is closed, in
+/// milliseconds.
+const STOP_TIMEOUT_MS: u64 = 40;
 /// Time for reading what has arrived before a run is replaced or given up, in milliseconds.
 pub(super) const READ_GRACE_MS: u64 = 10;
 
@@ -68,6 +88,8 @@
     Failed(RunFailure, EndedBy),
     /// It was given up because it is stalled and the other engine has not answered yet.
     GivenUp,
+    /// It was stopped because the other engine, which may run the request, was out of reach.
+    Stopped(KeptCopy),
 }
 
 /// What the request to the other engine has brought.
@@ -90,6 +112,7 @@
         let earlier_endpoint = run.endpoint.clone();
         // The other run's backup must not be at the engine of the earlier one.
         self.excluded.insert(earlier_endpoint.clone());
+        let other_endpoint = placed.endpoint.clone();
         let is_from_copy = copy.is_some();
         self.kept_trace = Some(self.trace.clone());
         let (connection, prepared) = self.prepare_run(placed, copy);
@@ -104,7 +127,7 @@
                 Some(self.on_first_signal(outcome, answer.first))
             }
             None => {
-                self.give_up_unanswered(prepared);
+                self.give_up_unanswered(prepared, matches!(earlier, EarlierRun::Kept(_)));
                 None
             }
         };
@@ -113,6 +136,10 @@
             (Some(StartOutcome::Running(run)), EarlierRun::Kept(earlier)) => {
                 Switch::Done { run, earlier: Some((earlier, trace)) }
             }
+            (Some(StartOutcome::Running(run)), EarlierRun::Stopped(copy)) => {
+                copy.free();
+                Switch::Done { run, earlier: None }
+            }
             (Some(StartOutcome::Running(run)), _) => Switch::Done { run, earlier: None },
             (outcome, EarlierRun::Kept(run)) => {
                 self.trace = trace;
@@ -125,6 +152,9 @@
                 };
                 Switch::Kept { run, not_started, copy }
             }
+            (outcome, EarlierRun::Stopped(copy)) => {
+                self.resume_stopped_run(outcome, copy, other_endpoint, trace).await
+            }
             (Some(StartOutcome::Lost(backup)), _) => {
                 Switch::Lost(RelayEnd::Lost(Interruption::Disconnected, backup))
             }
@@ -136,6 +166,33 @@
         }
     }
 
+    /// Has the generation resume from `copy` of the run that was stopped, of which `trace` tells, since
+    /// the other engine has not started a run. Without a copy, the failure of the other run decides what
+    /// follows.
+    async fn resume_stopped_run(
+        &mut self,
+        outcome: Option<StartOutcome>,
+        copy: KeptCopy,
+        other: EndpointId,
+        trace: RunTrace,
+    ) -> Switch {
+        let interruption = match outcome {
+            Some(_) => Interruption::Disconnected,
+            None => Interruption::Stalled,
+        };
+        let lost = match (copy.into_copy().await, outcome) {
+            (Some(copy), _) => {
+                self.excluded.insert(other);
+                self.trace = trace;
+                RelayEnd::Lost(interruption, Some(copy))
+            }
+            (None, Some(StartOutcome::Lost(backup))) => RelayEnd::Lost(interruption, backup),
+            (None, Some(StartOutcome::Failed(reply))) => RelayEnd::Failed(reply),
+            (None, _) => RelayEnd::Lost(interruption, None),
+        };
+        Switch::Lost(lost)
+    }
+
     /// Adds what the stream of a run that has started at the other engine brought first. A stream that
     /// fails before its first event has not started.
     fn on_first_signal(&mut self, outcome: StartOutcome, first: Option<RunSignal>) -> StartOutcome {
@@ -165,7 +222,8 @@
     ) -> (OtherAnswer, EarlierRun) {
         let stalled_at = self.stalled_at(&run);
         let sending = prepared.send(&self.call, connection);
-        let cutover = cutover_due();
+        let reports = self.call.service.engine.is_some();
+        let cutover = cutover_due(self.call.context.clone(), prepared.address, reports);
         tokio::pin!(sending, cutover);
         let mut other: Option<EventStream> = None;
         let earlier = loop {
@@ -194,22 +252,36 @@
                     let sent = other.map(|stream| Ok((stream, ResponseKind::Success)));
                     return (OtherAnswer { sent, first: Some(first) }, EarlierRun::Kept(run));
                 }
-                () = cutover.as_mut() => {
-                    if !run.unread.is_empty() || Instant::now() < stalled_at {
-                        return (OtherAnswer::default(), EarlierRun::Kept(run));
+                is_reached = cutover.as_mut() => {
+                    let is_stalled = run.unread.is_empty() && Instant::now() >= stalled_at;
+                    match (is_stalled, is_reached) {
+                        (true, _) => break EarlierRun::GivenUp,
+                        (false, true) => return (OtherAnswer::default(), EarlierRun::Kept(run)),
+                        (false, false) => {}
+                    }
+                    match self.stop_earlier_run(&mut run, &prepared.endpoint).await {
+                        Some(copy) => break EarlierRun::Stopped(copy),
+                        None => return (OtherAnswer::default(), EarlierRun::Kept(run)),
                     }
-                    break EarlierRun::GivenUp;
                 }
             }
         };
         drop(run);
+        if let EarlierRun::Stopped(copy) = earlier {
+            // It has ended as it was told to, which holds nothing against its engine.
+            if let Some(trace) = &mut self.kept_trace {
+                trace.alive_ms = None;
+            }
+            let (answer, copy) = wait_for_other(sending, other, copy, stalled_at).await;
+            return (answer, EarlierRun::Stopped(copy));
+        }
         if let Some(mut trace) = self.kept_trace.take() {
             match &earlier {
                 EarlierRun::Failed(failure, EndedBy::Endpoint) => {
                     trace.record_failure(&self.call, failure);
                 }
                 EarlierRun::GivenUp => trace.record_silent(&self.call),
-                EarlierRun::Failed(..) | EarlierRun::Kept(_) => {}
+                EarlierRun::Failed(..) | EarlierRun::Kept(_) | EarlierRun::Stopped(_) => {}
             }
         }
         let sent = match other {
@@ -219,12 +291,45 @@
         (OtherAnswer { sent: Some(sent), first: None }, earlier)
     }
 
+    /// Stops the earlier `run`, because `other` may run the request and is out of reach. Returns the copy
+    /// of its KV cache, or `None` if its stream has just been completed. It ends for certain once its
+    /// connection is closed, whether or not its engine has stopped it by then.
+    async fn stop_earlier_run(&self, run: &mut Run, other: &EndpointId) -> Option<KeptCopy> {
+        let (endpoint, address, version) = (&run.endpoint, run.address, run.version);
+        let at_engine = RunAtEngine { endpoint, address, version };
+        let stopping =
+            if run.is_at_peer { None } else { self.stop_and_copy(at_engine, Some(other)) };
+        info!(request = self.call.id(), endpoint = endpoint.as_str(), other = other.as_str(),
+            events = self.delivered_events, keeps_copy = stopping.is_some();
+            "other engine has not answered and is out of reach; the earlier run is stopped");
+        let Some(stopping) = stopping else { return Some(KeptCopy::default()) };
+        let mut copy = KeptCopy::pending(stopping);
+        let deadline = Instant::now() + Duration::from_millis(STOP_TIMEOUT_MS);
+        loop {
+            tokio::select! {
+                biased;
+                signal = run.next_signal(), if run.unread.has_room() => {
+                    match run.checked(signal, &self.sequence, self.delivered_events) {
+                        signal @ RunSignal::Event(_) => run.unread.push(signal),
+                        RunSignal::Ended => {
+                            run.unread.push(RunSignal::Ended);
+                            return None;
+                        }
+                        RunSignal::Failed(_) => return Some(copy),
+                    }
+                }
+                () = copy.settled() => return Some(copy),
+                () = sleep_until(deadline) => return Some(copy),
+            }
+        }
+    }
+
     /// Records that the run of `prepared`, whose engine has not answered, is given up. Its connection is
-    /// closed, which ends it at the engine.
-    fn give_up_unanswered(&mut self, prepared: PreparedRun) {
+    /// closed, which ends it at an engine within reach.
+    fn give_up_unanswered(&mut self, prepared: PreparedRun, is_earlier_kept: bool) {
         info!(request = self.call.id(), endpoint = prepared.endpoint.as_str(),
-            silent_ms:? = self.trace.silent_ms(), events = self.delivered_events;
-            "engine has not answered; the earlier run is kept");
+            silent_ms:? = self.trace.silent_ms(), events = self.delivered_events, is_earlier_kept;
+            "engine has not answered; its run is given up");
         self.trace.record_silent(&self.call);
         if let Some(copy) = prepared.copy {
             copy.free();
@@ -240,8 +345,44 @@
     }
 }
 
-/// Completes when one of two runs must end.
-async fn cutover_due() {
+/// Waits until the other engine has answered. Once `copy` of the stopped run is made, that is at most
+/// until `stalled_at`.
+async fn wait_for_other(
+    mut sending: Pin<&mut impl Future<Output = SendResult>>,
+    mut other: Option<EventStream>,
+    mut copy: KeptCopy,
+    stalled_at: Instant,
+) -> (OtherAnswer, KeptCopy) {
+    loop {
+        tokio::select! {
+            biased;
+            sent = sending.as_mut(), if other.is_none() => match sent {
+                Ok((stream, ResponseKind::Success)) => other = Some(stream),
+                sent => return (OtherAnswer { sent: Some(sent), first: None }, copy),
+            },
+            first = first_signal(&mut other) => {
+                let sent = other.map(|stream| Ok((stream, ResponseKind::Success)));
+                return (OtherAnswer { sent, first: Some(first) }, copy);
+            }
+            () = copy.settled() => {}
+            () = sleep_until(stalled_at), if copy.is_made() => {
+                return (OtherAnswer::default(), copy);
+            }
+        }
+    }
+}
+
+/// Completes when one of two runs must end, and returns whether the other engine, at `address`, is within
+/// reach. An engine that `reports` its state is asked for it; the connection alone may only show that
+/// something in between accepts it.
+async fn cutover_due(context: Rc<Context>, address: SocketAddr, reports: bool) -> bool {
     sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
+    let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
+    let is_reached = match reports {
+        true => responds(&context, address, REACH_TIMEOUT_MS).await,
+        false => Connection::open(dialer, address, REACH_TIMEOUT_MS, timeouts).await.is_ok(),
+    };
+    // If this process was suspended, what has arrived meanwhile is read first.
     sleep(Duration::from_millis(READ_GRACE_MS)).await;
+    is_reached
 }
--- a/crates/daemon/tests/testsuite/migrations.rs
+++ b/crates/daemon/tests/testsuite/migrations.rs
@@ -18,6 +18,8 @@
 const EVENT_COUNT: u64 = 60;
 /// Behaviour of an engine that streams for 1.2 s.
 const STREAM: Behaviour = Behaviour::Streams { events: EVENT_COUNT, event_interval_ms: 20 };
+/// Behaviour of an engine that streams for 2.4 s.
+const LONG_STREAM: Behaviour = Behaviour::Streams { events: EVENT_COUNT, event_interval_ms: 40 };
 /// Behaviour of an engine that answers after a run that waits for it must have been given up.
 const TOO_LATE: Behaviour = Behaviour::StreamsLate { answer_ms: 300 };
 
@@ -34,7 +36,12 @@
 impl LeavingStream {
     /// Starts two engines that behave as `first`, and a stream that begins at one of them.
     fn begin(first: Behaviour) -> Self {
-        let (env, engines) = TestEnv::start(|state| {
+        LeavingStream::begin_behind(&Links::default(), first)
+    }
+
+    /// Does the same at a VM that reaches the engines over `links`.
+    fn begin_behind(links: &Links, first: Behaviour) -> Self {
+        let (env, engines) = TestEnv::start_behind(links, |state| {
             let start = |id| (Endpoint::start(state, id, first), "engines", "a");
             ["engine-1", "engine-2"].map(start).into()
         });
@@ -65,6 +72,12 @@
         });
     }
 
+    /// Asserts that two runs are at work for no longer than they may from now on, and not at once later.
+    fn assert_no_long_overlap(&self) {
+        sleep(Duration::from_millis(MAX_OVERLAP_MS as u64));
+        assert_eq!(self.env.endpoint_state.active_executions("r1"), 1, "active runs");
+    }
+
     fn other_id(&self) -> String {
         self.engines[self.other].id.clone()
     }
@@ -157,6 +170,64 @@
     stream.assert_completes(20);
 }
 
+/// Guards against two runs at work: the close of a connection does not end a run if the link is gone.
+#[test]
+fn a_run_ends_once_the_one_that_may_replace_it_is_out_of_reach() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_behind(&links, LONG_STREAM);
+    stream.read_until(5);
+    stream.announce(Behaviour::StreamsLate { answer_ms: 100 });
+    stream.wait_for_resumption();
+    links.cut_to([stream.engines[stream.other].address()], Cut::Silent);
+    stream.assert_no_long_overlap();
+    sleep(Duration::from_millis(800));
+    links.restore();
+    let other = stream.other_id();
+    let (env, _) = stream.assert_completes(EVENT_COUNT);
+    assert_eq!(env.last_run_endpoint("r1"), other, "the run that could not be ended goes on");
+}
+
+/// Guards against a stream that is lost with the engine that does not answer although a third one
+/// could go on with it.
+#[test]
+fn a_stream_goes_on_at_a_third_engine_while_that_of_its_backup_is_out_of_reach() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_behind(&links, LONG_STREAM);
+    let third = Endpoint::start(&stream.env.endpoint_state, "engine-3", STREAM);
+    register_endpoint(&stream.env.store, &third, "engines", "a", "ready");
+    stream.read_until(5);
+    stream.announce(Behaviour::Hangs);
+    stream.wait_for_resumption();
+    links.cut_to([stream.engines[stream.other].address()], Cut::Silent);
+    stream.assert_no_long_overlap();
+    let leaving = stream.leaving;
+    stream.engines[leaving].kill();
+    stream.read_until(EVENT_COUNT);
+    assert_eq!(stream.env.last_run_endpoint("r1"), third.id);
+    links.restore();
+    let LeavingStream { body, stream, .. } = stream;
+    let reply = stream.read_to_end();
+    assert_eq!((reply.complete, body + &reply.body), (true, complete_stream(EVENT_COUNT)));
+}
+
+/// Guards against a sound run being ended because the other engine, which is reached, is slow.
+#[test]
+fn a_run_goes_on_if_the_engine_that_may_replace_it_is_slow_and_within_reach() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_behind(&links, LONG_STREAM);
+    stream.read_until(5);
+    stream.announce(Behaviour::Hangs);
+    stream.wait_for_resumption();
+    stream.assert_no_long_overlap();
+    let before = stream.body.len();
+    stream.read_until(40);
+    assert!(stream.body.len() > before);
+    let leaving = stream.engines[stream.leaving].id.clone();
+    let active = stream.env.endpoint_state.active_executions("r1");
+    assert_eq!((stream.env.last_run_endpoint("r1"), active), (stream.other_id(), 1), "{leaving}");
+    stream.assert_completes(EVENT_COUNT);
+}
+
 /// Guards against events that wait for a connection to another engine.
 #[test]
 fn events_are_delivered_while_the_next_engine_is_not_reached() {
--- a/crates/daemon/tests/testsuite/support.rs
+++ b/crates/daemon/tests/testsuite/support.rs
@@ -201,6 +201,22 @@
     pub fn start_with_settings(
         tune: impl FnOnce(&mut DaemonSettings),
         make: impl FnOnce(&SharedEndpointState) -> Vec<(Endpoint, &'static str, &'static str)>,
+    ) -> (Self, Vec<Endpoint>) {
+        TestEnv::start_tuned(&Links::default(), tune, make)
+    }
+
+    /// Starts the environment with a daemon that reaches the endpoints over `links`.
+    pub fn start_behind(
+        links: &Links,
+        make: impl FnOnce(&SharedEndpointState) -> Vec<(Endpoint, &'static str, &'static str)>,
+    ) -> (Self, Vec<Endpoint>) {
+        TestEnv::start_tuned(links, |_| {}, make)
+    }
+
+    fn start_tuned(
+        links: &Links,
+        tune: impl FnOnce(&mut DaemonSettings),
+        make: impl FnOnce(&SharedEndpointState) -> Vec<(Endpoint, &'static str, &'static str)>,
     ) -> (Self, Vec<Endpoint>) {
         let (store, endpoint_state) = (configured_store(), SharedEndpointState::default());
         let started = make(&endpoint_state);
@@ -208,7 +224,7 @@
             register_endpoint(&store, endpoint, service, zone, "ready");
         }
         let source = ConfigSource::Store(store.address());
-        let daemon = Daemon::start_tuned(&Links::default(), source, "vm-1", "a", &[], tune);
+        let daemon = Daemon::start_tuned(links, source, "vm-1", "a", &[], tune);
         daemon.wait_ready(true);
         let endpoints = started.into_iter().map(|(endpoint, _, _)| endpoint).collect();
         (TestEnv { store, endpoint_state, daemon }, endpoints)
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -352,7 +352,7 @@
     Ok(request.header(CONTENT_TYPE, "application/json").body(Full::new(body))?)
 }
 
-/// Sends `request` to `address` on a new connection and reads the complete response.
+/// Sends `request` to `address` on a new connection through `dialer`, and reads the complete response.
 ///
 /// `timeout_ms` covers the whole exchange. `max_bytes` limits the size of the response body.
 ///
@@ -360,14 +360,14 @@
 ///
 /// Returns an error if the exchange fails or times out, or if the body is too large.
 pub async fn call(
+    dialer: &dyn Dial,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     timeout_ms: u64,
     max_bytes: usize,
 ) -> Result<(http::response::Parts, Bytes), ExchangeError> {
     let exchange = async {
-        let connection =
-            Connection::open(&TcpDialer, address, timeout_ms, TcpTimeouts::Short).await?;
+        let connection = Connection::open(dialer, address, timeout_ms, TcpTimeouts::Short).await?;
         let mut response = connection.send(request).await?;
         // The size is bounded by `max_bytes`, and the system makes few such calls at a time.
         let body = response.read_body(max_bytes, &BufferBudget::new(2 * max_bytes)).await?;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -302,10 +302,9 @@
     is_response: bool,
 ) {
     let mut chunk = [0; READ_BUFFER_BYTES];
-    while let Ok(count) = from.read(&mut chunk) {
-        if count == 0 {
-            break;
-        }
+    loop {
+        // A stalled connection passes on neither bytes nor its end.
+        let count = from.read(&mut chunk).unwrap_or(0);
         loop {
             let (fault, delay_ms, current_epoch, stopped) = {
                 let state = lock(state);
@@ -328,7 +327,7 @@
             }
             thread::sleep(Duration::from_millis(STALL_POLL_INTERVAL_MS));
         }
-        if to.write_all(&chunk[..count]).is_err() {
+        if count == 0 || to.write_all(&chunk[..count]).is_err() {
             break;
         }
     }
