daemon: a run that a silent peer may have moved loses its backup

What callers would see: nothing; a stream that may run once could be at work at two engines. A VM without links hands a run to a peer, which has the engine stop it and goes on elsewhere, and the reply does not arrive. Once its links are back the VM resumed the run from its own backup.

Cause: a hand-over without a reply counted as none. Change: continued, not taken and unknown are told apart, and after the last one the run goes on without its backup. Messages between VMs are unchanged.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -22,7 +22,9 @@
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{EndpointId, Fingerprint, Refusal, RefusalReason, ServiceId};
+use gypsumchute_units::{
+    EndpointId, Fingerprint, Refusal, RefusalReason, ServiceId, promises_not_run,
+};
 use http::{Response, StatusCode};
 use log::{info, warn};
 use prost::Message;
@@ -114,6 +116,17 @@
     }
 }
 
+/// What became of a run that was handed to peers.
+pub enum Handover {
+    /// A peer continues it at another engine. Contains the stream of what follows the events that the
+    /// caller has.
+    Continued(ResponseStream),
+    /// It goes on at its engine: no peer has stopped it, or will.
+    NotTaken,
+    /// A peer may have stopped it, and may be continuing it at another engine.
+    Unknown,
+}
+
 impl Call {
     /// Connects to an endpoint, or hands the request to another VM if this VM's links to the endpoints
     /// fail. `max_endpoints` endpoints may still run the request.
@@ -193,22 +206,29 @@
         reply
     }
 
-    /// Has another VM move `run` to another engine, and returns the stream of what follows the events
-    /// that the caller has. Returns `None` if that failed; the run may have been stopped then.
-    pub async fn continue_at_peer(&self, run: &ContinuedRun) -> Option<ResponseStream> {
+    /// Has another VM move `run` to another engine. A peer that has taken the run answers within
+    /// `limit`.
+    pub async fn continue_at_peer(&self, run: &ContinuedRun, limit: Duration) -> Handover {
         let offer = self.offer(1, Some(run));
         for peer in self.peers_to_ask() {
             let Some(connection) = self.offer_to(&peer, &offer).await else { continue };
-            let response = self.send_to_peer(&peer, connection).await?;
+            let Ok(Some(response)) = timeout(limit, self.send_to_peer(&peer, connection)).await
+            else {
+                return Handover::Unknown;
+            };
+            let http::response::Parts { status, headers, .. } = &response.head;
             let request_id = self.caller.request_id.as_ref();
-            let reason = refusal_reason(&response.head.headers);
-            if reason == Some(RefusalReason::NoReachableEndpoint) {
-                continue;
+            match refusal_reason(headers) {
+                Some(RefusalReason::NoReachableEndpoint) => {}
+                Some(_) if promises_not_run(status.as_u16()) => return Handover::NotTaken,
+                Some(_) => return Handover::Unknown,
+                None => match classify_response(*status, headers, request_id) {
+                    ResponseKind::Success => return Handover::Continued(response),
+                    _ => return Handover::Unknown,
+                },
             }
-            let kind = classify_response(response.head.status, &response.head.headers, request_id);
-            return (kind == ResponseKind::Success).then_some(response);
         }
-        None
+        Handover::NotTaken
     }
 
     /// Returns the offer of this request to a peer.
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -11,13 +11,13 @@
 use super::stopping::RunAtEngine;
 use super::unread::UnreadSignals;
 use crate::events::EventSequence;
-use crate::forwarding::{ContinuedRun, Origin};
+use crate::forwarding::{ContinuedRun, Handover, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
 use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use log::info;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// Maximum number of attempts to hand a run over.
 const MAX_HANDOVERS: u32 = 3;
@@ -60,8 +60,9 @@
     }
 
     /// Has a peer continue the run. Returns the run as the peer relays it, or the same run if that
-    /// failed.
-    pub(super) async fn hand_over_run(&self, run: Run, handovers: &mut Handovers) -> Run {
+    /// failed. If the peer may be continuing it all the same, the run is left without its backup: a stream
+    /// that the peer has stopped must not go on at a third engine.
+    pub(super) async fn hand_over_run(&self, mut run: Run, handovers: &mut Handovers) -> Run {
         handovers.attempts += 1;
         let (Some(version), Some(last_event_id)) = (self.version, self.sequence.last_id()) else {
             return run;
@@ -70,11 +71,18 @@
         let continued =
             ContinuedRun { endpoint, version, last_event_id, events: self.delivered_events };
         let limit = Duration::from_millis(HANDOVER_TIMEOUT_MS);
-        let continuing = timeout(limit, self.call.continue_at_peer(&continued));
-        let Ok(Some(response)) = continuing.await else {
+        let (response, may_continue) = match self.call.continue_at_peer(&continued, limit).await {
+            Handover::Continued(response) => (Some(response), true),
+            Handover::NotTaken => (None, false),
+            Handover::Unknown => (None, true),
+        };
+        let Some(response) = response else {
             info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
-                events = self.delivered_events;
-                "no peer VM continues the run; it stays at its engine");
+                events = self.delivered_events, may_continue;
+                "no peer VM is known to continue the run; it stays at its engine");
+            if may_continue && let Some(backup) = run.backup.take() {
+                backup.free();
+            }
             return run;
         };
         Run {
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -307,3 +307,39 @@
         assert_eq!(fleet.runs(&id), 0, "the request ran at another VM");
     }
 }
+
+/// Guards against a second run of a stream that a silent peer may have moved to another engine: the
+/// backup of the first run must not be used.
+#[test]
+fn a_stream_that_a_silent_peer_may_have_moved_is_not_resumed_from_its_backup() {
+    let fleet = ZonedFleet::start(&["a"]);
+    let slow = Behaviour::Streams { events: 600, event_interval_ms: 25 };
+    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
+    let request = generation_request("surveys", "r1").timeout_ms(20_000);
+    let mut stream = request.send(fleet.daemons[0].address());
+    stream.next_chunk().expect("open stream").expect("first event");
+    let first_run = fleet.state.received_requests()[0].clone();
+    assert!(first_run.headers.contains_key("x-kv-backup"), "{:?}", first_run.headers);
+    let silent = FaultyPeer::start(&fleet.daemons[0], "a", PeerBehaviour::Freezes);
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.links[0].cut(Cut::Silent);
+    // Other requests show that the links to the engines are lost.
+    let address = fleet.daemons[0].address();
+    let others = [0, 1, 2].map(|n| {
+        let request = generation_request("surveys", &format!("other-{n}")).timeout_ms(1_500);
+        std::thread::spawn(move || drop(request.send_and_read(address)))
+    });
+    eventually("the run to be handed over", || silent.received_requests() == 4);
+    let engine = fleet.endpoints.iter().find(|e| e.id == first_run.endpoint).expect("engine");
+    let target = fleet.endpoints.iter().find(|e| e.id == "engine-b-1").expect("engine");
+    // The peer has the engine stop the run, and stands still before it replies.
+    let order = format!(r#"{{"id":"r1","to":"{}","last":true}}"#, target.address());
+    let stop = CallerRequest::new("POST /api/kv-move", "stop", "").body(&order);
+    assert_eq!(stop.send_and_read(engine.address()).status, 200);
+    fleet.links[0].restore();
+    assert!(!stream.read_to_end().complete);
+    assert_eq!(fleet.runs("r1"), 1, "runs");
+    for other in others {
+        other.join().expect("the other caller ends");
+    }
+}
