daemon: a request received behind another one is answered at a planned stop

Cause: the first answer after SIGTERM announced the close whatever was received behind its request, and 3.5 s later each connection was told to shut down; hyper drops what it has read ahead in both cases.

Change: the connection counts what it has received and the length of the requests that have begun. The close is announced, and the connection told to shut down, only if nothing else was received.

--- a/crates/daemon/src/caller_stream.rs
+++ b/crates/daemon/src/caller_stream.rs
@@ -4,6 +4,7 @@
 //! If a socket is closed while received bytes are unread, the kernel resets the connection and drops
 //! what it has not delivered yet.
 
+use crate::caller_input::CallerInput;
 use crate::caller_limits::{CallerLimits, ClosedFor, OpenConnection};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -34,6 +35,8 @@
     limits: Rc<CallerLimits>,
     /// The caller's connection, which counts what is received without a request in progress.
     connection: Option<Rc<OpenConnection>>,
+    /// Counts what is received.
+    input: Rc<CallerInput>,
     /// Completes when a write that waits for the client has waited for too long.
     stalled: Rc<RefCell<Option<Pin<Box<Sleep>>>>>,
     /// When the server last wrote.
@@ -51,11 +54,17 @@
             stream: Rc::new(RefCell::new(stream)),
             limits: limits.clone(),
             connection,
+            input: Rc::default(),
             stalled: Rc::default(),
             written_at: Rc::new(Cell::new(Instant::now())),
         }
     }
 
+    /// Returns what counts the bytes that are received.
+    pub fn input(&self) -> Rc<CallerInput> {
+        self.input.clone()
+    }
+
     /// Passes on the result of a write.
     ///
     /// # Errors
@@ -113,6 +122,7 @@
         let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut limited);
         let received = limited.filled().len();
         buf.advance(received);
+        self.input.on_received(received);
         if let Some(connection) = &self.connection {
             connection.on_received(received);
         }
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -88,9 +88,12 @@
     }
     let limits = context.with(|state| ingress_limits(state.table.as_deref()));
     let last_request = RefCell::new(String::new());
+    let stream = CallerStream::new(stream, &context.limits, Some(open_connection.clone()));
+    let input = stream.input();
     let handler = service_fn(|request: Request<Incoming>| {
         let context = context.clone();
         let request_guard = open_connection.begin_request();
+        let (input, in_progress) = (input.clone(), input.begin(&request));
         let caller = RequestHead::from_headers(request.headers());
         *last_request.borrow_mut() =
             caller.request_id.map_or_else(String::new, |id| id.to_string());
@@ -98,15 +101,18 @@
         // is allocated apart.
         Box::pin(async move {
             let has_room = request_guard.is_some();
-            let reply = handle_request(context, request, Origin::Caller, has_room).await;
-            let (head, body) = reply.into_parts();
-            let body = CountedBody::new(body, request_guard);
+            let reply = handle_request(context.clone(), request, Origin::Caller, has_room).await;
+            let (mut head, body) = reply.into_parts();
+            // A request that was received behind this one still needs its own answer.
+            if context.shutdown.has_begun() && !input.has_more() {
+                head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            let body = CountedBody::new(body, request_guard, in_progress);
             Ok::<_, Infallible>(Response::from_parts(head, body))
         })
     });
     // hyper starts the header timer when the connection becomes idle, so this timeout limits both.
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
-    let stream = CallerStream::new(stream, &context.limits, Some(open_connection.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -119,6 +125,7 @@
         let close_due = async {
             context.shutdown.begun().await;
             sleep(Duration::from_millis(CLOSE_IDLE_AFTER_MS)).await;
+            input.idle().await;
         };
         tokio::select! {
             ended = connection.as_mut() => ended,
@@ -236,7 +243,7 @@
         },
         Err(rejected) => rejected.into_reply(&context),
     };
-    if context.shutdown.has_begun() || is_chunked {
+    if is_chunked {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     context.metrics.record_request_latency(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 //!   ([`shutdown`]), [`reload`] applies changed settings, and [`supervision`] catches panics.
 
 pub mod call;
+pub mod caller_input;
 pub mod caller_limits;
 mod caller_stream;
 pub mod context;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -1,6 +1,7 @@
 //! Replies to callers: a complete body, a stream or a refusal.
 
 use crate::call::EndedBy;
+use crate::caller_input::RequestInProgress;
 use crate::caller_limits::RequestGuard;
 use bytes::Bytes;
 use gypsumchute_exchange::ResponseStream;
@@ -217,12 +218,17 @@
 pub struct CountedBody {
     body: ReplyBody,
     _request: Option<RequestGuard>,
+    _in_progress: RequestInProgress,
 }
 
 impl CountedBody {
-    /// Keeps `request` until `body` is sent.
-    pub fn new(body: ReplyBody, request: Option<RequestGuard>) -> Self {
-        CountedBody { body, _request: request }
+    /// Keeps the guards of a request until `body` is sent.
+    pub fn new(
+        body: ReplyBody,
+        request: Option<RequestGuard>,
+        in_progress: RequestInProgress,
+    ) -> Self {
+        CountedBody { body, _request: request, _in_progress: in_progress }
     }
 }
 
--- a/crates/daemon/tests/testsuite/early_requests.rs
+++ b/crates/daemon/tests/testsuite/early_requests.rs
@@ -1,8 +1,8 @@
 //! Callers that send their next request before they have read the answer to the first one.
 
-use crate::support::{Daemon, configured_store};
+use crate::support::{Daemon, TestEnv, configured_store};
 use gypsumchute_platform_standin::fixtures::API_KEY;
-use gypsumchute_platform_standin::{RawEndpoint, RawResponse};
+use gypsumchute_platform_standin::{Behaviour, Endpoint, RawEndpoint, RawResponse};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -102,3 +102,57 @@
     let end = caller.write_all(request.as_bytes());
     assert!(end.is_err(), "the request was read");
 }
+
+/// Sends a generation to an engine that behaves as `behaviour` and an order behind it on one connection, in
+/// one write or in two, and stops the daemon 200 ms later. Returns what the caller receives.
+fn pipelined_answers(behaviour: Behaviour, in_one_write: bool) -> String {
+    let (mut env, _engines) = TestEnv::start(|state| {
+        let engine = Endpoint::start(state, "engine-1", behaviour);
+        let book = Endpoint::start(state, "book-1", Behaviour::Succeeds);
+        vec![(engine, "engines", "a"), (book, "books", "a")]
+    });
+    let mut caller = TcpStream::connect(env.daemon.address()).expect("the daemon listens");
+    caller.set_read_timeout(Some(Duration::from_secs(9))).expect("a timeout");
+    let request = |path: &str, id: &str, headers: &str| {
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: models.example\r\nX-Attempt-Id: {id}\r\n\
+             Authorization: Bearer {API_KEY}\r\n{headers}Content-Length: 4\r\n\r\nbody"
+        )
+    };
+    let usage = "X-Model: m\r\nX-Token-Usage: 1000,400\r\n";
+    let (first, second) = (request("/surveys/x", "r1", usage), request("/orders/x", "r2", ""));
+    match in_one_write {
+        true => caller.write_all((first + &second).as_bytes()).expect("both are sent"),
+        false => {
+            caller.write_all(first.as_bytes()).expect("the first is sent");
+            thread::sleep(Duration::from_millis(20));
+            caller.write_all(second.as_bytes()).expect("the second is sent");
+        }
+    }
+    thread::sleep(Duration::from_millis(200));
+    env.daemon.stop();
+    let mut received = String::new();
+    caller.read_to_string(&mut received).expect("the connection is closed without a reset");
+    received
+}
+
+/// Guards against LOST: a request that was read behind another one and dropped at a planned stop, also
+/// after the time at which idle connections are closed.
+#[test]
+fn a_request_that_was_sent_ahead_is_answered_at_a_planned_stop() {
+    // The answer begins after the stop, or before it and lasts for longer than idle connections stay open.
+    let begins_late = (Behaviour::StreamsLate { answer_ms: 500 }, 60);
+    let lasts_long = (Behaviour::Streams { events: 200, event_interval_ms: 20 }, 200);
+    let cases = [(begins_late, false), (begins_late, true), (lasts_long, false)];
+    for ((behaviour, events), in_one_write) in cases {
+        let received = pipelined_answers(behaviour, in_one_write);
+        let answers: Vec<_> = received.split("HTTP/1.1 ").skip(1).collect();
+        let label = format!("{behaviour:?}, in one write: {in_one_write}");
+        assert_eq!(answers.len(), 2, "{label}: {received}");
+        assert!(answers[0].starts_with("200"), "{label}: {}", answers[0]);
+        assert!(answers[0].contains(&format!("id: {events}\n")), "{label}: {}", answers[0]);
+        let second = answers[1].to_ascii_lowercase();
+        assert!(second.starts_with("200") || second.starts_with("503"), "{label}: {second}");
+        assert!(second.contains("connection: close"), "{label}: {second}");
+    }
+}
