daemon: plainer name for whether an engine reports its state

Cause: the newcomer's reading of the change: a parameter called reports read like a list of reports. Change: it is has_reports.

--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -222,8 +222,8 @@
     ) -> (OtherAnswer, EarlierRun) {
         let stalled_at = self.stalled_at(&run);
         let sending = prepared.send(&self.call, connection);
-        let reports = self.call.service.engine.is_some();
-        let cutover = cutover_due(self.call.context.clone(), prepared.address, reports);
+        let has_reports = self.call.service.engine.is_some();
+        let cutover = cutover_due(self.call.context.clone(), prepared.address, has_reports);
         tokio::pin!(sending, cutover);
         let mut other: Option<EventStream> = None;
         let earlier = loop {
@@ -373,12 +373,12 @@
 }
 
 /// Completes when one of two runs must end, and returns whether the other engine, at `address`, is within
-/// reach. An engine that `reports` its state is asked for it; the connection alone may only show that
+/// reach. An engine that has reports of its state is asked for one; a connection alone may only show that
 /// something in between accepts it.
-async fn cutover_due(context: Rc<Context>, address: SocketAddr, reports: bool) -> bool {
+async fn cutover_due(context: Rc<Context>, address: SocketAddr, has_reports: bool) -> bool {
     sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
     let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
-    let is_reached = match reports {
+    let is_reached = match has_reports {
         true => responds(&context, address, REACH_TIMEOUT_MS).await,
         false => Connection::open(dialer, address, REACH_TIMEOUT_MS, timeouts).await.is_ok(),
     };
