--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -813,6 +813,12 @@
         let _ = self.child.wait();
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.record.line(&format!("daemon {} gets SIGTERM", self.vm));
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    }
+
     /// Starts the process again with the same settings.
     pub fn start_again(&mut self) {
         self.record.line(&format!("daemon {} starts again", self.vm));
