--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -17,7 +17,8 @@
     store.put("op/config", &configuration(7, true));
     // Most engines drop a run when its connection closes; the first one does not.
     let engine = |id: &str, zone: &str, drops_on_close: bool| {
-        let behaviour = Behaviour { events: EVENTS, interval_ms: 60, is_unframed: false, drops_on_close };
+        let behaviour =
+            Behaviour { events: EVENTS, interval_ms: 60, is_unframed: false, drops_on_close };
         Engine::start(&engines, id, zone, "v1", behaviour)
     };
     let all = [
@@ -68,13 +69,19 @@
             let overlap_ms = earlier.last_work_ms.saturating_sub(later.began_ms);
             record.line(&format!(
                 "{}: at {} from {} ms to {} ms, at {} from {} ms: both at work for {overlap_ms} ms",
-                earlier.request, earlier.engine, earlier.began_ms, earlier.last_work_ms, later.engine,
+                earlier.request,
+                earlier.engine,
+                earlier.began_ms,
+                earlier.last_work_ms,
+                later.engine,
                 later.began_ms
             ));
             broken += usize::from(overlap_ms > 400);
         }
     }
-    record.line(&format!("TWICE: {broken} requests went on at another engine while the one before worked on"));
+    record.line(&format!(
+        "TWICE: {broken} requests went on at another engine while the one before worked on"
+    ));
     drop(daemons);
     drop(folder);
     std::process::exit(if broken > 0 { 1 } else { 0 });
--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -62,7 +62,8 @@
     }
     sleep_ms(300);
     all[0].register(&store, "draining");
-    let ends: Vec<bool> = callers.into_iter().map(|caller| caller.join().expect("caller")).collect();
+    let ends: Vec<bool> =
+        callers.into_iter().map(|caller| caller.join().expect("caller")).collect();
     let broken = ends.iter().filter(|is_cut| **is_cut).count();
     record.line(&format!("ORDER: {broken} streams ended as complete before their last event"));
     drop(daemons);
--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -30,8 +30,12 @@
     let text = text.replace("\"warmupPerS\":20.0", &format!("\"warmupPerS\":{WARMUP_PER_S}"));
     store.put("op/config", &text);
     let engine = |id: &str, zone: &str| {
-        let behaviour =
-            Behaviour { events: EVENTS, interval_ms: 180, is_unframed: false, drops_on_close: true };
+        let behaviour = Behaviour {
+            events: EVENTS,
+            interval_ms: 180,
+            is_unframed: false,
+            drops_on_close: true,
+        };
         Engine::start(&engines, id, zone, "1.4", behaviour)
     };
     let all = [engine("i-1", "a"), engine("i-2", "b"), engine("i-3", "b"), engine("i-4", "b")];
@@ -95,7 +99,9 @@
         let (engines, added, is_over) = (engines.clone(), added.clone(), is_over.clone());
         thread::spawn(move || {
             while !is_over.load(Ordering::Relaxed) {
-                if engines.runs().iter().filter(|run| run.engine == "i-9").count() as u64 > 2 * WARMUP_PER_S {
+                if engines.runs().iter().filter(|run| run.engine == "i-9").count() as u64
+                    > 2 * WARMUP_PER_S
+                {
                     added.crash();
                     return;
                 }
@@ -103,7 +109,8 @@
             }
         })
     };
-    let whole = callers.into_iter().map(|c| c.join().expect("caller")).filter(|whole| *whole).count();
+    let whole =
+        callers.into_iter().map(|c| c.join().expect("caller")).filter(|whole| *whole).count();
     long.into_iter().for_each(|caller| caller.join().expect("caller"));
     is_over.store(true, Ordering::Relaxed);
     let _ = watch.join();
@@ -113,7 +120,8 @@
         .filter(|run| run.engine == "i-9" && run.began_ms < cold_from_ms + COLD_MS)
         .map(|run| run.began_ms)
         .collect();
-    let in_second = |start: u64| arrivals.iter().filter(|at| (start..start + 1_000).contains(*at)).count();
+    let in_second =
+        |start: u64| arrivals.iter().filter(|at| (start..start + 1_000).contains(*at)).count();
     let most = arrivals.iter().map(|start| in_second(*start)).max().unwrap_or(0);
     record.line(&format!(
         "FAILBACK: {most} requests reached the cold replica in a second, {BOUND} are allowed; {} of {STREAMS} \
--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -2,7 +2,7 @@
 //! and a record of what happened. Standard library only.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io::{Read, Write};
@@ -149,7 +149,6 @@
     revision: u64,
     items: BTreeMap<String, (u64, String)>,
     history: Vec<(u64, String, Option<String>)>,
-    is_silent: bool,
 }
 
 /// Stand-in of the platform's store: listing and watching.
@@ -161,7 +160,8 @@
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
         let address = listener.local_addr().unwrap();
         let state = StoreState { revision: 100, ..StoreState::default() };
         let store = Store { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
@@ -195,22 +195,14 @@
         self.state.1.notify_all();
     }
 
-    /// Makes the store silent, or lets it answer again.
-    pub fn set_silent(&self, is_silent: bool) {
-        self.state.0.lock().unwrap().is_silent = is_silent;
-        self.state.1.notify_all();
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         let mut rest = Vec::new();
         let Some(request) = read_request(&mut stream, &mut rest) else { return };
-        if self.wait_while_silent(&stream) {
-            return;
-        }
         let path = request.path().to_owned();
         let query = |name: &str| {
             let query = path.split_once('?').map_or("", |(_, query)| query);
-            let found = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+            let found =
+                query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
             found.unwrap_or("").replace("%2F", "/")
         };
         let body = if path.starts_with("/api/kv-range") {
@@ -218,7 +210,8 @@
             let (prefix, after) = (query("pathPrefix"), query("after"));
             let items = state.items.iter();
             let items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-            let entries = items.map(|(key, (revision, value))| item_json(key, *revision, Some(value)));
+            let entries =
+                items.map(|(key, (revision, value))| item_json(key, *revision, Some(value)));
             let entries: Vec<String> = entries.collect();
             format!(
                 "{{\"entries\":[{}],\"truncated\":false,\"at\":{}}}",
@@ -230,30 +223,19 @@
             let wait_ms: u64 = query("waitMs").parse().unwrap_or(0);
             let deadline = Instant::now() + Duration::from_millis(wait_ms);
             let mut state = self.state.0.lock().unwrap();
-            while state.revision <= after && Instant::now() < deadline && !state.is_silent {
+            while state.revision <= after && Instant::now() < deadline {
                 let left = deadline.saturating_duration_since(Instant::now());
                 state = self.state.1.wait_timeout(state, left).unwrap().0;
             }
             let changes = state.history.iter().filter(|(revision, _, _)| *revision > after);
-            let events = changes.map(|(revision, key, value)| item_json(key, *revision, value.as_ref()));
+            let events =
+                changes.map(|(revision, key, value)| item_json(key, *revision, value.as_ref()));
             let events: Vec<String> = events.collect();
             format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), state.revision)
         };
-        if self.wait_while_silent(&stream) {
-            return;
-        }
         let headers = "Content-Type: application/json\r\nStore-Era: 0\r\n";
         respond(&mut stream, "200 OK", headers, &body);
     }
-
-    /// Keeps a call waiting while the store is silent. Returns whether its answer is lost.
-    fn wait_while_silent(&self, stream: &TcpStream) -> bool {
-        let is_silent = self.state.0.lock().unwrap().is_silent;
-        while is_silent && !is_closed(stream) {
-            sleep_ms(50);
-        }
-        is_silent
-    }
 }
 
 fn item_json(key: &str, revision: u64, value: Option<&String>) -> String {
@@ -270,7 +252,8 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().enumerate().fold(0u32, |w, (i, b)| w | u32::from(*b) << (16 - 8 * i));
+        let word =
+            chunk.iter().enumerate().fold(0u32, |w, (i, b)| w | u32::from(*b) << (16 - 8 * i));
         for digit in 0..4 {
             match digit <= chunk.len() {
                 true => text.push(DIGITS[(word >> (18 - 6 * digit) & 63) as usize] as char),
@@ -396,8 +379,15 @@
 }
 
 impl Engine {
-    pub fn start(engines: &Engines, id: &str, zone: &str, version: &str, behaviour: Behaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
+    pub fn start(
+        engines: &Engines,
+        id: &str,
+        zone: &str,
+        version: &str,
+        behaviour: Behaviour,
+    ) -> Self {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
         let incarnation = Incarnation {
             version: version.to_owned(),
             born_ms: wall_ms(),
@@ -442,28 +432,6 @@
         sleep_ms(30);
     }
 
-    /// Starts the engine again at its address, under its id and with this version of its software.
-    pub fn start_again(&self, version: &str) {
-        *self.incarnation.lock().unwrap() = Incarnation {
-            version: version.to_owned(),
-            born_ms: wall_ms(),
-            is_dead: Arc::default(),
-            silent_until: None,
-        };
-        self.sequence.store(0, Ordering::Relaxed);
-        let mut tries = 0;
-        let listener = loop {
-            match TcpListener::bind(self.address) {
-                Ok(listener) => break listener,
-                Err(_) if tries < 100 => sleep_ms(20),
-                Err(err) => cannot_run(&err.to_string()),
-            }
-            tries += 1;
-        };
-        self.engines.record.line(&format!("engine {} starts again with version {version}", self.id));
-        self.listen(listener);
-    }
-
     /// Makes the engine silent for a while: it accepts connections and says nothing.
     pub fn fall_silent(&self, ms: u64) {
         self.engines.record.line(&format!("engine {} falls silent for {ms} ms", self.id));
@@ -589,7 +557,8 @@
         let first_event = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
         let index = {
             let mut state = self.engines.state.lock().unwrap();
-            let found = state.copies.iter().position(|(at, name)| *at == self.address && *name == source);
+            let found =
+                state.copies.iter().position(|(at, name)| *at == self.address && *name == source);
             match found {
                 Some(found) => drop(state.copies.remove(found)),
                 None if source.is_empty() => {}
@@ -640,10 +609,9 @@
             state.runs[index].has_ended = true;
         }
         let last_event = self.engines.runs()[index].last_event;
-        self.engines.record.line(&format!(
-            "engine {}: run of {id} ends after event {last_event}: {why}",
-            self.id
-        ));
+        self.engines
+            .record
+            .line(&format!("engine {}: run of {id} ends after event {last_event}: {why}", self.id));
         if why == "complete" && !behaviour.is_unframed && is_open {
             let _ = stream.write_all(b"0\r\n\r\n");
         }
@@ -824,12 +792,6 @@
         let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
     }
 
-    /// Starts the process again with the same settings.
-    pub fn start_again(&mut self) {
-        self.record.line(&format!("daemon {} starts again", self.vm));
-        self.child = Daemon::spawn(&self.settings);
-    }
-
     /// Reports whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
@@ -857,9 +819,16 @@
 }
 
 /// Request of a caller on `route`, with a prompt and at most `max_output` tokens.
-pub fn stream_request(route: &str, id: &str, max_output: u64, deadline_ms: u64, more: &str) -> String {
+pub fn stream_request(
+    route: &str,
+    id: &str,
+    max_output: u64,
+    deadline_ms: u64,
+    more: &str,
+) -> String {
     let body = "{\"prompt\":\"a condition survey\"}";
-    let mut text = format!("POST /{route}/write HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n");
+    let mut text =
+        format!("POST /{route}/write HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n");
     let _ = write!(
         text,
         "X-Model: m\r\nX-Token-Usage: 300,{max_output}\r\nX-Length-Hint: {max_output}\r\n\
@@ -960,11 +929,3 @@
         let _ = fs::remove_dir_all(&self.0);
     }
 }
-
-/// Counts values.
-pub fn count_by<T: std::hash::Hash + Eq>(values: impl Iterator<Item = T>) -> HashMap<T, usize> {
-    values.fold(HashMap::new(), |mut counts, value| {
-        *counts.entry(value).or_default() += 1;
-        counts
-    })
-}
