--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -1,6 +1,6 @@
 //! An engine leaves; a run of its moves to another one and goes on at both.
 
-#[path = "../standins-3/common.rs"]
+#[path = "standins.rs"]
 mod common;
 
 use common::*;
--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -1,7 +1,7 @@
 //! An engine leaves whose streams end with their connection, and the engine that is to go on with them
 //! is silent for a second.
 
-#[path = "../standins-3/common.rs"]
+#[path = "../11/standins.rs"]
 mod common;
 
 use common::*;
--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -1,7 +1,7 @@
 //! A replica is replaced: the new one starts, then the old one drains. Its streams, which may run once, move
 //! to the new one, which is cold.
 
-#[path = "../standins-3/common.rs"]
+#[path = "../11/standins.rs"]
 mod common;
 
 use common::*;
