daemon: the end of a run that may have been stopped is no completion

A run now carries whether this VM or a peer may have asked its engine to stop it. Its end is then no completion, and its break no failure or crash of the engine. If the engine answers that it doesn't run the request, the run had ended by itself.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -8,7 +8,7 @@
 use super::Generation;
 use super::relay::STALL_PAUSE_FACTOR;
 use super::run::{EventStream, Run, Silence, StartFrom, StartOutcome};
-use super::stopping::RunAtEngine;
+use super::stopping::{RunAtEngine, StopOutcome};
 use super::unread::UnreadSignals;
 use crate::events::EventSequence;
 use crate::forwarding::{ContinuedRun, Handover, Origin};
@@ -61,7 +61,7 @@
 
     /// Has a peer continue the run. Returns the run as the peer relays it, or the same run if that
     /// failed. If the peer may be continuing it all the same, the run is left without its backup: a stream
-    /// that the peer has stopped must not go on at a third engine.
+    /// that the peer has stopped must not go on at a third engine. Nor does its end show that it is complete.
     pub(super) async fn hand_over_run(&self, mut run: Run, handovers: &mut Handovers) -> Run {
         handovers.attempts += 1;
         let (Some(version), Some(last_event_id)) = (self.version, self.sequence.last_id()) else {
@@ -80,6 +80,7 @@
             info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
                 events = self.delivered_events, may_continue;
                 "no peer VM is known to continue the run; it stays at its engine");
+            run.may_be_stopped |= may_continue;
             if may_continue && let Some(backup) = run.backup.take() {
                 backup.free();
             }
@@ -93,6 +94,7 @@
             unread: UnreadSignals::default(),
             silence: Silence::default(),
             termination_handled: true,
+            may_be_stopped: false,
             ..run
         }
     }
@@ -117,7 +119,7 @@
         };
         let stopping = RunAtEngine { endpoint: &run.endpoint, address, version: run.version };
         let Some(stopping) = self.stop_and_copy(stopping, None) else { return lost() };
-        let Some(backup) = stopping.await else { return lost() };
+        let StopOutcome::Stopped(backup) = stopping.await else { return lost() };
         match self.start_run(StartFrom::Backup(backup)).await {
             // The run was stopped and can't begin anew.
             StartOutcome::NotRun(_) => lost(),
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -331,6 +331,7 @@
                 unread: UnreadSignals::default(),
                 silence: Silence::default(),
                 termination_handled: false,
+                may_be_stopped: false,
                 load_guard,
             })),
             // The engine does not hold this backup, but can still run the generation from the
@@ -379,8 +380,13 @@
         self.trace.record_failure(&self.call, failure);
     }
 
-    /// Counts a run at `endpoint` that failed there, or at the peer VM that relays it.
+    /// Counts a run at `endpoint` that failed there, or at the peer VM that relays it. A run that may have
+    /// been stopped has not failed.
     fn count_failed_run(&mut self, endpoint: &EndpointId, at: EndedBy, failure: &RunFailure) {
+        if let RunFailure::Stopped(cause) = failure {
+            self.last_failure = Some((EndedBy::Vm, cause.clone()));
+            return;
+        }
         self.failed_runs += 1;
         self.last_failure = Some((at, failure.cause().to_owned()));
         if at == EndedBy::Endpoint {
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -90,15 +90,12 @@
 
     /// Handles what the stream of `run` has brought. Returns how the run ended, if it did.
     async fn on_signal(&mut self, run: &mut Run, signal: RunSignal) -> Option<RelayEnd> {
-        let failure = match signal {
+        let failure = match run.checked(signal, &self.sequence, self.delivered_events) {
             RunSignal::Event(event) => self.deliver_event(run, event).await.err()?,
-            RunSignal::Ended => match run.check_end(&self.sequence, self.delivered_events) {
-                Ok(()) => {
-                    self.on_completed(run);
-                    return Some(RelayEnd::Complete);
-                }
-                Err(failure) => failure,
-            },
+            RunSignal::Ended => {
+                self.on_completed(run);
+                return Some(RelayEnd::Complete);
+            }
             RunSignal::Failed(failure) => failure,
         };
         self.on_stream_failed(&run.endpoint, run.is_at_peer, &failure);
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -178,6 +178,9 @@
     pub(super) silence: Silence,
     /// Whether the announced termination of the engine has already been acted on.
     pub(super) termination_handled: bool,
+    /// Whether this VM or a peer may have asked the engine to stop the run. The stream then ends before
+    /// it is complete.
+    pub(super) may_be_stopped: bool,
     /// Accounts for the load of the run.
     pub(super) load_guard: LoadGuard,
 }
@@ -230,7 +233,8 @@
     }
 
     /// Returns `signal`, or a failure in place of the end of a stream that will not be complete once
-    /// what is unread was delivered. See [`Self::check_end`].
+    /// what is unread was delivered. See [`Self::check_end`]. The failure of a run that may have been
+    /// stopped is not its engine's.
     pub(super) fn checked(
         &self,
         signal: RunSignal,
@@ -247,6 +251,9 @@
                 Ok(()) => RunSignal::Ended,
                 Err(failure) => RunSignal::Failed(failure),
             },
+            RunSignal::Failed(RunFailure::Disconnected(cause)) if self.may_be_stopped => {
+                RunSignal::Failed(RunFailure::Stopped(cause))
+            }
             RunSignal::Event(_) | RunSignal::Failed(_) => signal,
         }
     }
@@ -262,11 +269,10 @@
     /// # Errors
     ///
     /// Returns the failure that the end of the stream shows.
-    pub(super) fn check_end(
-        &self,
-        sequence: &EventSequence,
-        delivered_events: u64,
-    ) -> Result<(), RunFailure> {
+    fn check_end(&self, sequence: &EventSequence, delivered_events: u64) -> Result<(), RunFailure> {
+        if self.may_be_stopped && self.stream.response.ends_with_connection() {
+            return Err(RunFailure::Stopped("stream ended and may have been stopped".to_owned()));
+        }
         // A stream without framing ends so if the connection breaks.
         if self.stream.events.has_partial_event() {
             return Err(RunFailure::Disconnected("stream ended within an event".to_owned()));
@@ -330,13 +336,17 @@
     Disconnected(String),
     /// The engine sent something invalid, so it is still running.
     InvalidResponse(String),
+    /// The connection ended, and this VM or a peer may have asked the engine to stop the run.
+    Stopped(String),
 }
 
 impl RunFailure {
     /// Returns the error message.
     pub(super) fn cause(&self) -> &str {
         match self {
-            RunFailure::Disconnected(cause) | RunFailure::InvalidResponse(cause) => cause,
+            RunFailure::Disconnected(cause)
+            | RunFailure::InvalidResponse(cause)
+            | RunFailure::Stopped(cause) => cause,
         }
     }
 }
--- a/crates/daemon/src/generation/stopping.rs
+++ b/crates/daemon/src/generation/stopping.rs
@@ -27,42 +27,62 @@
     pub(super) version: ServiceVersion,
 }
 
-/// A run that its engine is stopping. The result is the copy of its KV cache, or `None` if there is none.
-pub(super) type PendingStop = Pin<Box<dyn Future<Output = Option<Backup>>>>;
+/// What became of a run that its engine was asked to stop.
+pub(super) enum StopOutcome {
+    /// The engine has stopped it. Contains the copy of its KV cache.
+    Stopped(Backup),
+    /// The engine did not run it any more, so that it had ended by itself.
+    NotRunning,
+    /// The engine may have stopped it, or may yet do so.
+    Unknown,
+}
+
+/// A run that its engine is stopping.
+pub(super) type PendingStop = Pin<Box<dyn Future<Output = StopOutcome>>>;
 
-/// The KV cache of a run that was stopped, once it is copied.
-#[derive(Default)]
-pub(super) struct KeptCopy {
-    copying: Option<PendingStop>,
-    copy: Option<Backup>,
+/// The KV cache of a run that is stopped, once it is copied.
+pub(super) enum KeptCopy {
+    /// The engine has not answered yet.
+    Pending(PendingStop),
+    /// The engine has answered, or was not asked.
+    Settled(StopOutcome),
 }
 
 impl KeptCopy {
-    /// Returns the copy that `copying` makes.
-    pub(super) fn pending(copying: PendingStop) -> Self {
-        KeptCopy { copying: Some(copying), copy: None }
+    /// Reports whether the engine has answered, or was not asked.
+    pub(super) fn is_settled(&self) -> bool {
+        matches!(self, KeptCopy::Settled(_))
     }
 
     /// Reports whether the generation can resume from the copy.
     pub(super) fn is_made(&self) -> bool {
-        self.copy.is_some()
+        matches!(self, KeptCopy::Settled(StopOutcome::Stopped(_)))
+    }
+
+    /// Reports whether the run had ended by itself before its engine was asked to stop it.
+    pub(super) fn has_ended_before(&self) -> bool {
+        matches!(self, KeptCopy::Settled(StopOutcome::NotRunning))
     }
 
-    /// Waits until the copy is made or has failed; never returns if that is known already.
+    /// Waits until the engine has answered; never returns if that is known already.
     pub(super) async fn settled(&mut self) {
-        match &mut self.copying {
-            Some(copying) => self.copy = copying.await,
-            None => pending().await,
-        }
-        self.copying = None;
+        let outcome = match self {
+            KeptCopy::Pending(stopping) => stopping.await,
+            KeptCopy::Settled(_) => pending().await,
+        };
+        *self = KeptCopy::Settled(outcome);
     }
 
     /// Waits for the copy, if it is being made, and returns it.
-    pub(super) async fn into_copy(mut self) -> Option<Backup> {
-        if self.copying.is_some() {
-            self.settled().await;
+    pub(super) async fn into_copy(self) -> Option<Backup> {
+        let outcome = match self {
+            KeptCopy::Pending(stopping) => stopping.await,
+            KeptCopy::Settled(outcome) => outcome,
+        };
+        match outcome {
+            StopOutcome::Stopped(copy) => Some(copy),
+            StopOutcome::NotRunning | StopOutcome::Unknown => None,
         }
-        self.copy
     }
 
     /// Frees the copy, which is not needed, once it is made.
@@ -112,15 +132,30 @@
                 Ok(copy) => {
                     let source = KvSource { address: source, name: copy.handle };
                     let endpoint = target;
-                    Some(Backup { endpoint, address, version, source, load_guard, dialer })
+                    StopOutcome::Stopped(Backup {
+                        endpoint,
+                        address,
+                        version,
+                        source,
+                        load_guard,
+                        dialer,
+                    })
                 }
                 Err(CopyError::TargetUnavailable(Some(retained))) => {
                     let load_guard = context.reserve_load(&endpoint, load);
                     let kept = KvSource { address: source, name: retained.handle };
                     let address = source;
-                    Some(Backup { endpoint, address, version, source: kept, load_guard, dialer })
+                    StopOutcome::Stopped(Backup {
+                        endpoint,
+                        address,
+                        version,
+                        source: kept,
+                        load_guard,
+                        dialer,
+                    })
                 }
-                Err(_) => None,
+                Err(CopyError::NoSuchGeneration) => StopOutcome::NotRunning,
+                Err(_) => StopOutcome::Unknown,
             }
         }))
     }
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -19,7 +19,7 @@
     Backup, EventStream, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, SendResult,
     StartOutcome,
 };
-use super::stopping::{KeptCopy, RunAtEngine};
+use super::stopping::{KeptCopy, RunAtEngine, StopOutcome};
 use super::trace::RunTrace;
 use crate::call::EndedBy;
 use crate::context::Context;
@@ -292,8 +292,11 @@
     }
 
     /// Stops the earlier `run`, because `other` may run the request and is out of reach. Returns the copy
-    /// of its KV cache, or `None` if its stream has just been completed. It ends for certain once its
+    /// of its KV cache, or `None` if its stream is complete or will be. The run ends for certain once its
     /// connection is closed, whether or not its engine has stopped it by then.
+    ///
+    /// The end of a stream that has no framing proves nothing from now on, unless the engine answers that
+    /// the run had ended before.
     async fn stop_earlier_run(&self, run: &mut Run, other: &EndpointId) -> Option<KeptCopy> {
         let (endpoint, address, version) = (&run.endpoint, run.address, run.version);
         let at_engine = RunAtEngine { endpoint, address, version };
@@ -302,26 +305,40 @@
         info!(request = self.call.id(), endpoint = endpoint.as_str(), other = other.as_str(),
             events = self.delivered_events, keeps_copy = stopping.is_some();
             "other engine has not answered and is out of reach; the earlier run is stopped");
-        let Some(stopping) = stopping else { return Some(KeptCopy::default()) };
-        let mut copy = KeptCopy::pending(stopping);
+        let Some(stopping) = stopping else {
+            return Some(KeptCopy::Settled(StopOutcome::Unknown));
+        };
+        run.may_be_stopped = true;
+        let mut copy = KeptCopy::Pending(stopping);
         let deadline = Instant::now() + Duration::from_millis(STOP_TIMEOUT_MS);
-        loop {
+        let mut has_ended = false;
+        while !copy.is_settled() {
             tokio::select! {
                 biased;
-                signal = run.next_signal(), if run.unread.has_room() => {
+                signal = run.next_signal(), if !has_ended && run.unread.has_room() => {
+                    has_ended = matches!(signal, RunSignal::Ended);
                     match run.checked(signal, &self.sequence, self.delivered_events) {
                         signal @ RunSignal::Event(_) => run.unread.push(signal),
                         RunSignal::Ended => {
                             run.unread.push(RunSignal::Ended);
                             return None;
                         }
+                        RunSignal::Failed(_) if has_ended => {}
                         RunSignal::Failed(_) => return Some(copy),
                     }
                 }
-                () = copy.settled() => return Some(copy),
+                () = copy.settled() => {}
                 () = sleep_until(deadline) => return Some(copy),
             }
         }
+        if !copy.has_ended_before() {
+            return Some(copy);
+        }
+        run.may_be_stopped = false;
+        if has_ended {
+            run.unread.push(RunSignal::Ended);
+        }
+        None
     }
 
     /// Records that the run of `prepared`, whose engine has not answered, is given up. Its connection is
--- a/crates/daemon/src/generation/trace.rs
+++ b/crates/daemon/src/generation/trace.rs
@@ -66,6 +66,7 @@
                 let run = self.suspect_run(call, alive_ms.unwrap_or(boot_now()));
                 call.record_crash(endpoint, run, cause);
             }
+            RunFailure::Stopped(_) => {}
             RunFailure::Disconnected(_) | RunFailure::InvalidResponse(_) => {
                 if let (RunFailure::Disconnected(_), Some(alive_ms)) = (failure, alive_ms) {
                     call.record_silent_run(endpoint, self.suspect_run(call, alive_ms), alive_ms);
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -9,7 +9,9 @@
 };
 use crate::zoned_fleet::ZonedFleet;
 use gypsumchute_config::ConfigSource;
-use gypsumchute_platform_standin::{Behaviour, CallerRequest, Endpoint, SharedEndpointState};
+use gypsumchute_platform_standin::{
+    Behaviour, CallerRequest, Endpoint, SharedEndpointState, StreamConnections,
+};
 use std::time::{Duration, Instant};
 
 /// Sends requests of each kind to the first VM, and asserts that all are served, each by one run.
@@ -312,9 +314,24 @@
 /// backup of the first run must not be used.
 #[test]
 fn a_stream_that_a_silent_peer_may_have_moved_is_not_resumed_from_its_backup() {
+    assert_cut_after_silent_peer(StreamConnections::default());
+}
+
+/// Guards against the end of a stream that another VM has had stopped being taken for its regular end.
+#[test]
+fn a_stream_that_a_silent_peer_has_stopped_and_that_ends_with_its_connection_is_not_complete() {
+    assert_cut_after_silent_peer(StreamConnections { is_unframed: true, denies_runs: false });
+}
+
+/// Has a peer that is silent afterwards stop a stream, and asserts that it ends as not complete and runs
+/// once.
+fn assert_cut_after_silent_peer(connections: StreamConnections) {
     let fleet = ZonedFleet::start(&["a"]);
     let slow = Behaviour::Streams { events: 600, event_interval_ms: 25 };
-    fleet.endpoints.iter().for_each(|endpoint| endpoint.set_behaviour(slow));
+    for endpoint in &fleet.endpoints {
+        endpoint.set_behaviour(slow);
+        endpoint.set_stream_connections(connections);
+    }
     let request = generation_request("surveys", "r1").timeout_ms(20_000);
     let mut stream = request.send(fleet.daemons[0].address());
     stream.next_chunk().expect("open stream").expect("first event");
--- a/crates/daemon/tests/testsuite/migrations.rs
+++ b/crates/daemon/tests/testsuite/migrations.rs
@@ -7,7 +7,7 @@
 };
 use gypsumchute_config::ConfigSource;
 use gypsumchute_platform_standin::{
-    Behaviour, CompleteResponse, Endpoint, OpenResponse, SharedEndpointState,
+    Behaviour, CompleteResponse, Endpoint, OpenResponse, SharedEndpointState, StreamConnections,
 };
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -23,6 +23,9 @@
 /// Behaviour of an engine that answers after a run that waits for it must have been given up.
 const TOO_LATE: Behaviour = Behaviour::StreamsLate { answer_ms: 300 };
 
+/// Connections of streams that end with them.
+const UNFRAMED: StreamConnections = StreamConnections { is_unframed: true, denies_runs: false };
+
 /// A stream whose engine is leaving and whose backup is at another engine.
 struct LeavingStream {
     env: TestEnv,
@@ -41,8 +44,21 @@
 
     /// Does the same at a VM that reaches the engines over `links`.
     fn begin_behind(links: &Links, first: Behaviour) -> Self {
+        LeavingStream::begin_with(links, first, StreamConnections::default())
+    }
+
+    /// Does the same with streams that end with their connection.
+    fn begin_unframed(links: &Links, first: Behaviour) -> Self {
+        LeavingStream::begin_with(links, first, UNFRAMED)
+    }
+
+    fn begin_with(links: &Links, first: Behaviour, connections: StreamConnections) -> Self {
         let (env, engines) = TestEnv::start_behind(links, |state| {
-            let start = |id| (Endpoint::start(state, id, first), "engines", "a");
+            let start = |id| {
+                let engine = Endpoint::start(state, id, first);
+                engine.set_stream_connections(connections);
+                (engine, "engines", "a")
+            };
             ["engine-1", "engine-2"].map(start).into()
         });
         let caller = generation_request("surveys", "r1").timeout_ms(5_000);
@@ -286,3 +302,37 @@
     let reply = stream.read_to_end();
     assert_eq!((reply.complete, body + &reply.body), (true, complete_stream(EVENT_COUNT)));
 }
+
+/// Guards against the end of a stream that this VM has had stopped being taken for its regular end.
+#[test]
+fn a_stream_that_was_stopped_and_ends_with_its_connection_is_not_complete() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_unframed(&links, STREAM);
+    let third = Endpoint::start(&stream.env.endpoint_state, "engine-3", STREAM);
+    register_endpoint(&stream.env.store, &third, "engines", "a", "ready");
+    stream.read_until(5);
+    stream.announce(Behaviour::Hangs);
+    stream.wait_for_resumption();
+    links.cut_to([stream.engines[stream.other].address()], Cut::Silent);
+    stream.assert_no_long_overlap();
+    let reply = stream.stream.read_to_end();
+    assert_eq!((reply.complete, stream.body + &reply.body), (true, complete_stream(EVENT_COUNT)));
+    assert_eq!(stream.env.last_run_endpoint("r1"), third.id);
+}
+
+/// Guards against a stream being cut that had ended by itself before its engine was asked to stop it.
+#[test]
+fn a_stream_whose_engine_had_completed_it_before_it_was_to_stop_is_complete() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_unframed(&links, LONG_STREAM);
+    let third = Endpoint::start(&stream.env.endpoint_state, "engine-3", STREAM);
+    register_endpoint(&stream.env.store, &third, "engines", "a", "ready");
+    stream.read_until(5);
+    let leaving = &stream.engines[stream.leaving];
+    leaving.set_stream_connections(StreamConnections { denies_runs: true, ..UNFRAMED });
+    stream.announce(Behaviour::Hangs);
+    stream.wait_for_resumption();
+    links.cut_to([stream.engines[stream.other].address()], Cut::Silent);
+    let reply = stream.stream.read_to_end();
+    assert_eq!((reply.complete, stream.body + &reply.body), (true, complete_stream(EVENT_COUNT)));
+}
