daemon: a run is over once its engine says so

Closing was all that was done, on each path on which another run takes the place of one: moves, silent runs, broken connections, engines that do not answer.

--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -62,7 +62,7 @@
     /// Has a peer continue the run. Returns the run as the peer relays it, or the same run if that
     /// failed. If the peer may be continuing it all the same, the run is left without its backup: a stream
     /// that the peer has stopped must not go on at a third engine. Nor does its end show that it is complete.
-    pub(super) async fn hand_over_run(&self, mut run: Run, handovers: &mut Handovers) -> Run {
+    pub(super) async fn hand_over_run(&mut self, mut run: Run, handovers: &mut Handovers) -> Run {
         handovers.attempts += 1;
         let (Some(version), Some(last_event_id)) = (self.version, self.sequence.last_id()) else {
             return run;
@@ -76,6 +76,9 @@
             Handover::NotTaken => (None, false),
             Handover::Unknown => (None, true),
         };
+        if may_continue {
+            self.forget_left_runs();
+        }
         let Some(response) = response else {
             info!(request = self.call.id(), endpoint = run.endpoint.as_str(),
                 events = self.delivered_events, may_continue;
--- a/crates/daemon/src/generation/migration.rs
+++ b/crates/daemon/src/generation/migration.rs
@@ -5,6 +5,7 @@
 
 use super::Generation;
 use super::backup::PendingConnection;
+use super::ending::UnendedRun;
 use super::run::{Backup, CopyTarget, PendingCopy, RelayEnd, Run};
 use super::switching::{NotStarted, Switch};
 use crate::placing::EndpointConnection;
@@ -152,7 +153,15 @@
     ) -> Result<Box<Run>, RelayEnd> {
         let other = placed.endpoint.clone();
         match self.switch_run(run, placed, Some(backup)).await {
-            Switch::Done { run, .. } => Ok(run),
+            Switch::Done { run, earlier } => {
+                if let Some((earlier, _)) = earlier
+                    && let Some(left) = UnendedRun::close(*earlier)
+                {
+                    self.leave_run(left);
+                    self.end_left_runs(run.address);
+                }
+                Ok(run)
+            }
             Switch::Kept { mut run, not_started, .. } => {
                 if not_started == NotStarted::Unanswered {
                     self.excluded.insert(other);
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -11,6 +11,7 @@
 
 mod backup;
 mod end;
+mod ending;
 mod handover;
 mod migration;
 mod recovery;
@@ -23,6 +24,7 @@
 mod trace;
 mod unread;
 
+use self::ending::{EndingRun, UnendedRun};
 use self::run::{
     Backup, GenerationEnd, NoRecovery, PreparedRun, RelayEnd, ResponseSender, Run, RunFailure,
     SendResult, Silence, StartFrom, StartOutcome,
@@ -124,6 +126,10 @@
     /// Software version that began the stream, at which alone it may go on. `None` until the first
     /// event.
     version: Option<ServiceVersion>,
+    /// Runs that are to end once another one begins.
+    unended_runs: Vec<UnendedRun>,
+    /// Runs whose engines are asked to stop them.
+    ending_runs: Vec<EndingRun>,
 }
 
 impl Generation {
@@ -144,6 +150,8 @@
             last_failure: None,
             no_recovery: None,
             version: None,
+            unended_runs: Vec::new(),
+            ending_runs: Vec::new(),
         }
     }
 
@@ -158,6 +166,9 @@
             () = sleep(left) => GenerationEnd::TimedOut,
             () = context.shutdown.last_answers_due() => GenerationEnd::ShutDown,
         };
+        if let (GenerationEnd::CallerDisconnected, Origin::Peer(_)) = (&end, &self.call.origin) {
+            self.end_runs_for_peer();
+        }
         let mut kept_trace = self.kept_trace.take();
         let silent_ms = kept_trace.as_ref().unwrap_or(&self.trace).silent_ms();
         if let GenerationEnd::CallerDisconnected
@@ -278,6 +289,7 @@
     ) -> (Connection, PreparedRun) {
         let backup = self.reserve_backup(&placed.endpoint, placed.version);
         let EndpointConnection { endpoint, address, version, connection, load_guard } = placed;
+        self.end_left_runs(address);
         self.attempts += 1;
         self.trace = RunTrace {
             endpoint: Some(endpoint.clone()),
@@ -300,6 +312,7 @@
                 info!(request = self.call.id(), endpoint = endpoint.as_str(), error:% = err;
                     "engine sent no response");
                 self.on_run_failed(&endpoint, &err.into());
+                self.leave_run(UnendedRun::new(endpoint, address, false));
                 return StartOutcome::Lost(backup);
             }
         };
@@ -369,6 +382,7 @@
                     &endpoint,
                     &RunFailure::InvalidResponse("response cannot be attributed".to_owned()),
                 );
+                self.leave_run(UnendedRun::new(endpoint, address, false));
                 StartOutcome::Lost(backup)
             }
         }
@@ -410,6 +424,7 @@
         for endpoint in std::mem::take(&mut self.turned_away) {
             self.excluded.remove(&endpoint);
         }
+        self.release_ended_runs();
         self.record_progress(boot_now());
         run.load_guard.release_prefill_load();
         self.correct_version(run)?;
--- a/crates/daemon/src/generation/relay.rs
+++ b/crates/daemon/src/generation/relay.rs
@@ -2,6 +2,7 @@
 //! terminated or stalls.
 
 use super::Generation;
+use super::ending::UnendedRun;
 use super::handover::Handovers;
 use super::migration::Migration;
 use super::run::{RelayEnd, Run, RunFailure, RunSignal};
@@ -30,7 +31,7 @@
         loop {
             while let Some(signal) = run.unread.pop() {
                 if let Some(end) = self.on_signal(&mut run, signal).await {
-                    return end;
+                    return self.on_relay_end(run, end);
                 }
             }
             let handover_deadline = self.handover_deadline(&run, &handovers);
@@ -41,7 +42,7 @@
             tokio::select! {
                 signal = run.next_signal() => {
                     if let Some(end) = self.on_signal(&mut run, signal).await {
-                        return end;
+                        return self.on_relay_end(run, end);
                     }
                 }
                 // The termination check below runs again.
@@ -103,6 +104,17 @@
         Some(RelayEnd::Lost(Interruption::Disconnected, backup))
     }
 
+    /// Leaves `run`, whose events are no longer relayed, unless its stream is complete. Its engine may go
+    /// on with it although the connection broke.
+    fn on_relay_end(&mut self, run: Run, end: RelayEnd) -> RelayEnd {
+        if let RelayEnd::Lost(..) = end
+            && let Some(run) = UnendedRun::close(run)
+        {
+            self.leave_run(run);
+        }
+        end
+    }
+
     /// Records that `run` has delivered its complete stream.
     fn on_completed(&mut self, run: &mut Run) {
         self.trace.alive_ms = None;
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -5,6 +5,7 @@
 //! the run stays and another engine is looked for later. An event of the silent run ends the search.
 
 use super::Generation;
+use super::ending::UnendedRun;
 use super::run::{Backup, RelayEnd, Run};
 use super::switching::{NotStarted, READ_GRACE_MS, Switch};
 use super::trace::RunTrace;
@@ -178,13 +179,14 @@
         match self.switch_run(run, placed, copy).await {
             Switch::Done { run, earlier } => {
                 if let Some((silent, trace)) = earlier {
-                    self.end_replaced_run(*silent, trace, &excluded_before);
+                    self.end_replaced_run(*silent, trace, &excluded_before, run.address);
                 }
                 self.call.context.metrics.count_silent_run("replaced");
                 Ok(run)
             }
             Switch::Kept { mut run, not_started, copy } => {
                 self.excluded = excluded_before;
+                self.exclude_ending_runs();
                 if copy.is_some() {
                     run.silence.is_backup_refused = true;
                     run.backup = copy;
@@ -202,18 +204,25 @@
         }
     }
 
-    /// Ends `run`, in place of which another one has started.
+    /// Ends `run`, in place of which another one has started at the engine at `next`.
     fn end_replaced_run(
         &mut self,
         run: Run,
         mut trace: RunTrace,
         excluded_before: &BTreeSet<EndpointId>,
+        next: SocketAddr,
     ) {
-        match run.unread.is_empty() {
-            true => trace.record_silent(&self.call),
-            false if excluded_before.contains(&run.endpoint) => {}
-            false => drop(self.excluded.remove(&run.endpoint)),
+        let is_silent = run.unread.is_empty();
+        let is_released = !is_silent && !excluded_before.contains(&run.endpoint);
+        if is_silent {
+            trace.record_silent(&self.call);
         }
+        match UnendedRun::close(run) {
+            Some(run) if is_released => self.leave_run(run.release()),
+            Some(run) => self.leave_run(run),
+            None => {}
+        }
+        self.end_left_runs(next);
     }
 
     /// Returns the silent `run` as the run that the generation continues with.
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -14,6 +14,7 @@
 //!   the connection or stays out of reach until the stream counts as stalled.
 
 use super::Generation;
+use super::ending::{EndingRun, UnendedRun};
 use super::replacement::responds;
 use super::run::{
     Backup, EventStream, PreparedRun, RelayEnd, Run, RunFailure, RunSignal, SendResult,
@@ -138,11 +139,13 @@
             }
             (Some(StartOutcome::Running(run)), EarlierRun::Stopped(copy)) => {
                 copy.free();
+                self.end_left_runs(run.address);
                 Switch::Done { run, earlier: None }
             }
             (Some(StartOutcome::Running(run)), _) => Switch::Done { run, earlier: None },
             (outcome, EarlierRun::Kept(run)) => {
                 self.trace = trace;
+                self.end_left_runs(run.address);
                 let (not_started, copy) = match outcome {
                     None => (NotStarted::Unanswered, None),
                     Some(StartOutcome::NotRun(copy)) if is_from_copy => {
@@ -203,6 +206,7 @@
         match run.checked(first, &self.sequence, self.delivered_events) {
             RunSignal::Failed(failure) => {
                 self.on_stream_failed(&run.endpoint, false, &failure);
+                self.unended_runs.extend(UnendedRun::close(*run));
                 StartOutcome::Lost(None)
             }
             signal @ (RunSignal::Event(_) | RunSignal::Ended) => {
@@ -266,15 +270,18 @@
                 }
             }
         };
-        drop(run);
+        let left = UnendedRun::close(*run);
         if let EarlierRun::Stopped(copy) = earlier {
             // It has ended as it was told to, which holds nothing against its engine.
             if let Some(trace) = &mut self.kept_trace {
                 trace.alive_ms = None;
             }
             let (answer, copy) = wait_for_other(sending, other, copy, stalled_at).await;
+            self.unended_runs.extend(left.filter(|_| !copy.is_made()));
             return (answer, EarlierRun::Stopped(copy));
         }
+        let ending = left.and_then(|left| EndingRun::begin(&self.call, left, prepared.address));
+        self.ending_runs.extend(ending);
         if let Some(mut trace) = self.kept_trace.take() {
             match &earlier {
                 EarlierRun::Failed(failure, EndedBy::Endpoint) => {
@@ -342,12 +349,14 @@
     }
 
     /// Records that the run of `prepared`, whose engine has not answered, is given up. Its connection is
-    /// closed, which ends it at an engine within reach.
+    /// closed.
     fn give_up_unanswered(&mut self, prepared: PreparedRun, is_earlier_kept: bool) {
         info!(request = self.call.id(), endpoint = prepared.endpoint.as_str(),
             silent_ms:? = self.trace.silent_ms(), events = self.delivered_events, is_earlier_kept;
             "engine has not answered; its run is given up");
         self.trace.record_silent(&self.call);
+        let left = UnendedRun::new(prepared.endpoint, prepared.address, false);
+        self.leave_run(left.release());
         if let Some(copy) = prepared.copy {
             copy.free();
         }
--- a/crates/daemon/tests/testsuite/cut_off_vms.rs
+++ b/crates/daemon/tests/testsuite/cut_off_vms.rs
@@ -320,7 +320,8 @@
 /// Guards against the end of a stream that another VM has had stopped being taken for its regular end.
 #[test]
 fn a_stream_that_a_silent_peer_has_stopped_and_that_ends_with_its_connection_is_not_complete() {
-    assert_cut_after_silent_peer(StreamConnections { is_unframed: true, denies_runs: false });
+    let connections = StreamConnections { is_unframed: true, ..StreamConnections::default() };
+    assert_cut_after_silent_peer(connections);
 }
 
 /// Has a peer that is silent afterwards stop a stream, and asserts that it ends as not complete and runs
--- a/crates/daemon/tests/testsuite/migrations.rs
+++ b/crates/daemon/tests/testsuite/migrations.rs
@@ -24,7 +24,8 @@
 const TOO_LATE: Behaviour = Behaviour::StreamsLate { answer_ms: 300 };
 
 /// Connections of streams that end with them.
-const UNFRAMED: StreamConnections = StreamConnections { is_unframed: true, denies_runs: false };
+const UNFRAMED: StreamConnections =
+    StreamConnections { is_unframed: true, outlives_connection: false, denies_runs: false };
 
 /// A stream whose engine is leaving and whose backup is at another engine.
 struct LeavingStream {
@@ -47,6 +48,13 @@
         LeavingStream::begin_with(links, first, StreamConnections::default())
     }
 
+    /// Does the same with engines that go on with a stream after its connection was closed.
+    fn begin_outliving(links: &Links, first: Behaviour) -> Self {
+        let connections =
+            StreamConnections { outlives_connection: true, ..StreamConnections::default() };
+        LeavingStream::begin_with(links, first, connections)
+    }
+
     /// Does the same with streams that end with their connection.
     fn begin_unframed(links: &Links, first: Behaviour) -> Self {
         LeavingStream::begin_with(links, first, UNFRAMED)
@@ -336,3 +344,38 @@
     let reply = stream.stream.read_to_end();
     assert_eq!((reply.complete, stream.body + &reply.body), (true, complete_stream(EVENT_COUNT)));
 }
+
+/// Guards against a run that goes on at the engine that it has moved away from, whose connection is closed.
+#[test]
+fn a_run_that_moves_ends_at_an_engine_that_outlives_its_connection() {
+    let mut stream = LeavingStream::begin_outliving(&Links::default(), LONG_STREAM);
+    stream.read_until(5);
+    stream.announce(LONG_STREAM);
+    let other = stream.other_id();
+    let (env, _) = stream.assert_completes(EVENT_COUNT);
+    assert_eq!(env.last_run_endpoint("r1"), other);
+}
+
+/// Guards against a silent run that goes on later, beside the one that has taken its place.
+#[test]
+fn a_silent_run_that_is_replaced_ends_at_an_engine_that_outlives_its_connection() {
+    let pause = Behaviour::StreamsWithPause { pause_ms: 4_000 };
+    let stream = LeavingStream::begin_outliving(&Links::default(), pause);
+    stream.engines[stream.other].set_behaviour(LONG_STREAM);
+    let other = stream.other_id();
+    let (env, _) = stream.assert_completes(EVENT_COUNT);
+    assert_eq!(env.last_run_endpoint("r1"), other);
+}
+
+/// Guards against a run that goes on after its connection broke, beside the one that resumes its stream.
+#[test]
+fn a_run_whose_connection_broke_ends_at_an_engine_that_outlives_its_connection() {
+    let links = Links::with_proxies();
+    let mut stream = LeavingStream::begin_outliving(&links, LONG_STREAM);
+    stream.read_until(5);
+    links.cut_to([stream.engines[stream.leaving].address()], Cut::Reset);
+    links.restore();
+    let other = stream.other_id();
+    let (env, _) = stream.assert_completes(EVENT_COUNT);
+    assert_eq!(env.last_run_endpoint("r1"), other);
+}
