daemon: whatever is sent to an endpoint needs a permit

In a plain release the streams of the old replica moved to the cold new one within a second: 55 requests, 36.5 allowed. Only new requests asked for permission; a stream that goes on from a copy or a backup asked for less, and the choice of its engine for nothing.

endpoint_access is now the only way to the endpoints: its dialer is private, and a connection needs a permit that is made there alone, after one set of checks. Streams that have begun wait for theirs, before new requests. Copies to an engine that is cold or has named a limit begin at the rate at which it takes the streams.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,7 @@
 //! State, settings and signals shared by all tasks of the daemon.
 
 use crate::caller_limits::CallerLimits;
+use crate::endpoint_access::{EndpointAccess, EndpointUse};
 use crate::record_passing::RecordsToPassOn;
 use crate::shutdown::ShutdownState;
 use crate::stream_gossip::StreamMessage;
@@ -14,7 +15,6 @@
 use gypsumchute_routing::endpoint_limits::EndpointLimits;
 use gypsumchute_routing::endpoint_links::EndpointLinks;
 use gypsumchute_routing::endpoint_pauses::EndpointPauses;
-use gypsumchute_routing::endpoint_rate::EndpointRateLimiter;
 use gypsumchute_routing::load::{Load, LoadTable};
 use gypsumchute_routing::outcomes::{OutlierDetector, RequestOutcome};
 use gypsumchute_routing::placement::FleetView;
@@ -77,8 +77,8 @@
     pub brittle_backoffs: BrittleBackoffs,
     /// Pauses that endpoints have asked this VM for.
     pub endpoint_pauses: EndpointPauses,
-    /// Limits the requests to endpoints that are cold or have named a limit.
-    pub rate_limiter: EndpointRateLimiter,
+    /// Rates at which endpoints are used that are cold or have named a limit.
+    pub endpoint_use: EndpointUse,
     /// Requests and segments of prompts that may have crashed endpoints.
     pub suspects: Suspects,
     /// Runs that ended without a response, whose endpoints may have crashed.
@@ -127,8 +127,8 @@
 pub struct Context {
     /// Settings that the process was started with.
     pub settings: DaemonSettings,
-    /// Opens the connections to endpoints.
-    pub dialer: Rc<dyn Dial>,
+    /// The way to the endpoints.
+    pub access: EndpointAccess,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Limits on what clients can make the process hold.
@@ -180,7 +180,7 @@
             rejection_limits: EndpointLimits::default(),
             brittle_backoffs: BrittleBackoffs::default(),
             endpoint_pauses: EndpointPauses::default(),
-            rate_limiter: EndpointRateLimiter::default(),
+            endpoint_use: EndpointUse::default(),
             suspects: Suspects {
                 requests: PoisonTracker::new(MAX_CRASHES_PER_REQUEST),
                 ..Suspects::default()
@@ -205,7 +205,7 @@
         Rc::new(Context {
             limits: CallerLimits::new(&settings, &metrics),
             settings,
-            dialer,
+            access: EndpointAccess::new(dialer),
             metrics,
             heartbeat_due: Notify::new(),
             load_notes_due: Notify::new(),
--- a/crates/daemon/src/endpoint_rates.rs
+++ b/crates/daemon/src/endpoint_rates.rs
@@ -1,43 +1,16 @@
-//! Applies what endpoints take: the rates of those that are cold or have named a limit, and the
-//! pauses that they have asked this VM for.
+//! Keeps what endpoints take: the rates of those that are cold or have named a limit, and the pauses that
+//! they have asked this VM for.
 
 use crate::context::{Context, State};
 use gypsumchute_platform::{EndpointSigns, NamedPause};
-use gypsumchute_routing::brittle_endpoints::{BrittleAdmission, BrittleEndpoint};
-use gypsumchute_routing::endpoint_rate::{EndpointRate, SendPermission};
+use gypsumchute_routing::brittle_endpoints::BrittleEndpoint;
+use gypsumchute_routing::endpoint_rate::EndpointRate;
 use gypsumchute_units::time::boot_now;
-use gypsumchute_units::{BootMs, EndpointId, RequestRate, VmId};
+use gypsumchute_units::{BootMs, EndpointId, RequestRate};
 use log::info;
 use rand::RngExt;
 
-/// Why this VM may not send to an endpoint now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RateExhausted {
-    /// Whether the endpoint has named a limit or a pause. If not, this VM may send as soon as a request
-    /// has ended or the cold start is over.
-    pub is_named: bool,
-    /// Time after which this VM may send a request, in milliseconds; `None` if other VMs use the
-    /// whole rate.
-    pub wait_ms: Option<u64>,
-    /// Time in which the endpoint takes one request from all VMs together, in milliseconds.
-    pub interval_ms: u64,
-}
-
 impl Context {
-    /// Takes permission to send a request other than a new one to `endpoint`, which may have named a
-    /// limit or asked for a pause.
-    pub fn may_send_to(&self, endpoint: &EndpointId) -> bool {
-        let now = boot_now();
-        if self.has_pause(endpoint) {
-            return false;
-        }
-        let permission = self.with(|state| {
-            let rate = state.named_rate(now, endpoint)?;
-            Some(state.acquire_rate(now, endpoint, rate, &self.settings.vm))
-        });
-        permission.is_none_or(|permission| permission == SendPermission::Granted)
-    }
-
     /// Reports whether `endpoint` wants nothing from this VM now.
     pub fn has_pause(&self, endpoint: &EndpointId) -> bool {
         self.with(|state| state.pause_ms(boot_now(), endpoint)).is_some()
@@ -117,7 +90,7 @@
 impl State {
     /// Returns the time for which `endpoint` wants nothing from this VM, in milliseconds, if it has
     /// asked for a pause.
-    fn pause_ms(&self, now: BootMs, endpoint: &EndpointId) -> Option<u64> {
+    pub fn pause_ms(&self, now: BootMs, endpoint: &EndpointId) -> Option<u64> {
         let started_wall_ms = self.endpoints.started_wall_ms(endpoint);
         self.endpoint_pauses.wait_ms(now, endpoint, started_wall_ms)
     }
@@ -131,7 +104,7 @@
     }
 
     /// Returns the share of this VM at `endpoint`, if the endpoint is brittle.
-    fn brittle(&self, endpoint: &EndpointId) -> Option<BrittleEndpoint> {
+    pub fn brittle(&self, endpoint: &EndpointId) -> Option<BrittleEndpoint> {
         let max_rejections_per_s = self.rejection_limits.get(endpoint)?.rate?;
         let slots = self.endpoints.get(endpoint)?.entry.slots;
         let vms = self.members.known_vms().len();
@@ -139,14 +112,14 @@
     }
 
     /// Returns the rate that `endpoint` takes because of a limit that it has named.
-    fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
+    pub fn named_rate(&self, now: BootMs, endpoint: &EndpointId) -> Option<EndpointRate> {
         let limit = self.endpoint_limits.get(endpoint)?;
         EndpointRate::named(now, limit)
     }
 
     /// Returns the rate that `endpoint` takes, if it has named a limit or is cold. A cold endpoint
     /// takes `cold_per_s` requests a second; 0 means any number.
-    fn endpoint_rate(
+    pub fn endpoint_rate(
         &self,
         now: BootMs,
         endpoint: &EndpointId,
@@ -160,55 +133,4 @@
             (cold, named) => cold.or(named),
         }
     }
-
-    /// Takes permission to send one request to `endpoint`, which takes requests at `rate`.
-    fn acquire_rate(
-        &mut self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        rate: EndpointRate,
-        local_vm: &VmId,
-    ) -> SendPermission {
-        let vms = self.members.known_vms();
-        self.rate_limiter.try_acquire(now, endpoint, rate, local_vm, &vms)
-    }
-
-    /// Takes permission to send one new request to `endpoint`. Returns what the endpoint takes, if
-    /// this VM may not send now.
-    pub fn acquire_endpoint(
-        &mut self,
-        now: BootMs,
-        endpoint: &EndpointId,
-        cold_per_s: f64,
-        local_vm: &VmId,
-    ) -> Result<(), RateExhausted> {
-        if let Some(pause_ms) = self.pause_ms(now, endpoint) {
-            let wait_ms = Some(pause_ms);
-            return Err(RateExhausted { is_named: true, wait_ms, interval_ms: pause_ms });
-        }
-        if let Some(brittle) = self.brittle(endpoint) {
-            let own_requests = self.loads.local_load(endpoint).requests;
-            match self.brittle_backoffs.admission(now, endpoint, brittle, own_requests) {
-                BrittleAdmission::Granted => {}
-                BrittleAdmission::Full => {
-                    return Err(RateExhausted { is_named: false, wait_ms: None, interval_ms: 0 });
-                }
-                BrittleAdmission::Closed { wait_ms } => {
-                    let interval_ms = wait_ms;
-                    let wait_ms = Some(wait_ms);
-                    return Err(RateExhausted { is_named: true, wait_ms, interval_ms });
-                }
-            }
-        }
-        let Some(rate) = self.endpoint_rate(now, endpoint, cold_per_s) else { return Ok(()) };
-        let is_named = self.named_rate(now, endpoint).is_some();
-        let interval_ms = rate.interval_ms();
-        match self.acquire_rate(now, endpoint, rate, local_vm) {
-            SendPermission::Granted => Ok(()),
-            SendPermission::Later { wait_ms } => {
-                Err(RateExhausted { is_named, wait_ms: Some(wait_ms), interval_ms })
-            }
-            SendPermission::OtherVms => Err(RateExhausted { is_named, wait_ms: None, interval_ms }),
-        }
-    }
 }
--- a/crates/daemon/src/engine_reports.rs
+++ b/crates/daemon/src/engine_reports.rs
@@ -7,7 +7,8 @@
 //! costs as much as a health check.
 
 use crate::context::Context;
-use gypsumchute_platform::endpoints::{EndpointReport, ReportError, read_report};
+use crate::endpoint_access::ControlPermit;
+use gypsumchute_platform::endpoints::{EndpointReport, ReportError};
 use gypsumchute_units::EndpointId;
 use gypsumchute_units::time::boot_now;
 use log::info;
@@ -28,10 +29,9 @@
     loop {
         sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         for (endpoint, address) in engines_to_poll(&context) {
-            if !context.may_send_to(&endpoint) {
-                continue;
+            if let Some(permit) = context.acquire_control(&endpoint) {
+                spawn_local(poll_engine(context.clone(), permit, endpoint, address));
             }
-            spawn_local(poll_engine(context.clone(), endpoint, address));
         }
     }
 }
@@ -53,9 +53,14 @@
 }
 
 /// Polls one engine and records its termination notice, if there is one.
-async fn poll_engine(context: Rc<Context>, endpoint: EndpointId, address: SocketAddr) {
+async fn poll_engine(
+    context: Rc<Context>,
+    permit: ControlPermit,
+    endpoint: EndpointId,
+    address: SocketAddr,
+) {
     let known_start = context.endpoint_start_ms(&endpoint);
-    match read_report(&*context.dialer, address, REPORT_TIMEOUT_MS).await {
+    match permit.read_report(&context, address, REPORT_TIMEOUT_MS).await {
         Ok(EndpointReport { ends_in_ms, started_wall_ms, signs }) => {
             let started_wall_ms = started_wall_ms.or(known_start);
             context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -419,8 +419,7 @@
         for (service, address) in probes {
             let context = self.clone();
             spawn_local(async move {
-                let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
-                if Connection::open(dialer, address, PROBE_TIMEOUT_MS, timeouts).await.is_ok() {
+                if context.access.is_reachable(address, PROBE_TIMEOUT_MS).await {
                     context.record_connected(&service);
                 }
             });
--- a/crates/daemon/src/generation/backup.rs
+++ b/crates/daemon/src/generation/backup.rs
@@ -3,8 +3,8 @@
 
 use super::Generation;
 use super::run::Backup;
+use crate::endpoint_access::PermitWait;
 use crate::placing::EndpointConnection;
-use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_platform::KvSource;
 use gypsumchute_routing::load::Load;
 use gypsumchute_routing::placement::{choose_backup_engine, likely_backup_engines, needs_backup};
@@ -12,6 +12,8 @@
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RequestId};
 use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Number of engines of each software version that are tried for the backup of a stream whose
 /// version is not known. The first of them may run the stream itself, and the second may have been
@@ -22,6 +24,10 @@
 /// packet only after 1 s, and engines are terminated within seconds of their notice.
 const BACKUP_CONNECT_TIMEOUT_MS: u64 = 200;
 
+/// Time for which callers wait for the next event of a stream at least, in milliseconds. Longer on routes
+/// with long pauses or a high latency target. Source: the users' protocol page.
+const MIN_CALLER_PATIENCE_MS: u64 = 2_000;
+
 /// A connection that is being opened, or `None` once that has failed.
 pub(super) type PendingConnection = Pin<Box<dyn Future<Output = Option<EndpointConnection>>>>;
 
@@ -55,8 +61,8 @@
         })?;
         let source = KvSource { address, name: request_id.to_string() };
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
-        let dialer = context.dialer.clone();
-        Some(Backup { endpoint, address, version, source, load_guard, dialer })
+        let (source_endpoint, context) = (endpoint.clone(), context.clone());
+        Some(Backup { endpoint, address, version, source, source_endpoint, load_guard, context })
     }
 
     /// Reports whether the engine that holds `backup` accepts requests and still runs the software
@@ -69,17 +75,18 @@
         })
     }
 
-    /// Connects to the engine that holds `backup`.
+    /// Connects to the engine that holds `backup`, once a request may be sent there.
     ///
     /// # Errors
     ///
-    /// Returns an error if the engine cannot or must not be reached, with the refusal if the request
-    /// must not run at all. Nothing was sent.
+    /// Returns an error if the engine cannot or must not be reached in time, with the refusal if the
+    /// request must not run at all. Nothing was sent.
     pub(super) async fn connect_to_backup(
         &self,
         backup: &Backup,
+        wait: PermitWait,
     ) -> Result<EndpointConnection, Option<Refusal>> {
-        self.start_connecting(backup)?.await.ok_or(None)
+        self.start_connecting(backup, wait)?.await.ok_or(None)
     }
 
     /// Returns a future that connects to the engine that holds `backup`, and does not depend on this
@@ -91,30 +98,41 @@
     pub(super) fn start_connecting(
         &self,
         backup: &Backup,
+        wait: PermitWait,
     ) -> Result<PendingConnection, Option<Refusal>> {
         if let Some(refusal) = self.call.poison_refusal() {
             return Err(Some(refusal));
         }
-        let context = self.call.context.clone();
-        if !self.is_usable(backup) || !context.may_send_to(&backup.endpoint) {
+        if !self.is_usable(backup) {
             return Err(None);
         }
-        let (service, load) = (self.call.service.id.clone(), self.call.load());
+        let context = self.call.context.clone();
+        let (service, load) = (self.call.service.clone(), self.call.load());
         let (endpoint, address, version) =
             (backup.endpoint.clone(), backup.address, backup.version);
         Ok(Box::pin(async move {
-            let dialer = &*context.dialer;
-            let (limit_ms, timeouts) = (BACKUP_CONNECT_TIMEOUT_MS, TcpTimeouts::Long);
-            let Ok(connection) = Connection::open(dialer, address, limit_ms, timeouts).await else {
-                context.record_connect_failed(&service, &endpoint);
+            let permit = context.wait_for_permit(&service, &endpoint, wait).await?;
+            let connecting = permit.connect(&context, address, BACKUP_CONNECT_TIMEOUT_MS);
+            let Ok(connection) = connecting.await else {
+                context.record_connect_failed(&service.id, &endpoint);
                 return None;
             };
-            context.record_connected(&service);
+            context.record_connected(&service.id);
             let load_guard = context.reserve_load(&endpoint, load);
             Some(EndpointConnection { endpoint, address, version, connection, load_guard })
         }))
     }
 
+    /// Returns how long a stream without a run waits to go on at an engine: as long as callers wait for
+    /// its next event.
+    pub(super) fn wait_without_run(&self) -> PermitWait {
+        let wait_ms = MIN_CALLER_PATIENCE_MS
+            .max(self.call.route.latency_target_ms.saturating_mul(4))
+            .max(self.call.route.inter_event_target_ms.saturating_mul(8));
+        let until = Instant::now() + Duration::from_millis(wait_ms.min(self.call.remaining_ms()));
+        PermitWait { until, has_alternative: false }
+    }
+
     /// Returns the backups that the run of `first_attempt` may have left: the likely engines of each
     /// version, the most likely one of each version first.
     pub(super) fn possible_backups(&self, first_attempt: &RequestId) -> Vec<Backup> {
@@ -139,7 +157,8 @@
         possible.sort_by_key(|(rank, ..)| *rank);
         let backups = possible.into_iter().map(|(_, endpoint, address, version)| Backup {
             load_guard: context.reserve_load(&endpoint, Load::default()),
-            dialer: context.dialer.clone(),
+            context: context.clone(),
+            source_endpoint: endpoint.clone(),
             endpoint,
             address,
             version,
--- a/crates/daemon/src/generation/ending.rs
+++ b/crates/daemon/src/generation/ending.rs
@@ -9,12 +9,12 @@
 
 use super::Generation;
 use super::migration::COPY_TIMEOUT_MS;
-use super::run::Run;
+use super::run::{Run, free_copy};
 use super::trace::RunProgress;
 use crate::call::Call;
 use crate::context::{Context, LoadGuard};
 use gypsumchute_exchange::ExchangeError;
-use gypsumchute_platform::endpoints::{CopyError, KvCopy, copy_kv_cache, free_kv_copy};
+use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_units::{EndpointId, RequestId};
 use log::info;
 use std::cell::Cell;
@@ -28,8 +28,6 @@
 /// Times between the calls that ask an engine to stop a run, in milliseconds. Before the first one, an
 /// engine that drops a run with its connection does so; two runs must not be at work for 400 ms.
 const ASK_DELAYS_MS: [u64; 6] = [100, 100, 200, 400, 800, 1_600];
-/// Timeout for asking an engine to free the copy of a stopped run, in milliseconds.
-const FREE_TIMEOUT_MS: u64 = 1_000;
 
 /// A run whose connection is closed, and which its engine may go on with.
 pub(super) struct UnendedRun {
@@ -181,15 +179,13 @@
     let (mut asked, mut last_proof) = (0, None);
     for delay_ms in ASK_DELAYS_MS {
         sleep(Duration::from_millis(delay_ms)).await;
-        if !context.may_send_to(&endpoint) {
-            continue;
-        }
+        let Some(permit) = context.acquire_control(&endpoint) else { continue };
         asked += 1;
         last_proof = None;
         let started_wall_ms = context.endpoint_start_ms(&endpoint);
-        let dialer = &*context.dialer;
-        let (result, signs) =
-            copy_kv_cache(dialer, address, to, &request_id, true, COPY_TIMEOUT_MS).await;
+        let stopping =
+            permit.copy_kv_cache(&context, address, to, &request_id, true, COPY_TIMEOUT_MS);
+        let (result, signs) = stopping.await;
         context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
         let proof = match StopAnswer::from(result) {
             StopAnswer::Unknown => continue,
@@ -200,7 +196,9 @@
             StopAnswer::NotRunning => "not_running",
             StopAnswer::EngineGone => "engine_gone",
             StopAnswer::Stopped(copy) => {
-                free_unused(&context, &endpoint, address, copy).await;
+                if let Some(copy) = copy {
+                    free_copy(&context, &endpoint, address, copy).await;
+                }
                 "stopped"
             }
         };
@@ -212,17 +210,3 @@
         proof = last_proof.unwrap_or("none");
         "engine was asked to end a run");
 }
-
-/// Frees the copy of a stopped run.
-async fn free_unused(
-    context: &Context,
-    endpoint: &EndpointId,
-    source: SocketAddr,
-    copy: Option<KvCopy>,
-) {
-    let Some(copy) = copy else { return };
-    if let Err(err) = free_kv_copy(&*context.dialer, source, &copy, FREE_TIMEOUT_MS).await {
-        info!(endpoint = endpoint.as_str(), error:% = err;
-            "KV copy could not be freed; the engine frees it after a timeout");
-    }
-}
--- a/crates/daemon/src/generation/handover.rs
+++ b/crates/daemon/src/generation/handover.rs
@@ -13,7 +13,6 @@
 use crate::events::EventSequence;
 use crate::forwarding::{ContinuedRun, Handover, Origin};
 use crate::placing::CONNECT_TIMEOUT_MS;
-use gypsumchute_exchange::{Connection, TcpTimeouts};
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason};
 use log::info;
 use std::time::Duration;
@@ -123,7 +122,7 @@
         let stopping = RunAtEngine { endpoint: &run.endpoint, address, version: run.version };
         let Some(stopping) = self.stop_and_copy(stopping, None) else { return lost() };
         let StopOutcome::Stopped(backup) = stopping.await else { return lost() };
-        match self.start_run(StartFrom::Backup(backup)).await {
+        match self.start_run(StartFrom::Backup(Box::new(backup), self.wait_without_run())).await {
             // The run was stopped and can't begin anew.
             StartOutcome::NotRun(_) => lost(),
             outcome => outcome,
@@ -138,16 +137,11 @@
             context.with(|state| state.endpoints.get(endpoint).map(|found| found.entry.address));
         let Some(address) = found else { return false };
         let service = &self.call.service.id;
-        let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
-        match Connection::open(dialer, address, CONNECT_TIMEOUT_MS, timeouts).await {
-            Ok(_) => {
-                context.record_connected(service);
-                true
-            }
-            Err(_) => {
-                context.record_connect_failed(service, endpoint);
-                false
-            }
+        let is_reachable = context.access.is_reachable(address, CONNECT_TIMEOUT_MS).await;
+        match is_reachable {
+            true => context.record_connected(service),
+            false => context.record_connect_failed(service, endpoint),
         }
+        is_reachable
     }
 }
--- a/crates/daemon/src/generation/migration.rs
+++ b/crates/daemon/src/generation/migration.rs
@@ -7,16 +7,18 @@
 use super::backup::PendingConnection;
 use super::ending::UnendedRun;
 use super::run::{Backup, CopyTarget, PendingCopy, RelayEnd, Run};
+use super::stopping::MoveTarget;
 use super::switching::{NotStarted, Switch};
+use crate::endpoint_access::PermitWait;
 use crate::placing::EndpointConnection;
 use gypsumchute_platform::KvSource;
-use gypsumchute_platform::endpoints::{CopyError, KvCopy, copy_kv_cache};
+use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
-use gypsumchute_routing::placement::{Placement, choose_migration_target};
-use gypsumchute_units::RequestId;
-use gypsumchute_units::time::boot_now;
 use log::info;
 use std::future::pending;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep};
 
 /// Timeout for copying the KV cache of a run to another engine, in milliseconds. Engines are
 /// terminated within seconds of their notice.
@@ -26,6 +28,10 @@
 /// usually reject the request within milliseconds.
 const MAX_COPY_ATTEMPTS: u32 = 8;
 
+/// Time for which a run waits for the permit to go on at the engine that holds its backup before another
+/// engine is looked for, in milliseconds.
+const PERMIT_WAIT_MS: u64 = 500;
+
 /// The move of a run off a leaving engine.
 #[derive(Default)]
 pub(super) struct Migration {
@@ -42,6 +48,8 @@
     Copying(PendingCopy),
     /// A connection to the engine that holds the backup is opened.
     Connecting(PendingConnection),
+    /// The engines with room take no more streams now, and are looked at again later.
+    Waiting(Pin<Box<Sleep>>),
 }
 
 /// Result of a step.
@@ -50,6 +58,8 @@
     Copied(CopyTarget, Result<KvCopy, CopyError>),
     /// The connection to the engine that holds the backup is open, or could not be opened.
     Connected(Option<EndpointConnection>),
+    /// A target is to be looked for again.
+    Waited,
 }
 
 impl Migration {
@@ -72,6 +82,10 @@
                 FinishedStep::Copied(target, result)
             }
             Step::Connecting(connection) => FinishedStep::Connected(connection.await),
+            Step::Waiting(wait) => {
+                wait.await;
+                FinishedStep::Waited
+            }
         };
         self.step = Step::None;
         finished
@@ -93,7 +107,9 @@
         self.log_recovery(Interruption::Terminating, next);
         migration.step = match (next, &run.backup) {
             (RecoveryAction::ResumeFromBackup, Some(backup)) => {
-                match self.start_connecting(backup) {
+                let until = Instant::now() + Duration::from_millis(PERMIT_WAIT_MS);
+                let wait = PermitWait { until, has_alternative: true };
+                match self.start_connecting(backup, wait) {
                     Ok(connection) => Step::Connecting(connection),
                     Err(_) => {
                         retry_without_backup(run);
@@ -102,8 +118,9 @@
                 }
             }
             (RecoveryAction::Migrate, _) if migration.may_copy() => {
-                migration.copy_attempts += 1;
-                self.start_copy(run).map_or(Step::None, Step::Copying)
+                let step = self.start_copy(run);
+                migration.copy_attempts += u32::from(!matches!(step, Step::Waiting(_)));
+                step
             }
             _ => Step::None,
         };
@@ -128,13 +145,20 @@
                 run.termination_handled &= !migration.may_copy();
                 Ok(run)
             }
+            FinishedStep::Waited => {
+                run.termination_handled = false;
+                Ok(run)
+            }
             FinishedStep::Connected(placed) => {
                 let backup = run.backup.take().filter(|backup| self.is_usable(backup));
                 match (placed, backup) {
                     (Some(placed), Some(backup)) if placed.endpoint == backup.endpoint => {
                         self.move_run(run, placed, backup).await
                     }
-                    _ => {
+                    (_, backup) => {
+                        if let Some(backup) = backup {
+                            backup.free();
+                        }
                         retry_without_backup(&mut run);
                         Ok(run)
                     }
@@ -185,9 +209,17 @@
             Ok(copy) => {
                 let source = KvSource { address: run.address, name: copy.handle };
                 let CopyTarget { endpoint, address, version, load_guard } = target;
-                let dialer = self.call.context.dialer.clone();
-                run.backup =
-                    Some(Backup { endpoint, address, version, source, load_guard, dialer });
+                let context = self.call.context.clone();
+                let source_endpoint = run.endpoint.clone();
+                run.backup = Some(Backup {
+                    endpoint,
+                    address,
+                    version,
+                    source,
+                    source_endpoint,
+                    load_guard,
+                    context,
+                });
                 run.termination_handled = false;
             }
             Err(error) => {
@@ -199,32 +231,31 @@
         }
     }
 
-    /// Starts copying the KV cache of the run to another engine. Returns `None` if no engine has
+    /// Starts copying the KV cache of the run to another engine. Nothing is started if no engine has
     /// room, or if the caller sent no request id (which names the run at the engine).
-    fn start_copy(&self, run: &Run) -> Option<PendingCopy> {
-        let context = &self.call.context;
-        let request_id: RequestId = self.call.caller.request_id.clone()?;
-        let placement = context.with(|state| {
-            let fleet = state.fleet(&context.settings);
-            let demand = self.call.placement_request(&self.excluded, Some(run.version));
-            choose_migration_target(boot_now(), fleet, demand, &run.endpoint)
-        });
-        let Placement::Endpoint(endpoint) = placement else { return None };
-        if !context.may_send_to(&run.endpoint) {
-            return None;
-        }
-        let address =
-            context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address))?;
+    fn start_copy(&self, run: &Run) -> Step {
+        let context = self.call.context.clone();
+        let Some(request_id) = self.call.caller.request_id.clone() else { return Step::None };
+        let excluded = self.excluded.clone();
+        let endpoint = match self.choose_move_target(&run.endpoint, run.version, excluded) {
+            MoveTarget::Engine(endpoint) => endpoint,
+            MoveTarget::Later { wait_ms, .. } => {
+                return Step::Waiting(Box::pin(sleep(Duration::from_millis(wait_ms))));
+            }
+            MoveTarget::None => return Step::None,
+        };
+        let address = context.with(|state| state.endpoints.get(&endpoint).map(|e| e.entry.address));
+        let permit = context.acquire_control(&run.endpoint);
+        let (Some(address), Some(permit)) = (address, permit) else { return Step::None };
         let load_guard = context.reserve_load(&endpoint, self.backup_load());
         let version = run.version;
         let target = CopyTarget { endpoint, address, version, load_guard };
         let (source, source_address) = (run.endpoint.clone(), run.address);
-        let context = context.clone();
-        Some(Box::pin(async move {
+        Step::Copying(Box::pin(async move {
             let source_start = context.endpoint_start_ms(&source);
-            let (dialer, to) = (&*context.dialer, target.address);
+            let (from, to) = (source_address, target.address);
             let copying =
-                copy_kv_cache(dialer, source_address, to, &request_id, false, COPY_TIMEOUT_MS);
+                permit.copy_kv_cache(&context, from, to, &request_id, false, COPY_TIMEOUT_MS);
             let (result, signs) = copying.await;
             context.record_endpoint_signs(&source, source_start, signs);
             (target, result)
--- a/crates/daemon/src/generation/mod.rs
+++ b/crates/daemon/src/generation/mod.rs
@@ -219,7 +219,7 @@
                 Ok(start_from) => start_from,
                 Err(refusal) => return GenerationEnd::Refused(refusal),
             };
-            from_backup = matches!(start_from, StartFrom::Backup(_));
+            from_backup = matches!(start_from, StartFrom::Backup(..));
             start = self.start_run(start_from).await;
         }
     }
@@ -261,9 +261,9 @@
                 Ok(Placed::ForwardLost) => StartOutcome::ForwardLost,
                 Err(refusal) => StartOutcome::Refused(refusal),
             },
-            StartFrom::Backup(backup) => match self.connect_to_backup(&backup).await {
-                Ok(placed) => self.start_run_at(placed, Some(backup)).await,
-                Err(None) => StartOutcome::NotRun(Some(backup)),
+            StartFrom::Backup(backup, wait) => match self.connect_to_backup(&backup, wait).await {
+                Ok(placed) => self.start_run_at(placed, Some(*backup)).await,
+                Err(None) => StartOutcome::NotRun(Some(*backup)),
                 Err(Some(refusal)) => StartOutcome::Refused(refusal),
             },
         }
--- a/crates/daemon/src/generation/recovery.rs
+++ b/crates/daemon/src/generation/recovery.rs
@@ -43,7 +43,7 @@
         self.log_recovery(interruption, next);
         let no_recovery = match (next, backup) {
             (RecoveryAction::ResumeFromBackup, Some(backup)) => {
-                return Ok(StartFrom::Backup(backup));
+                return Ok(StartFrom::Backup(Box::new(backup), self.wait_without_run()));
             }
             (RecoveryAction::Restart, _) => {
                 if self.call.context.take_retry(&self.call.service.id, interruption.into()) {
--- a/crates/daemon/src/generation/replacement.rs
+++ b/crates/daemon/src/generation/replacement.rs
@@ -10,8 +10,9 @@
 use super::switching::{NotStarted, READ_GRACE_MS, Switch};
 use super::trace::RunTrace;
 use crate::context::Context;
+use crate::endpoint_access::PermitWait;
 use crate::placing::{EndpointConnection, LinkUse, QueueUse};
-use gypsumchute_platform::endpoints::{ReportError, read_report};
+use gypsumchute_platform::endpoints::ReportError;
 use gypsumchute_routing::continuity::{Interruption, RecoveryAction, choose_recovery};
 use gypsumchute_routing::outcomes::RequestOutcome;
 use gypsumchute_units::EndpointId;
@@ -139,7 +140,11 @@
         unresponsive: &mut BTreeSet<EndpointId>,
     ) -> Option<EndpointConnection> {
         let placed = match backup {
-            Some(backup) => self.connect_to_backup(backup).await.ok(),
+            Some(backup) => {
+                let until = Instant::now() + Duration::from_millis(MAX_SEARCH_MS);
+                let wait = PermitWait { until, has_alternative: true };
+                self.connect_to_backup(backup, wait).await.ok()
+            }
             None => {
                 excluded.extend(unresponsive.iter().cloned());
                 let placing = self.call.place_and_connect(
@@ -151,20 +156,20 @@
                 placing.await.ok()
             }
         }?;
-        if !self.is_responsive(placed.address).await {
+        if !self.is_responsive(&placed.endpoint, placed.address).await {
             unresponsive.insert(placed.endpoint);
             return None;
         }
         Some(placed)
     }
 
-    /// Reports whether the engine at `address` responds at present: it may accept connections although
+    /// Reports whether `endpoint`, which is at `address`, responds at present: it may accept connections although
     /// it is as silent as the one that it is to relieve.
-    async fn is_responsive(&self, address: SocketAddr) -> bool {
+    async fn is_responsive(&self, endpoint: &EndpointId, address: SocketAddr) -> bool {
         if self.call.service.engine.is_none() {
             return true;
         }
-        responds(&self.call.context, address, RESPONSE_TIMEOUT_MS).await
+        responds(&self.call.context, endpoint, address, RESPONSE_TIMEOUT_MS).await
     }
 
     /// Starts a run at `placed` in the place of the silent `run`, from `copy` or from the prompt.
@@ -238,9 +243,17 @@
     }
 }
 
-/// Reports whether the engine at `address` answers a request for its state within `timeout_ms`, on a
-/// connection of its own.
-pub(super) async fn responds(context: &Context, address: SocketAddr, timeout_ms: u64) -> bool {
-    let report = read_report(&*context.dialer, address, timeout_ms).await;
+/// Reports whether `endpoint`, which is at `address`, answers a request for its state within `timeout_ms`,
+/// on a connection of its own. An engine that may not be asked now only has to accept the connection.
+pub(super) async fn responds(
+    context: &Context,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> bool {
+    let Some(permit) = context.acquire_control(endpoint) else {
+        return context.access.is_reachable(address, timeout_ms).await;
+    };
+    let report = permit.read_report(context, address, timeout_ms).await;
     !matches!(report, Err(ReportError::Exchange(_)))
 }
--- a/crates/daemon/src/generation/resume.rs
+++ b/crates/daemon/src/generation/resume.rs
@@ -3,6 +3,7 @@
 
 use super::Generation;
 use super::run::{Run, RunFailure, StartFrom, StartOutcome};
+use crate::endpoint_access::PermitWait;
 use crate::registry_check::read_missed_changes;
 use gypsumchute_routing::endpoints::Endpoint;
 use gypsumchute_routing::stream_versions::{
@@ -11,6 +12,8 @@
 use gypsumchute_units::time::boot_now;
 use gypsumchute_units::{EndpointId, Refusal, RefusalReason, RequestId};
 use log::info;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time for which engines are tried for the backup of a stream, in milliseconds: enough for all of
 /// them if they answer, and short for the caller if they don't.
@@ -195,15 +198,16 @@
     /// that resumes from it. An engine without the backup does not run the request, so the version
     /// of one that does is the version that began the stream. Returns `None` if no backup was found.
     async fn start_from_found_backup(&mut self, first_attempt: &RequestId) -> Option<StartOutcome> {
-        let deadline_ms = boot_now() + BACKUP_SEARCH_MS;
+        let until = Instant::now() + Duration::from_millis(BACKUP_SEARCH_MS);
+        let wait = PermitWait { until, has_alternative: true };
         let service = self.call.service.id.clone();
         for (tried, backup) in self.possible_backups(first_attempt).into_iter().enumerate() {
             let may_try = tried == 0 || self.call.context.take_retry(&service, "backup_search");
-            if !may_try || boot_now() >= deadline_ms {
+            if !may_try || Instant::now() >= until {
                 return None;
             }
             let version = backup.version;
-            match self.start_run(StartFrom::Backup(backup)).await {
+            match self.start_run(StartFrom::Backup(Box::new(backup), wait)).await {
                 StartOutcome::NotRun(_) => {}
                 StartOutcome::Running(run) => {
                     let stream = self.stream_key(first_attempt);
--- a/crates/daemon/src/generation/run.rs
+++ b/crates/daemon/src/generation/run.rs
@@ -3,12 +3,13 @@
 use super::MAX_BUFFERED_BYTES;
 use super::unread::UnreadSignals;
 use crate::call::{Call, EndedBy, SendOptions};
-use crate::context::LoadGuard;
+use crate::context::{Context, LoadGuard};
+use crate::endpoint_access::PermitWait;
 use crate::events::{Event, EventError, EventReader, EventSequence};
 use crate::reply::{QueuedChunk, Reply, StreamCompletion};
 use bytes::Bytes;
-use gypsumchute_exchange::{Connection, Dial, ExchangeError, ResponseStream};
-use gypsumchute_platform::endpoints::{CopyError, KvCopy, free_kv_copy};
+use gypsumchute_exchange::{Connection, ExchangeError, ResponseStream};
+use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_platform::{KvSource, ResponseKind};
 use gypsumchute_routing::continuity::Interruption;
 use gypsumchute_routing::stream_versions::ServiceVersion;
@@ -89,10 +90,12 @@
     pub(super) version: ServiceVersion,
     /// Where the engine reads the copy from when it resumes the generation.
     pub(super) source: KvSource,
+    /// Engine at `source`.
+    pub(super) source_endpoint: EndpointId,
     /// Accounts for the memory that the copy occupies.
     pub(super) load_guard: LoadGuard,
-    /// Opens the connection over which the copy is freed.
-    pub(super) dialer: Rc<dyn Dial>,
+    /// Gives access to the engines, for freeing the copy.
+    pub(super) context: Rc<Context>,
 }
 
 impl Backup {
@@ -111,15 +114,31 @@
         spawn_local(async move {
             let _load_guard = self.load_guard;
             let copy = KvCopy { handle: self.source.name };
-            let (dialer, source) = (&*self.dialer, self.source.address);
-            if let Err(err) = free_kv_copy(dialer, source, &copy, FREE_COPY_TIMEOUT_MS).await {
-                info!(endpoint = self.endpoint.as_str(), error:% = err;
-                    "KV copy could not be freed; the engine frees it after a timeout");
-            }
+            free_copy(&self.context, &self.source_endpoint, self.source.address, copy).await;
         });
     }
 }
 
+/// Frees `copy`, which was made from the engine `endpoint` at `source` and is not needed.
+pub(super) async fn free_copy(
+    context: &Context,
+    endpoint: &EndpointId,
+    source: SocketAddr,
+    copy: KvCopy,
+) {
+    let result = match context.acquire_control(endpoint) {
+        Some(permit) => {
+            let freed = permit.free_kv_copy(context, source, &copy, FREE_COPY_TIMEOUT_MS).await;
+            freed.map_err(|err| err.to_string())
+        }
+        None => Err("the engine takes no requests now".to_owned()),
+    };
+    if let Err(error) = result {
+        info!(endpoint = endpoint.as_str(), error;
+            "KV copy could not be freed; the engine frees it after a timeout");
+    }
+}
+
 /// Beginning of a response, or why there is none.
 pub(super) type SendResult = Result<(EventStream, ResponseKind), ExchangeError>;
 
@@ -306,8 +325,8 @@
 pub(super) enum StartFrom {
     /// Prefill: a newly chosen engine processes the prompt.
     Prompt,
-    /// The engine that holds the backup resumes from the copied KV cache.
-    Backup(Backup),
+    /// The engine that holds the backup resumes from the copied KV cache, once it may be sent to.
+    Backup(Box<Backup>, PermitWait),
 }
 
 /// Result of starting a run.
--- a/crates/daemon/src/generation/stopping.rs
+++ b/crates/daemon/src/generation/stopping.rs
@@ -4,7 +4,7 @@
 use super::migration::COPY_TIMEOUT_MS;
 use super::run::Backup;
 use gypsumchute_platform::KvSource;
-use gypsumchute_platform::endpoints::{CopyError, copy_kv_cache};
+use gypsumchute_platform::endpoints::{CopyError, KvCopy};
 use gypsumchute_routing::placement::{Placement, choose_migration_target};
 use gypsumchute_routing::stream_versions::ServiceVersion;
 use gypsumchute_units::EndpointId;
@@ -16,6 +16,25 @@
 use std::pin::Pin;
 use tokio::task::spawn_local;
 
+/// Longest time after which a target is looked for again if those with room take no more streams, in
+/// milliseconds. Engines are terminated within seconds of their notice.
+const MAX_REPLAN_MS: u64 = 100;
+
+/// Engine that a run moves to.
+pub(super) enum MoveTarget {
+    /// This one.
+    Engine(EndpointId),
+    /// None now. This one has room, and may take the run later.
+    Later {
+        /// Time after which it is worth looking again, in milliseconds.
+        wait_ms: u64,
+        /// Engine with room.
+        endpoint: EndpointId,
+    },
+    /// None has room.
+    None,
+}
+
 /// A run at an engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RunAtEngine<'a> {
@@ -110,50 +129,40 @@
         let RunAtEngine { address: source, version, .. } = run;
         let target = self.choose_copy_target(run, unreachable)?;
         let address = self.address_at_version(&target, version)?;
-        if !context.may_send_to(run.endpoint) {
-            return None;
-        }
+        let permit = context.acquire_control(run.endpoint)?;
         let load_guard = context.reserve_load(&target, self.backup_load());
         let (endpoint, load) = (run.endpoint.clone(), self.backup_load());
         let after_event = self.sequence.last_id();
         Some(Box::pin(async move {
             let started_wall_ms = context.endpoint_start_ms(&endpoint);
-            let dialer = &*context.dialer;
             let copying =
-                copy_kv_cache(dialer, source, address, &request_id, true, COPY_TIMEOUT_MS);
+                permit.copy_kv_cache(&context, source, address, &request_id, true, COPY_TIMEOUT_MS);
             let (result, signs) = copying.await;
             context.record_endpoint_signs(&endpoint, started_wall_ms, signs);
             info!(request = request_id.as_str(), endpoint = endpoint.as_str(),
                 to = target.as_str(), after_event:?,
                 error = result.as_ref().err().map_or("-".to_owned(), ToString::to_string);
                 "run stopped and copied");
-            let dialer = context.dialer.clone();
+            let kept = |copy: KvCopy| KvSource { address: source, name: copy.handle };
             match result {
-                Ok(copy) => {
-                    let source = KvSource { address: source, name: copy.handle };
-                    let endpoint = target;
-                    StopOutcome::Stopped(Backup {
-                        endpoint,
-                        address,
-                        version,
-                        source,
-                        load_guard,
-                        dialer,
-                    })
-                }
-                Err(CopyError::TargetUnavailable(Some(retained))) => {
-                    let load_guard = context.reserve_load(&endpoint, load);
-                    let kept = KvSource { address: source, name: retained.handle };
-                    let address = source;
-                    StopOutcome::Stopped(Backup {
-                        endpoint,
-                        address,
-                        version,
-                        source: kept,
-                        load_guard,
-                        dialer,
-                    })
-                }
+                Ok(copy) => StopOutcome::Stopped(Backup {
+                    endpoint: target,
+                    address,
+                    version,
+                    source: kept(copy),
+                    source_endpoint: endpoint,
+                    load_guard,
+                    context,
+                }),
+                Err(CopyError::TargetUnavailable(Some(retained))) => StopOutcome::Stopped(Backup {
+                    load_guard: context.reserve_load(&endpoint, load),
+                    endpoint: endpoint.clone(),
+                    address: source,
+                    version,
+                    source: kept(retained),
+                    source_endpoint: endpoint,
+                    context,
+                }),
                 Err(CopyError::NoSuchGeneration) => StopOutcome::NotRunning,
                 Err(_) => StopOutcome::Unknown,
             }
@@ -170,17 +179,6 @@
         let mut excluded = self.excluded.clone();
         excluded.extend(unreachable.cloned());
         let mut preferred = excluded.clone();
-        let choose = |excluded: &BTreeSet<EndpointId>| {
-            let placement = context.with(|state| {
-                let fleet = state.fleet(&context.settings);
-                let demand = self.call.placement_request(excluded, Some(run.version));
-                choose_migration_target(boot_now(), fleet, demand, run.endpoint)
-            });
-            match placement {
-                Placement::Endpoint(endpoint) => Some(endpoint),
-                Placement::AtCapacity | Placement::NoEndpoint => None,
-            }
-        };
         if let Some(unreachable) = unreachable {
             context.with(|state| {
                 let zone = state.endpoints.get(unreachable).map(|found| &found.entry.zone);
@@ -189,7 +187,47 @@
                 preferred.extend(in_zone.map(|engine| engine.entry.id.clone()));
             });
         }
-        choose(&preferred).or_else(|| choose(&excluded))
+        // The run is about to be stopped, so that it can't wait for an engine that takes more.
+        let choose = |excluded| match self.choose_move_target(run.endpoint, run.version, excluded) {
+            MoveTarget::Engine(endpoint) | MoveTarget::Later { endpoint, .. } => Some(endpoint),
+            MoveTarget::None => None,
+        };
+        choose(preferred).or_else(|| choose(excluded))
+    }
+
+    /// Chooses the engine that a run at `current` moves to, none of `excluded`. Engines that take no
+    /// more streams now, because they are cold or have named a limit, are passed over.
+    pub(super) fn choose_move_target(
+        &self,
+        current: &EndpointId,
+        version: ServiceVersion,
+        mut excluded: BTreeSet<EndpointId>,
+    ) -> MoveTarget {
+        let (context, service) = (&self.call.context, &self.call.service);
+        let now = boot_now();
+        let mut later: Option<(u64, EndpointId)> = None;
+        context.with(|state| {
+            loop {
+                let fleet = state.fleet(&context.settings);
+                let demand = self.call.placement_request(&excluded, Some(version));
+                let placement = choose_migration_target(now, fleet, demand, current);
+                let Placement::Endpoint(endpoint) = placement else { break };
+                let exhausted =
+                    match state.plan_move_to(now, &endpoint, service, &context.settings.vm) {
+                        Ok(()) => return MoveTarget::Engine(endpoint),
+                        Err(exhausted) => exhausted,
+                    };
+                excluded.insert(endpoint.clone());
+                let wait_ms = exhausted.wait_ms.unwrap_or(MAX_REPLAN_MS).min(MAX_REPLAN_MS);
+                if later.as_ref().is_none_or(|(shortest_ms, _)| wait_ms < *shortest_ms) {
+                    later = Some((wait_ms, endpoint));
+                }
+            }
+            match later {
+                Some((wait_ms, endpoint)) => MoveTarget::Later { wait_ms, endpoint },
+                None => MoveTarget::None,
+            }
+        })
     }
 
     /// Returns the address of `endpoint`, if it has the software version `version`.
--- a/crates/daemon/src/generation/switching.rs
+++ b/crates/daemon/src/generation/switching.rs
@@ -25,7 +25,7 @@
 use crate::call::EndedBy;
 use crate::context::Context;
 use crate::placing::EndpointConnection;
-use gypsumchute_exchange::{Connection, TcpTimeouts};
+use gypsumchute_exchange::Connection;
 use gypsumchute_platform::ResponseKind;
 use gypsumchute_routing::continuity::Interruption;
 use gypsumchute_units::EndpointId;
@@ -227,7 +227,8 @@
         let stalled_at = self.stalled_at(&run);
         let sending = prepared.send(&self.call, connection);
         let has_reports = self.call.service.engine.is_some();
-        let cutover = cutover_due(self.call.context.clone(), prepared.address, has_reports);
+        let (context, other_engine) = (self.call.context.clone(), prepared.endpoint.clone());
+        let cutover = cutover_due(context, other_engine, prepared.address, has_reports);
         tokio::pin!(sending, cutover);
         let mut other: Option<EventStream> = None;
         let earlier = loop {
@@ -398,15 +399,19 @@
     }
 }
 
-/// Completes when one of two runs must end, and returns whether the other engine, at `address`, is within
-/// reach. An engine that has reports of its state is asked for one; a connection alone may only show that
+/// Completes when one of two runs must end, and returns whether the other engine, `endpoint` at `address`,
+/// is within reach. An engine that has reports of its state is asked for one; a connection alone may only show that
 /// something in between accepts it.
-async fn cutover_due(context: Rc<Context>, address: SocketAddr, has_reports: bool) -> bool {
+async fn cutover_due(
+    context: Rc<Context>,
+    endpoint: EndpointId,
+    address: SocketAddr,
+    has_reports: bool,
+) -> bool {
     sleep(Duration::from_millis(CUTOVER_TIMEOUT_MS)).await;
-    let (dialer, timeouts) = (&*context.dialer, TcpTimeouts::Short);
     let is_reached = match has_reports {
-        true => responds(&context, address, REACH_TIMEOUT_MS).await,
-        false => Connection::open(dialer, address, REACH_TIMEOUT_MS, timeouts).await.is_ok(),
+        true => responds(&context, &endpoint, address, REACH_TIMEOUT_MS).await,
+        false => context.access.is_reachable(address, REACH_TIMEOUT_MS).await,
     };
     // If this process was suspended, what has arrived meanwhile is read first.
     sleep(Duration::from_millis(READ_GRACE_MS)).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,8 +10,8 @@
 //! - [`forwarding`] hands requests to other VMs while this VM reaches no endpoint;
 //! - [`store_updates`] applies configuration and registry changes, which come from
 //!   [`store_reader`], from [`folder_reader`] or, through [`peer_sync`], from peers;
-//! - [`crashes`] records which requests may have crashed endpoints; [`endpoint_rates`] applies the
-//!   rates that endpoints take;
+//! - [`crashes`] records which requests may have crashed endpoints; [`endpoint_rates`] keeps the rates
+//!   that endpoints take, and [`endpoint_access`] is the only way to them, with a permit for each request;
 //! - [`engine_reports`] polls engines for termination notices while the registry is stale;
 //! - [`gossip`] and [`crash_gossip`] exchange load, membership and crashes with peers;
 //!   [`maintenance`] discards expired state;
@@ -27,6 +27,7 @@
 pub mod context;
 pub mod crash_gossip;
 pub mod crashes;
+pub mod endpoint_access;
 pub mod endpoint_rates;
 pub mod engine_reports;
 pub mod events;
--- a/crates/daemon/src/maintenance.rs
+++ b/crates/daemon/src/maintenance.rs
@@ -93,7 +93,7 @@
         state.retries.expire(now, context.settings.retry_window_ms());
         let endpoints = &state.endpoints;
         let limits = &state.endpoint_limits;
-        state.rate_limiter.retain(|id| {
+        state.endpoint_use.retain(|id| {
             let is_cold = endpoints.get(id).is_some_and(|endpoint| endpoint.cold_until_ms > now);
             is_cold || limits.get(id).is_some()
         });
--- a/crates/daemon/src/placing.rs
+++ b/crates/daemon/src/placing.rs
@@ -2,8 +2,8 @@
 
 use crate::call::Call;
 use crate::context::LoadGuard;
-use crate::endpoint_rates::RateExhausted;
-use gypsumchute_exchange::{Connection, TcpTimeouts};
+use crate::endpoint_access::{RateExhausted, RequestPermit};
+use gypsumchute_exchange::Connection;
 use gypsumchute_routing::admission::QueuePosition;
 use gypsumchute_routing::headroom::capacity_limits;
 use gypsumchute_routing::placement::{
@@ -89,7 +89,7 @@
 
 /// An endpoint that was chosen for a request.
 struct ChosenEndpoint {
-    endpoint: EndpointId,
+    permit: RequestPermit,
     address: SocketAddr,
     version: ServiceVersion,
 }
@@ -97,7 +97,7 @@
 /// Result of an attempt to place a request without waiting.
 enum PlaceAttempt {
     /// This endpoint has capacity and takes the request now.
-    Endpoint(EndpointId),
+    Endpoint(RequestPermit),
     /// All suitable endpoints are full or cold, or requests ahead in the queue take precedence.
     AtCapacity,
     /// There is no suitable endpoint.
@@ -169,12 +169,12 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(Unplaced { refusal, links_failed: failures > 0 }),
             };
-            let ChosenEndpoint { endpoint, address, version } = chosen;
+            let ChosenEndpoint { permit, address, version } = chosen;
+            let endpoint = permit.endpoint().clone();
             self.log_placement(&endpoint);
             let load_guard = self.context.reserve_load(&endpoint, self.load_before_prefill());
             let limit_ms = CONNECT_TIMEOUT_MS.min(self.remaining_ms());
-            let dialer = &*self.context.dialer;
-            match Connection::open(dialer, address, limit_ms, TcpTimeouts::Long).await {
+            match permit.connect(&self.context, address, limit_ms).await {
                 // The endpoint may have gone out of service while the connection was being opened.
                 Ok(_)
                     if !self.context.with(|state| state.endpoints.accepts_requests(&endpoint)) =>
@@ -235,15 +235,15 @@
             }
             let left_ms = entry.left_ms();
             let (reason, wait_ms) = match self.try_place(entry.position, excluded, version) {
-                PlaceAttempt::Endpoint(endpoint) => {
+                PlaceAttempt::Endpoint(permit) => {
                     let found = self.context.with(|state| {
-                        let found = state.endpoints.get(&endpoint)?;
+                        let found = state.endpoints.get(permit.endpoint())?;
                         Some((found.entry.address, found.service_version))
                     });
                     match found {
                         Some((address, version)) => {
                             entry.record_placed();
-                            return Ok(ChosenEndpoint { endpoint, address, version });
+                            return Ok(ChosenEndpoint { permit, address, version });
                         }
                         None => (RefusalReason::NoEndpoint, left_ms),
                     }
@@ -337,10 +337,9 @@
                         }
                         Placement::NoEndpoint => return limits.outcome(),
                     };
-                let cold_per_s = self.service.cold_start_rate_per_s;
                 let vm = &self.context.settings.vm;
-                match state.acquire_endpoint(now, &endpoint, cold_per_s, vm) {
-                    Ok(()) => return PlaceAttempt::Endpoint(endpoint),
+                match state.acquire_endpoint(now, &endpoint, &self.service, vm) {
+                    Ok(permit) => return PlaceAttempt::Endpoint(permit),
                     Err(exhausted) => limits.add(exhausted),
                 }
                 excluded.insert(endpoint);
--- a/crates/daemon/tests/testsuite/main.rs
+++ b/crates/daemon/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod brittle_endpoints;
 mod caller_limits;
 mod changes_in_mid_stream;
+mod cold_engines;
 mod crash_spread;
 mod cut_off_vms;
 mod early_requests;
